Lay the foundation: ids, records, folds, HTTP, settings

Cause: the repository was empty. Change: typed ids and errors, one clock with a timer queue, records and pure folds for the three kinds of streams, an HTTP server on circuits.web with h11 as its parser, a keep-alive HTTP client, checked INI settings, the base of the stand-ins and the interfaces that the other parts build on. Before: nothing. Conclusion: circuits.web serves as server; its parser does not.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV ?= .venv
+RUN = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: test lint unit demo binary soak
+
+test: lint unit
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN) tools/requirements.py > $(VENV)/requirements.txt
+	$(RUN) -m pip install --quiet --requirement $(VENV)/requirements.txt
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(RUN) -m black --check --quiet citronpin tools
+	$(RUN) -m isort --check-only --quiet citronpin tools
+	$(RUN) -m flake8 citronpin tools
+
+unit: $(STAMP)
+	$(RUN) -m pytest
+
+demo: $(STAMP)
+	$(RUN) -m citronpin demo
+
+binary: $(STAMP)
+	$(RUN) tools/binary.py
+
+soak: $(STAMP)
+	CITRONPIN_SOAK_SEED=$(SEED) $(RUN) -m pytest -m soak
--- /dev/null
+++ b/citronpin/ids.py
@@ -0,0 +1,43 @@
+"""Identifiers that every module shares."""
+
+from typing import NewType
+
+import uuid_utils
+
+AdapterName = NewType("AdapterName", str)
+ApplicationName = NewType("ApplicationName", str)
+CallKey = NewType("CallKey", str)
+CustomerName = NewType("CustomerName", str)
+DeploymentName = NewType("DeploymentName", str)
+DomainName = NewType("DomainName", str)
+EntryId = NewType("EntryId", str)
+FailureDomainName = NewType("FailureDomainName", str)
+Fence = NewType("Fence", int)
+GroupId = NewType("GroupId", str)
+InstanceId = NewType("InstanceId", str)
+ModelName = NewType("ModelName", str)
+Offset = NewType("Offset", int)
+RecordId = NewType("RecordId", str)
+RegionName = NewType("RegionName", str)
+RequestId = NewType("RequestId", str)
+ShardNumber = NewType("ShardNumber", int)
+StreamName = NewType("StreamName", str)
+Version = NewType("Version", str)
+
+NO_OFFSET = Offset(-1)
+CONFIG_STREAM = StreamName("config")
+
+
+def control_stream(domain: DomainName) -> StreamName:
+    """Return the stream that holds the lease and groups of a fabric domain."""
+    return StreamName(f"control.{domain}")
+
+
+def calls_stream(shard: ShardNumber) -> StreamName:
+    """Return the stream that holds the intents and outcomes of a shard."""
+    return StreamName(f"calls.{shard}")
+
+
+def new_id() -> str:
+    """Return a fresh UUIDv7, whose first 48 bits are its time in milliseconds."""
+    return str(uuid_utils.uuid7())
--- /dev/null
+++ b/citronpin/records.py
@@ -0,0 +1,218 @@
+"""Records of the log: what entries and pipelines append.
+
+A record is one append; it carries one or more items by one author. Each item is
+a proposal that the fold accepts or rejects at the record's offset.
+"""
+
+import msgspec
+
+from citronpin.ids import (
+    AdapterName,
+    ApplicationName,
+    CallKey,
+    DeploymentName,
+    EntryId,
+    Fence,
+    GroupId,
+    InstanceId,
+    ModelName,
+    Offset,
+    RecordId,
+    Version,
+)
+from citronpin.manifests import Manifest
+
+FORMAT_VERSION = 1
+MAX_RECORD_BYTES = 256 * 1024
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """Base of the items of a record."""
+
+
+class ScopeChange(msgspec.Struct, frozen=True, array_like=True):
+    """A manifest for one scope; ``None`` removes the scope.
+
+    ``base`` is the offset at which the scope's manifest that the author saw took
+    effect, or ``NO_OFFSET`` for a scope that did not exist.
+    """
+
+    scope: str
+    base: Offset
+    manifest: Manifest | None
+
+
+class ConfigChange(Item, tag="config"):
+    """Changes scopes together: all of them take effect or none."""
+
+    changes: tuple[ScopeChange, ...]
+    author: str = ""
+
+
+class ConfigPart(Item, tag="config-part"):
+    """One part of a change that is too large for a single record."""
+
+    change: RecordId
+    number: int
+    count: int
+    changes: tuple[ScopeChange, ...]
+    author: str = ""
+
+
+class LeaseClaim(Item, tag="lease"):
+    """Claims the stream's lease; the first claim that supersedes it wins.
+
+    The fencing number of the new lease is the offset of the claim's record.
+    """
+
+    supersedes: Fence  # NO_OFFSET when the stream had no lease
+
+
+class GroupForm(Item, tag="form"):
+    """Assigns free instances to a new group."""
+
+    fence: Fence
+    group: GroupId
+    deployment: DeploymentName
+    members: tuple[InstanceId, ...]  # the first one leads
+    model: ModelName
+    version: Version
+    adapters: tuple[AdapterName, ...] = ()
+
+
+class GroupMove(Item, tag="move"):
+    """Moves a group to another state of its transition table."""
+
+    fence: Fence
+    group: GroupId
+    state: str  # value of states.GroupState
+    reason: str = ""
+
+
+class GroupReplace(Item, tag="replace"):
+    """Replaces members of a group that is not serving."""
+
+    fence: Fence
+    group: GroupId
+    leaving: tuple[InstanceId, ...]
+    joining: tuple[InstanceId, ...]
+
+
+class GroupReload(Item, tag="reload"):
+    """Sets the version and adapters of a group that is not serving."""
+
+    fence: Fence
+    group: GroupId
+    model: ModelName
+    version: Version
+    adapters: tuple[AdapterName, ...] = ()
+
+
+class GroupRelease(Item, tag="release"):
+    """Ends a group and frees its instances."""
+
+    fence: Fence
+    group: GroupId
+
+
+class InstanceBar(Item, tag="bar"):
+    """Bars an instance from assignment, or lifts the bar."""
+
+    fence: Fence
+    instance: InstanceId
+    barred: bool
+    reason: str = ""
+
+
+class CallIntent(Item, tag="intent"):
+    """Asks to own a non-repeatable call; the first intent for a key owns it.
+
+    ``owner`` is the entry that will dispatch, which may differ from the author
+    of the record, since the shard's holder appends for others.
+    """
+
+    key: CallKey
+    digest: str  # of method, path and body
+    owner: EntryId
+    application: ApplicationName
+    attempt: str = ""  # id of the caller's try; tells two tries of one owner apart
+
+
+class CallOutcome(Item, tag="outcome"):
+    """What became of a call, by its owner or, if ``settled``, by a look-up call."""
+
+    key: CallKey
+    owner: EntryId
+    outcome: str  # value of errors.Outcome
+    status: int = 0  # HTTP status; 0 when there is no answer
+    content_type: str = ""
+    body: bytes = b""
+    attempt: str = ""
+    settled: bool = False
+
+
+class CallPurge(Item, tag="purge"):
+    """Forgets calls whose keys are older than ``floor_ms``; such keys stay refused."""
+
+    fence: Fence
+    floor_ms: int  # milliseconds since the Unix epoch
+
+
+class EntryNote(Item, tag="entry"):
+    """Announces an entry's address on the configuration stream, or its leave."""
+
+    entry: EntryId
+    peer_address: str  # tcp://IP:PORT
+    failure_domain: str
+    leaving: bool = False
+
+
+class Checkpoint(Item, tag="checkpoint"):
+    """One part of the folded state up to ``upto``, with its digest."""
+
+    upto: Offset
+    digest: str
+    number: int
+    count: int
+    state: bytes
+
+
+AnyItem = (
+    ConfigChange
+    | ConfigPart
+    | LeaseClaim
+    | GroupForm
+    | GroupMove
+    | GroupReplace
+    | GroupReload
+    | GroupRelease
+    | InstanceBar
+    | CallIntent
+    | CallOutcome
+    | CallPurge
+    | EntryNote
+    | Checkpoint
+)
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One append to a stream."""
+
+    format: int
+    id: RecordId
+    author: EntryId
+    wall_ms: int  # informative; no rule depends on it
+    items: tuple[AnyItem, ...]
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the MessagePack form of a record."""
+    return msgspec.msgpack.encode(record)
+
+
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+def decode_record(payload: bytes) -> Record:
+    """Return the record of a payload; raises `msgspec.MsgspecError`."""
+    return _decoder.decode(payload)
--- /dev/null
+++ b/citronpin/servers.py
@@ -0,0 +1,591 @@
+"""HTTP server: `circuits.web` with bounded, strictly parsed requests.
+
+The parser of `circuits.web` loses pipelined requests, accepts negative and
+doubled lengths and bounds nothing, so requests are parsed by `h11` here and only
+whole, valid ones reach the `request` event.
+"""
+
+import logging
+import re
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from io import BytesIO
+from urllib.parse import parse_qsl, unquote
+
+import h11
+import msgspec
+from circuits import BaseComponent, handler
+from circuits.net.events import close
+from circuits.net.sockets import TCPServer
+from circuits.web.events import request, response, stream
+from circuits.web.headers import Headers
+from circuits.web.http import HTTP
+from circuits.web.wrappers import Request, Response
+
+from citronpin.clocks import Clock
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_BYTES = 32 * 1024
+MAX_CONNECTIONS = 4_096
+MAX_WRITE_BUFFER_BYTES = 1024 * 1024
+REQUEST_TIMEOUT_S = 15.0
+IDLE_TIMEOUT_S = 75.0
+STALL_TIMEOUT_S = 30.0
+SWEEP_INTERVAL_S = 1.0
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
+
+
+class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of a server; sizes in bytes, times in seconds."""
+
+    body_bytes: int = MAX_BODY_BYTES
+    header_bytes: int = MAX_HEADER_BYTES
+    connections: int = MAX_CONNECTIONS
+    write_buffer_bytes: int = MAX_WRITE_BUFFER_BYTES
+    request_timeout_s: float = REQUEST_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    stall_timeout_s: float = STALL_TIMEOUT_S
+
+
+class HttpRequest(msgspec.Struct):
+    """A whole request; header names are lower-case."""
+
+    method: str
+    path: str
+    target: str  # as sent, with the query
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    peer: str
+
+    def json(self):
+        """Return the decoded JSON body; raises `msgspec.DecodeError`."""
+        return msgspec.json.decode(self.body or b"null")
+
+
+class StreamBody:
+    """A false body that makes `circuits.web` use chunked transfer."""
+
+    def __bool__(self) -> bool:
+        return False
+
+    def __iter__(self):
+        return iter(())
+
+    def close(self) -> None:
+        """There is nothing to release."""
+
+
+class Reply:
+    """Answers one request, whole or piece by piece.
+
+    ``on_gone`` is called once when the caller leaves before the answer ended.
+    """
+
+    def __init__(self, *, task: "BoundedHttp", res: Response) -> None:
+        self._task = task
+        self._res = res
+        self.started = False
+        self.ended = False
+        self.on_gone: Callable[[], None] | None = None
+
+    @property
+    def sock(self):
+        """Return the caller's socket, which identifies the connection."""
+        return self._res.request.sock
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return how much the caller has not yet taken."""
+        return self._task.buffered_bytes(self.sock)
+
+    def whole(
+        self,
+        status: int,
+        body: bytes = b"",
+        content_type: str = JSON_TYPE,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Send the whole answer."""
+        if self.ended:
+            return
+        self._head(status, content_type, headers)
+        self.ended = True
+        self._res.body = body
+        self._task.fire(response(self._res))
+
+    def json(self, status: int, value, headers: dict[str, str] | None = None) -> None:
+        """Send a JSON value."""
+        self.whole(status, msgspec.json.encode(value), JSON_TYPE, headers)
+
+    def start(
+        self,
+        status: int,
+        content_type: str,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Send the head of a streamed answer."""
+        if self.ended:
+            return
+        self._head(status, content_type, headers)
+        self._res.stream = True
+        self._res.body = StreamBody()
+        self._task.fire(response(self._res))
+
+    def push(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+        if not self.ended and data:
+            self._task.fire(stream(self._res, data))
+
+    def finish(self) -> None:
+        """End a streamed answer."""
+        if not self.ended:
+            self.ended = True
+            self._task.fire(stream(self._res, None))
+
+    def abort(self) -> None:
+        """Cut the connection, so that the caller sees the answer is not whole."""
+        self.ended = True
+        self._task.drop(self.sock)
+
+    def close_after(self) -> None:
+        """Close the connection when the answer has been sent."""
+        self._res.close = True
+
+    def _head(self, status, content_type, headers) -> None:
+        self.started = True
+        self._res.status = status
+        self._res.headers["Content-Type"] = content_type
+        for name, value in (headers or {}).items():
+            self._res.headers[name] = value
+
+
+class HttpHandler(ABC):
+    """Takes whole requests; answers through the reply now or later."""
+
+    @abstractmethod
+    def handle(self, req: HttpRequest, reply: Reply) -> None:
+        """Take a request."""
+
+
+class Conn:
+    """Parser and progress of one connection."""
+
+    __slots__ = ("parser", "head", "parts", "size", "since_s", "res", "reply", "left")
+
+    def __init__(self, *, now_s: float, limits: ServerLimits) -> None:
+        self.left = False
+        self.since_s = now_s
+        self.renew(limits, b"")
+
+    def renew(self, limits: ServerLimits, rest: bytes) -> None:
+        """Make ready for the next request, of which ``rest`` has arrived."""
+        self.parser = h11.Connection(
+            our_role=h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self.head = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.res: Response | None = None
+        self.reply: Reply | None = None
+        if rest:
+            self.parser.receive_data(rest)
+
+    @property
+    def waiting(self) -> bool:
+        """Return whether a request has begun and is not yet whole."""
+        begun = self.head is not None or bool(self.parser.trailing_data[0])
+        return self.res is None and begun
+
+
+class BadRequest(Exception):
+    """A request that is refused before any handler sees it."""
+
+    def __init__(self, status: int, detail: str, remedy: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+        self.remedy = remedy
+
+
+class BoundedHttp(HTTP):
+    """Turns bytes into whole requests, one at a time for each connection."""
+
+    def __init__(
+        self, *, server, limits: ServerLimits, clock: Clock, target: HttpHandler
+    ) -> None:
+        super().__init__(server, channel=server.channel)
+        self._limits = limits
+        self._clock = clock
+        self._target = target
+        self._conns: dict[object, Conn] = {}
+        self.counters: dict[str, int] = {}
+        self._sweep_timer = clock.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def buffered_bytes(self, sock) -> int:
+        """Return how many bytes wait to be sent on a connection."""
+        return sum(map(len, self._server.server._buffers.get(sock, ())))
+
+    def drop(self, sock) -> None:
+        """Cut a connection without sending what is buffered."""
+        self._server.server._buffers.pop(sock, None)
+        self.fire(close(sock))
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections."""
+        return len(self._conns)
+
+    @property
+    def open_replies(self) -> int:
+        """Return the number of requests that have no whole answer yet."""
+        return sum(conn.res is not None for conn in self._conns.values())
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for sock, conn in list(self._conns.items()):
+            if conn.res is None and not conn.waiting:
+                self.fire(close(sock))
+
+    def stop_sweeping(self) -> None:
+        """Stop the timer that ends slow connections."""
+        self._sweep_timer.cancel()
+
+    def _count(self, name: str) -> None:
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+    @handler("connect")
+    def _on_connect(self, sock, *peer) -> None:
+        if len(self._conns) >= self._limits.connections:
+            self._count("connections_refused")
+            self.fire(close(sock))
+            return
+        self._conns[sock] = Conn(now_s=self._clock.now(), limits=self._limits)
+
+    @handler("disconnect", override=True)
+    def _on_disconnect(self, sock) -> None:
+        conn = self._conns.pop(sock, None)
+        if conn is None or conn.reply is None:
+            return
+        reply = conn.reply
+        gone = not reply.ended
+        reply.ended = True
+        if gone and reply.on_gone is not None:
+            reply.on_gone()
+
+    @handler("read", override=True)
+    def _on_read(self, sock, data) -> None:
+        conn = self._conns.get(sock)
+        if conn is None or conn.left:
+            return
+        if not conn.waiting:
+            conn.since_s = self._clock.now()
+        try:
+            conn.parser.receive_data(data)
+        except h11.RemoteProtocolError:
+            self._refuse(sock, conn, BadRequest(400, "Bad request.", "Send HTTP/1.1."))
+            return
+        if conn.res is None:
+            self._parse(sock, conn)
+        elif len(conn.parser.trailing_data[0]) > self._limits.body_bytes:
+            self._count("pipeline_overflows")
+            self.drop(sock)
+
+    def _parse(self, sock, conn: Conn) -> None:
+        try:
+            while conn.res is None and not conn.left:
+                event = conn.parser.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._invite_body(sock, conn)
+                    return
+                self._take(sock, conn, event)
+        except h11.RemoteProtocolError as exc:
+            status = exc.error_status_hint
+            remedy = "Correct the request line, headers or body framing."
+            self._refuse(sock, conn, BadRequest(status, str(exc), remedy))
+        except BadRequest as exc:
+            self._refuse(sock, conn, exc)
+
+    def _invite_body(self, sock, conn: Conn) -> None:
+        if conn.parser.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(sock, conn.parser.send(go_on))
+
+    def _take(self, sock, conn: Conn, event) -> None:
+        if isinstance(event, h11.Request):
+            conn.head = event
+            self._check_head(event)
+        elif isinstance(event, h11.Data):
+            conn.size += len(event.data)
+            if conn.size > self._limits.body_bytes:
+                raise self._too_large()
+            conn.parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._dispatch(sock, conn)
+        elif isinstance(event, h11.ConnectionClosed):
+            conn.left = True
+            self.fire(close(sock))
+
+    def _too_large(self) -> BadRequest:
+        limit = self._limits.body_bytes
+        return BadRequest(
+            413, f"The body is larger than {limit} bytes.", "Send a smaller body."
+        )
+
+    def _check_head(self, head: h11.Request) -> None:
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise BadRequest(
+                400,
+                "Both Content-Length and Transfer-Encoding are given.",
+                "Send one of them.",
+            )
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self._limits.body_bytes:
+                raise self._too_large()
+
+    def _dispatch(self, sock, conn: Conn) -> None:
+        try:
+            req = self._wrap(sock, conn)
+        except OSError:
+            conn.left = True
+            return
+        except Exception as exc:
+            logger.info("request refused: %s", exc)
+            raise BadRequest(
+                400, "The target or Host header is malformed.", "Correct them."
+            ) from exc
+        conn.res = Response(req)
+        keep = req.headers.get("Connection", "").lower() != "close"
+        conn.res.close = not (keep and req.protocol == (1, 1))
+        conn.reply = Reply(task=self, res=conn.res)
+        self.fire(request(req, conn.res))
+
+    def _wrap(self, sock, conn: Conn) -> Request:
+        head = conn.head
+        headers = Headers([(k.decode(), v.decode("latin-1")) for k, v in head.headers])
+        cookies = headers.pop("Cookie", None)
+        path, _, query = head.target.decode("ascii").partition("?")
+        version = tuple(int(part) for part in head.http_version.decode().split("."))
+        req = Request(
+            sock,
+            head.method.decode("ascii"),
+            "http",
+            path,
+            version,
+            query,
+            headers=headers,
+            server=self._server,
+        )
+        if cookies is not None:
+            headers["Cookie"] = cookies
+        req.body = BytesIO(b"".join(conn.parts))
+        return req
+
+    @handler("request")
+    def _on_request(self, event, req, res) -> None:
+        # Answers are given through the reply, also later, so the library must
+        # not take the missing return value for a missing page.
+        event.success = False
+        conn = self._conns.get(req.sock)
+        if conn is None or conn.res is not res:
+            return
+        whole = HttpRequest(
+            method=req.method,
+            path=unquote(req.path),
+            target=f"{req.path}?{req.qs}" if req.qs else req.path,
+            query=dict(parse_qsl(req.qs, keep_blank_values=True)),
+            headers={name.lower(): value for name, value in req.headers.items()},
+            body=req.body.getvalue(),
+            peer=req.remote.ip or "",
+        )
+        try:
+            self._target.handle(whole, conn.reply)
+        except Exception:
+            logger.exception("request failed: %s %s", whole.method, whole.path)
+            self._count("handler_faults")
+            send_problem(
+                conn.reply, 500, "internal", "The request failed.", "Report it."
+            )
+
+    @handler("response", override=True)
+    def _on_response(self, res) -> None:
+        sock = res.request.sock
+        if sock not in self._conns:
+            return
+        res.prepare()
+        # Written directly: a queued write event would let a piece that is
+        # streamed in the same turn overtake the head.
+        self._write(sock, bytes(res) + bytes(res.headers))
+        if res.stream:
+            return
+        if res.request.method != "HEAD":
+            self._write(sock, b"".join(res.body))
+        self._end(res)
+
+    @handler("stream", override=True)
+    def _on_stream(self, res, data) -> None:
+        sock = res.request.sock
+        if sock not in self._conns:
+            return
+        if data is None:
+            if res.chunked:
+                self._write(sock, b"0\r\n\r\n")
+            self._end(res)
+            return
+        chunk = b"%x\r\n%b\r\n" % (len(data), data) if res.chunked else data
+        self._write(sock, chunk)
+        if self.buffered_bytes(sock) > self._limits.write_buffer_bytes:
+            self._count("write_overflows")
+            self.drop(sock)
+
+    def _write(self, sock, data: bytes) -> None:
+        if data:
+            self._server.server.write(sock, data)
+
+    def _end(self, res) -> None:
+        res.done = True
+        if res.close:
+            self.fire(close(res.request.sock))
+        self._next(res)
+
+    def _next(self, res) -> None:
+        conn = self._conns.get(res.request.sock)
+        if conn is None or conn.res is not res:
+            return
+        if res.close:
+            conn.left = True
+            return
+        rest, _ = conn.parser.trailing_data
+        conn.since_s = self._clock.now()
+        conn.renew(self._limits, bytes(rest))
+        if rest:
+            self._parse(res.request.sock, conn)
+
+    def _refuse(self, sock, conn: Conn, exc: BadRequest) -> None:
+        self._count("bad_requests")
+        conn.left = True
+        body = problem_body(exc.status, "bad-request", exc.detail, exc.remedy)
+        reason = "Content Too Large" if exc.status == 413 else "Bad Request"
+        head = (
+            f"HTTP/1.1 {exc.status} {reason}\r\nContent-Type: {PROBLEM_TYPE}\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self._write(sock, head.encode() + body)
+        self.fire(close(sock))
+
+    def _sweep(self) -> None:
+        now = self._clock.now()
+        for sock, conn in list(self._conns.items()):
+            self._end_slow(sock, conn, now - conn.since_s)
+        self._sweep_timer = self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def _end_slow(self, sock, conn: Conn, age_s: float) -> None:
+        if conn.waiting and age_s > self._limits.request_timeout_s:
+            self._count("slow_senders")
+            self._refuse(
+                sock, conn, BadRequest(408, "The request is too slow.", "Send faster.")
+            )
+        elif conn.res is None and age_s > self._limits.idle_timeout_s:
+            self.fire(close(sock))
+
+
+class WebServer(BaseComponent):
+    """A listening server; ``bind`` is ``(IP, port)``, port 0 takes a free one."""
+
+    channel = "web"
+    secure = False
+    display_banner = False
+
+    def __init__(
+        self,
+        *,
+        bind: tuple[str, int],
+        target: HttpHandler,
+        clock: Clock,
+        limits: ServerLimits | None = None,
+        channel: str = channel,
+    ) -> None:
+        super().__init__(channel=channel)
+        self.server = TCPServer(bind, channel=channel).register(self)
+        self.http = BoundedHttp(
+            server=self, limits=limits or ServerLimits(), clock=clock, target=target
+        ).register(self)
+
+    @property
+    def host(self) -> str:
+        """Return the bound IP number."""
+        return self.server.host
+
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        return self.server.port
+
+    @property
+    def address(self) -> str:
+        """Return ``IP:PORT``."""
+        return f"{self.host}:{self.port}"
+
+    @handler("connect", "closed", "ready", "disconnect", "error")
+    def _on_feedback(self, *args) -> None:
+        """Take the feedback events that nothing else needs."""
+
+
+Endpoint = Callable[..., None]
+
+
+class Routes(HttpHandler):
+    """Maps method and path to endpoints.
+
+    Patterns hold ``{name}`` for one path segment and ``{name*}`` for the rest;
+    both are passed as keyword arguments.
+    """
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, re.Pattern, Endpoint]] = []
+
+    def add(self, method: str, pattern: str, endpoint: Endpoint) -> None:
+        """Register an endpoint; method ``*`` takes all."""
+        regex = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.*)", pattern)
+        regex = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", regex)
+        self._routes.append((method, re.compile(regex + r"\Z"), endpoint))
+
+    def handle(self, req: HttpRequest, reply: Reply) -> None:
+        known = False
+        for method, pattern, endpoint in self._routes:
+            match = pattern.match(req.path)
+            if match is None:
+                continue
+            known = True
+            if method in ("*", req.method) or (method, req.method) == ("GET", "HEAD"):
+                endpoint(req, reply, **match.groupdict())
+                return
+        status, kind = (405, "method-not-allowed") if known else (404, "not-found")
+        detail = f"{req.method} {req.path} is not served here."
+        send_problem(reply, status, kind, detail, "See the API page for the paths.")
+
+
+def problem_body(status: int, kind: str, detail: str, remedy: str, **more) -> bytes:
+    """Return problem details (RFC 9457) as JSON."""
+    problem = {
+        "type": f"urn:citronpin:problem:{kind}",
+        "title": kind.replace("-", " "),
+        "status": status,
+        "kind": kind,
+        "detail": detail,
+        "remedy": remedy,
+        "outcome": "not-run",
+    }
+    return msgspec.json.encode(problem | more)
+
+
+def send_problem(
+    reply: Reply, status: int, kind: str, detail: str, remedy: str, **more
+) -> None:
+    """Answer with problem details."""
+    body = problem_body(status, kind, detail, remedy, **more)
+    reply.whole(status, body, PROBLEM_TYPE)
--- /dev/null
+++ b/citronpin/settings.py
@@ -0,0 +1,253 @@
+"""Settings: defaults, reading and checking.
+
+Each section of the INI file belongs to one part of the program; every key has a
+default here, except those whose default is ``REQUIRED``.
+"""
+
+import configparser
+import ipaddress
+import logging
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+from citronpin.errors import SettingsError
+
+logger = logging.getLogger(__name__)
+
+REQUIRED = None
+
+
+class ValueKind(Enum):
+    """How the text of a setting is read."""
+
+    TEXT = "text"
+    NUMBER = "number"
+    COUNT = "whole number"
+    SWITCH = "yes or no"
+    ADDRESS = "IP:PORT"
+    ADDRESSES = "IP:PORT, ..."
+    NAMES = "name, ..."
+
+
+class Setting(msgspec.Struct, frozen=True, kw_only=True):
+    """One key: its default, how it is read, its range and what it is for."""
+
+    default: str | None
+    kind: ValueKind = ValueKind.TEXT
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+    doc: str
+
+
+def _seconds(default: str, doc: str, minimum: float = 0.001) -> Setting:
+    return Setting(
+        default=default, kind=ValueKind.NUMBER, minimum=minimum, maximum=1e6, doc=doc
+    )
+
+
+def _count(default: str, doc: str, minimum: int = 0, maximum: int = 10**9) -> Setting:
+    return Setting(
+        default=default,
+        kind=ValueKind.COUNT,
+        minimum=minimum,
+        maximum=maximum,
+        doc=doc,
+    )
+
+
+def _number(default: str, doc: str, minimum: float, maximum: float) -> Setting:
+    return Setting(
+        default=default,
+        kind=ValueKind.NUMBER,
+        minimum=minimum,
+        maximum=maximum,
+        doc=doc,
+    )
+
+
+ENTRY_DEFAULTS = {
+    "name": Setting(default=REQUIRED, doc="Name of this entry, unique among entries."),
+    "listen": Setting(
+        default=REQUIRED, kind=ValueKind.ADDRESS, doc="Address for callers."
+    ),
+    "failure_domain": Setting(default=REQUIRED, doc="Failure domain it runs in."),
+    "region": Setting(default="", doc="Region it runs in."),
+    "log": Setting(
+        default=REQUIRED, kind=ValueKind.ADDRESS, doc="Address of the log service."
+    ),
+    "membership": Setting(
+        default=REQUIRED, kind=ValueKind.ADDRESS, doc="Address of the membership list."
+    ),
+    "drain_s": _seconds("60", "Longest time that a planned stop waits."),
+    "log_level": Setting(
+        default="INFO",
+        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+        doc="Least level that is logged.",
+    ),
+}
+
+SERVER_DEFAULTS = {
+    "body_bytes": _count("4194304", "Largest request body.", minimum=1),
+    "header_bytes": _count("32768", "Largest request head.", minimum=1024),
+    "connections": _count("4096", "Most open connections.", minimum=1),
+    "write_buffer_bytes": _count("1048576", "Most unsent bytes a caller.", 4096),
+    "request_timeout_s": _seconds("15", "Longest time to send a request."),
+    "idle_timeout_s": _seconds("75", "Longest time between requests."),
+    "stall_timeout_s": _seconds("30", "Longest time without taking a byte."),
+}
+
+PEERS_DEFAULTS = {
+    "listen": Setting(
+        default=REQUIRED, kind=ValueKind.ADDRESS, doc="Address for other entries."
+    ),
+    "seeds": Setting(
+        default="", kind=ValueKind.ADDRESSES, doc="Entries to contact at boot."
+    ),
+    "key": Setting(default=REQUIRED, doc="Secret that authenticates entries."),
+}
+
+STANDIN_DEFAULTS = {
+    "listen": Setting(
+        default=REQUIRED, kind=ValueKind.ADDRESS, doc="Address of the stand-in."
+    ),
+    "name": Setting(default="standin", doc="Name in logs and the time line."),
+}
+
+DEFAULTS: dict[str, dict[str, Setting]] = {
+    "entry": ENTRY_DEFAULTS,
+    "server": SERVER_DEFAULTS,
+    "peers": PEERS_DEFAULTS,
+    "standin": STANDIN_DEFAULTS,
+}
+
+ENTRY_SECTIONS = ("entry", "server", "peers")
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Checked values by section and key."""
+
+    values: dict[str, dict[str, object]]
+
+    def section(self, name: str) -> dict[str, object]:
+        """Return the values of a section."""
+        return self.values[name]
+
+
+def read_settings(
+    path: str | Path, sections: tuple[str, ...] = ENTRY_SECTIONS
+) -> Result[Settings, list[SettingsError]]:
+    """Read an INI file; `Err` holds every fault that it has."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as source:
+            parser.read_file(source)
+    except (OSError, configparser.Error, UnicodeDecodeError) as exc:
+        return Err([SettingsError(f"{path}: {exc}.", remedy="Correct the file.")])
+    given = {name: dict(parser[name]) for name in parser.sections()}
+    return check_settings(given, sections)
+
+
+def check_settings(
+    given: dict[str, dict[str, str]], sections: tuple[str, ...] = ENTRY_SECTIONS
+) -> Result[Settings, list[SettingsError]]:
+    """Check given texts, fill in defaults and read every value."""
+    faults = [
+        SettingsError(f"[{name}] is not a section.", remedy="Remove or rename it.")
+        for name in given
+        if name not in DEFAULTS
+    ]
+    values = {}
+    for name in sections:
+        values[name] = _check_section(name, given.get(name, {}), faults)
+    return Err(faults) if faults else Ok(Settings(values))
+
+
+def _check_section(name: str, given: dict[str, str], faults: list) -> dict:
+    known = DEFAULTS[name]
+    for key in given:
+        if key not in known:
+            close = ", ".join(sorted(known))
+            faults.append(
+                SettingsError(
+                    f"[{name}] {key}: there is no such key.",
+                    remedy=f"Use one of {close}.",
+                )
+            )
+    values = {}
+    for key, setting in known.items():
+        text = given.get(key, setting.default)
+        if text is None:
+            faults.append(
+                SettingsError(f"[{name}] {key}: is missing.", remedy=setting.doc)
+            )
+            continue
+        values[key] = _read_value(name, key, text.strip(), setting, faults)
+    return values
+
+
+def _read_value(name: str, key: str, text: str, setting: Setting, faults: list):
+    try:
+        value = _READERS[setting.kind](text)
+    except ValueError:
+        value = None
+        remedy = f"Give {setting.kind.value}. {setting.doc}"
+        faults.append(
+            SettingsError(f"[{name}] {key}: cannot read {text!r}.", remedy=remedy)
+        )
+        return value
+    fault = _range_fault(value, setting)
+    if fault:
+        faults.append(
+            SettingsError(f"[{name}] {key}: {text!r} is {fault}.", remedy=setting.doc)
+        )
+    return value
+
+
+def _range_fault(value, setting: Setting) -> str:
+    if setting.choices and value not in setting.choices:
+        return f"not one of {', '.join(setting.choices)}"
+    if setting.minimum is not None and value < setting.minimum:
+        return f"below {setting.minimum:g}"
+    if setting.maximum is not None and value > setting.maximum:
+        return f"above {setting.maximum:g}"
+    return ""
+
+
+def _read_switch(text: str) -> bool:
+    switches = {"yes": True, "true": True, "no": False, "false": False}
+    if text.lower() not in switches:
+        raise ValueError(text)
+    return switches[text.lower()]
+
+
+def _read_address(text: str) -> str:
+    host, colon, port = text.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not colon or not 0 <= int(port) <= 65_535:
+        raise ValueError(text)
+    return text
+
+
+def _read_list(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
+_READERS = {
+    ValueKind.TEXT: str,
+    ValueKind.NUMBER: float,
+    ValueKind.COUNT: int,
+    ValueKind.SWITCH: _read_switch,
+    ValueKind.ADDRESS: _read_address,
+    ValueKind.ADDRESSES: lambda text: tuple(map(_read_address, _read_list(text))),
+    ValueKind.NAMES: _read_list,
+}
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
