Send head and body of a whole answer in one write

Change: one write for a whole answer; the test reads until the body came. Conclusion: one system call fewer for each answer, and no assumption on segments.

--- a/citronpin/servers.py
+++ b/citronpin/servers.py
@@ -417,14 +417,14 @@
         if sock not in self._conns:
             return
         res.prepare()
+        parts = [bytes(res), bytes(res.headers)]
+        if not res.stream and res.request.method != "HEAD":
+            parts.extend(res.body)
         # Written directly: a queued write event would let a piece that is
         # streamed in the same turn overtake the head.
-        self._write(sock, bytes(res) + bytes(res.headers))
-        if res.stream:
-            return
-        if res.request.method != "HEAD":
-            self._write(sock, b"".join(res.body))
-        self._end(res)
+        self._write(sock, b"".join(parts))
+        if not res.stream:
+            self._end(res)
 
     @handler("stream", override=True)
     def _on_stream(self, res, data) -> None:
--- a/citronpin/tests/test_servers.py
+++ b/citronpin/tests/test_servers.py
@@ -87,12 +87,14 @@
 
 
 def test_a_body_in_pieces_is_whole(server):
+    pieces = (b"POST /body HT", b"TP/1.1\r\nHost: a\r\nContent-", b"Length: 5")
     with socket.create_connection((server.host, server.port), timeout=10) as conn:
-        for piece in (b"POST /body HT", b"TP/1.1\r\nHost: a\r\nContent-", b"Length: 5"):
+        for piece in (*pieces, b"\r\n\r\nhe", b"llo"):
             conn.sendall(piece)
-        conn.sendall(b"\r\n\r\nhe")
-        conn.sendall(b"llo")
-        assert conn.recv(65536).endswith(b"hello")
+        got = b""
+        while not got.endswith(b"hello"):
+            got += conn.recv(65536)
+    assert got.startswith(b"HTTP/1.1 200 OK")
 
 
 def test_unknown_paths_are_problem_details(server):
