--- /dev/null
+++ b/citronpin/filters.py
@@ -0,0 +1,200 @@
+"""The filter chain that every request of a caller passes."""
+
+import hashlib
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import msgspec
+
+from citronpin.clocks import MS_PER_S, Clock
+from citronpin.errors import CitronpinError, Outcome
+from citronpin.events import EventKind, Recorder
+from citronpin.ids import CustomerName, RequestId, new_id
+from citronpin.manifests import Customer, DeploymentManifest
+from citronpin.refusals import BadBody, NotIdentified
+from citronpin.servers import PROBLEM_TYPE, HttpRequest, Reply, problem_body
+
+logger = logging.getLogger(__name__)
+
+REQUEST_ID_HEADER = "Citronpin-Request-Id"
+OUTCOME_HEADER = "Citronpin-Outcome"
+BEARER_PREFIX = "Bearer "
+ANONYMOUS = Customer(name=CustomerName(""), key_digests=())
+
+
+class Ending(msgspec.Struct, frozen=True):
+    """How a request ended."""
+
+    outcome: Outcome
+    status: int
+    error: CitronpinError | None = None
+    tokens: int = 0
+
+
+class Context:
+    """One request on its way through the chain; ends exactly once."""
+
+    def __init__(
+        self, *, req: HttpRequest, reply: Reply, clock: Clock, recorder: Recorder
+    ) -> None:
+        self.req = req
+        self.reply = reply
+        self.clock = clock
+        self.recorder = recorder
+        self.id = RequestId(new_id())
+        self.started_s = clock.now()
+        self.deadline_s = self.started_s
+        self.customer: Customer = ANONYMOUS
+        self.priority = 0
+        self.deployment: DeploymentManifest | None = None
+        self.application = None
+        self.chat: dict = {}
+        self.repeatable = True
+        self.first_token_s: float | None = None
+        self.ending: Ending | None = None
+        self._on_end: list[Callable[[Ending], None]] = []
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the headers that every answer carries."""
+        return {REQUEST_ID_HEADER: self.id}
+
+    def on_end(self, callback: Callable[[Ending], None]) -> None:
+        """Call back once when the request ends, whatever the end."""
+        self._on_end.append(callback)
+
+    def end(self, ending: Ending) -> bool:
+        """Note the end; return whether this call was the first to do so."""
+        if self.ending is not None:
+            return False
+        self.ending = ending
+        kind = EventKind.REQUEST_ENDED
+        if ending.outcome is Outcome.NOT_RUN:
+            kind = EventKind.REQUEST_REFUSED
+        reason = f": {ending.error.kind}" if ending.error else ""
+        self.recorder.note(kind, ending.outcome.value + reason, request=self.id)
+        callbacks, self._on_end = self._on_end, []
+        for callback in callbacks:
+            callback(ending)
+        return True
+
+    def refuse(self, error: CitronpinError) -> None:
+        """Answer with problem details before any byte of an answer was sent."""
+        ending = Ending(outcome=error.outcome, status=error.status, error=error)
+        if not self.end(ending):
+            return
+        headers = self.headers | {OUTCOME_HEADER: error.outcome.value}
+        if error.retry_after_s is not None:
+            headers["Retry-After"] = str(max(1, round(error.retry_after_s)))
+        body = self.problem(error)
+        self.reply.whole(error.status, body, PROBLEM_TYPE, headers)
+
+    def problem(self, error: CitronpinError) -> bytes:
+        """Return the problem details of an error."""
+        return problem_body(
+            error.status,
+            error.kind,
+            error.detail,
+            error.remedy,
+            outcome=error.outcome.value,
+            request_id=self.id,
+        )
+
+
+Proceed = Callable[[Context], None]
+
+
+class Filter(ABC):
+    """One step of the chain.
+
+    A filter calls ``proceed`` once, now or later, or ends the context.
+    """
+
+    @abstractmethod
+    def handle(self, ctx: Context, proceed: Proceed) -> None:
+        """Take a request."""
+
+
+class FilterChain:
+    """Passes a context through filters in order."""
+
+    def __init__(self, *, filters: tuple[Filter, ...]) -> None:
+        self._filters = filters
+
+    def run(self, ctx: Context) -> None:
+        """Start a request on its way."""
+        self._step(ctx, 0)
+
+    def _step(self, ctx: Context, index: int) -> None:
+        if ctx.ending is not None or index >= len(self._filters):
+            return
+        step = self._filters[index]
+        try:
+            step.handle(ctx, lambda passed: self._step(passed, index + 1))
+        except CitronpinError as exc:
+            ctx.refuse(exc)
+
+
+class GateFilter(Filter):
+    """Refuses while the entry drains or cannot vouch for its configuration."""
+
+    def __init__(self, *, refusal: Callable[[], CitronpinError | None]) -> None:
+        self._refusal = refusal
+
+    def handle(self, ctx: Context, proceed: Proceed) -> None:
+        error = self._refusal()
+        if error is not None:
+            ctx.reply.close_after()
+            raise error
+        proceed(ctx)
+
+
+class IdentifyFilter(Filter):
+    """Finds the customer by the digest of the bearer key."""
+
+    def __init__(self, *, customers: Callable[[], dict[str, Customer]]) -> None:
+        self._customers = customers
+
+    def handle(self, ctx: Context, proceed: Proceed) -> None:
+        header = ctx.req.headers.get("authorization", "")
+        if not header.startswith(BEARER_PREFIX):
+            raise NotIdentified("The request carries no bearer key.")
+        digest = key_digest(header[len(BEARER_PREFIX) :].strip())
+        customer = self._customers().get(digest)
+        if customer is None:
+            raise NotIdentified("The bearer key belongs to no customer.")
+        ctx.customer = customer
+        ctx.priority = _priority(ctx.req, customer)
+        ctx.deadline_s = ctx.started_s + _deadline_s(ctx.req, customer)
+        proceed(ctx)
+
+
+def key_digest(key: str) -> str:
+    """Return the digest of a bearer key as manifests hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _priority(req: HttpRequest, customer: Customer) -> int:
+    """Return the priority asked for, at most the customer's own."""
+    text = req.headers.get("citronpin-priority")
+    if text is None:
+        return customer.priority
+    try:
+        return min(int(text), customer.priority)
+    except ValueError:
+        raise BadBody("Citronpin-Priority is not a whole number.") from None
+
+
+def _deadline_s(req: HttpRequest, customer: Customer) -> float:
+    """Return the seconds asked for, at most the customer's own."""
+    text = req.headers.get("citronpin-deadline-ms")
+    if text is None:
+        return customer.deadline_s
+    try:
+        wanted_s = int(text) / MS_PER_S
+    except ValueError:
+        raise BadBody("Citronpin-Deadline-Ms is not a whole number.") from None
+    if wanted_s <= 0:
+        raise BadBody("Citronpin-Deadline-Ms is not above 0.")
+    return min(wanted_s, customer.deadline_s)
--- /dev/null
+++ b/citronpin/refusals.py
@@ -0,0 +1,140 @@
+"""Errors that callers of an entry get before or in place of an answer."""
+
+from citronpin.errors import CitronpinError, Outcome
+
+
+class Refusal(CitronpinError):
+    """A request that was not run."""
+
+    outcome = Outcome.NOT_RUN
+    status = 400
+
+
+class NotIdentified(Refusal):
+    """The bearer key is missing or belongs to no customer."""
+
+    kind = "not-identified"
+    status = 401
+    remedy = "Send the header Authorization: Bearer KEY with a key of a customer."
+
+
+class NotPermitted(Refusal):
+    """The customer may not use what the request names."""
+
+    kind = "not-permitted"
+    status = 403
+    remedy = "Ask the operators to add it to the customer's manifest."
+
+
+class BadBody(Refusal):
+    """The body cannot be read or lacks a field."""
+
+    kind = "bad-body"
+    status = 400
+    remedy = "Correct the named field; the API page shows each."
+
+
+class UnknownModel(Refusal):
+    """No deployment has the model's name."""
+
+    kind = "unknown-model"
+    status = 404
+    remedy = "GET /v1/models lists the names."
+
+
+class UnknownApplication(Refusal):
+    """No application has the name in the path."""
+
+    kind = "unknown-application"
+    status = 404
+    remedy = "Check the name in the path, or publish a manifest for it."
+
+
+class Draining(Refusal):
+    """The entry is about to stop."""
+
+    kind = "draining"
+    status = 503
+    remedy = "Send the request again; the balancer chooses another entry."
+
+
+class NotReady(Refusal):
+    """The entry cannot vouch for the configuration that is in force."""
+
+    kind = "not-ready"
+    status = 503
+    remedy = "Send the request again; the balancer chooses another entry."
+
+
+class NoGroup(Refusal):
+    """No group of the deployment serves now."""
+
+    kind = "no-group"
+    status = 503
+    remedy = "Send the request again after the time in Retry-After."
+
+
+class NoServer(Refusal):
+    """No server of the application is in service now."""
+
+    kind = "no-server"
+    status = 503
+    remedy = "Send the request again after the time in Retry-After."
+
+
+class Overloaded(Refusal):
+    """The request cannot be served before its deadline."""
+
+    kind = "overloaded"
+    status = 503
+    remedy = "Send the request again after the time in Retry-After."
+
+
+class LimitExceeded(Refusal):
+    """The customer's limit is used up."""
+
+    kind = "limit-exceeded"
+    status = 429
+    remedy = "Slow down; send the request again after the time in Retry-After."
+
+
+class KeyMissing(Refusal):
+    """A call that must not be repeated came without a key."""
+
+    kind = "key-missing"
+    status = 400
+    remedy = "Send a fresh UUIDv7 in the header Idempotency-Key."
+
+
+class KeyTooOld(Refusal):
+    """The key is older than the time for which outcomes are kept."""
+
+    kind = "key-too-old"
+    status = 422
+    remedy = "Look the outcome up in the application before using a fresh key."
+
+
+class KeyReused(Refusal):
+    """The key was used for another request."""
+
+    kind = "key-reused"
+    status = 422
+    remedy = "Use a fresh UUIDv7 for each request."
+
+
+class CallPending(CitronpinError):
+    """Another try of the same call is under way."""
+
+    kind = "call-pending"
+    status = 409
+    outcome = Outcome.UNKNOWN
+    remedy = "Send the request again with the same key to learn its outcome."
+
+
+class OutcomeUnknown(CitronpinError):
+    """The call was dispatched and its answer was lost."""
+
+    kind = "outcome-unknown"
+    status = 502
+    outcome = Outcome.UNKNOWN
+    remedy = "Send it again with the same key, or look it up in the application."
