--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,9 @@
 	$(RUN) -m citronpin demo
 
 binary: $(STAMP)
-	$(RUN) tools/binary.py
+	mkdir -p dist
+	$(RUN) -m shiv.cli --reproducible --console-script citronpin \
+	    --python '/usr/bin/env python3' --output-file dist/citronpin .
 
 soak: $(STAMP)
 	CITRONPIN_SOAK_SEED=$(SEED) $(RUN) -m pytest -m soak
--- /dev/null
+++ b/citronpin/commands_entries.py
@@ -0,0 +1,212 @@
+"""Commands that run an entry, look into entries and load them."""
+
+import json
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+from absl import flags
+
+from citronpin.clocks import SystemClock
+from citronpin.commands import EXIT_USAGE, FLAGS, Command, register
+from citronpin.errors import CitronpinError
+from citronpin.fetches import Fetch, fetch_all
+from citronpin.loads import Fault, LoadPlan, LoadTask, check_effects
+from citronpin.loggings import set_up_logging
+from citronpin.settings import read_settings
+from citronpin.standin_texts import answer_to
+from citronpin.timelines import from_jsonl, merge_events, to_jsonl, to_page
+
+EXIT_FAILED = 1
+STATUS_VIEWS = (
+    "gate",
+    "configuration",
+    "groups",
+    "members",
+    "leases",
+    "peers",
+    "limits",
+)
+
+
+def define_entries() -> None:
+    """Define the flag that names entries."""
+    flags.DEFINE_multi_string("entry", [], "Address IP:PORT of an entry; repeatable.")
+
+
+def print_faults(faults: list[CitronpinError]) -> None:
+    """Print every fault on its own line of standard error."""
+    for fault in faults:
+        print(f"citronpin: {fault}", file=sys.stderr)
+
+
+@register
+class EntryCommand(Command):
+    """Runs one entry until it is told to stop."""
+
+    name = "entry"
+    summary = "run an entry"
+    example = "citronpin entry --settings entry.ini"
+
+    def define_flags(self) -> None:
+        flags.DEFINE_string("settings", None, "INI file with the entry's settings.")
+
+    def run(self, args: list[str]) -> int:
+        from citronpin.entries import Entry
+
+        if not FLAGS.settings:
+            print("citronpin entry: --settings is missing.", file=sys.stderr)
+            return EXIT_USAGE
+        result = read_settings(FLAGS.settings)
+        if result.is_err():
+            print_faults(result.err_value)
+            return EXIT_USAGE
+        cfg = result.ok_value
+        set_up_logging(cfg.section("entry")["log_level"], cfg.section("entry")["name"])
+        entry = Entry(cfg=cfg, clock=SystemClock())
+        entry.stop_on(signal.SIGTERM, signal.SIGINT)
+        entry.run()
+        return 0
+
+
+@register
+class StatusCommand(Command):
+    """Shows what entries know."""
+
+    name = "status"
+    summary = "show groups, leases, configuration and limits of entries"
+    example = "citronpin status --entry 127.0.0.1:8080 --json"
+
+    def define_flags(self) -> None:
+        define_entries()
+        flags.DEFINE_bool("json", False, "Print JSON.")
+        flags.DEFINE_string("call", None, "Key of a non-repeatable call to look up.")
+
+    def run(self, args: list[str]) -> int:
+        if not FLAGS.entry:
+            print("citronpin status: --entry is missing.", file=sys.stderr)
+            return EXIT_USAGE
+        targets = [f"/admin/{view}" for view in STATUS_VIEWS]
+        if FLAGS.call:
+            targets = [f"/admin/calls/{FLAGS.call}"]
+        fetches = [Fetch(entry, target) for entry in FLAGS.entry for target in targets]
+        status: dict[str, dict] = {}
+        failed = False
+        for answer in fetch_all(fetches):
+            view = answer.fetch.target.removeprefix("/admin/")
+            try:
+                value = answer.json()
+            except CitronpinError as exc:
+                failed = True
+                value = {"error": str(exc)}
+            status.setdefault(answer.fetch.address, {})[view] = value
+        self._print(status)
+        return EXIT_FAILED if failed else 0
+
+    def _print(self, status: dict[str, dict]) -> None:
+        if FLAGS.json:
+            print(json.dumps(status, indent=2, sort_keys=True))
+            return
+        for address, views in status.items():
+            print(f"entry {address}")
+            for view, value in views.items():
+                print(f"  {view}: {json.dumps(value, sort_keys=True)}")
+
+
+@register
+class TimelineCommand(Command):
+    """Merges the events of entries and writes them as a page or as lines."""
+
+    name = "timeline"
+    summary = "merge the events of entries into one time line"
+    example = "citronpin timeline --entry 127.0.0.1:8080 --output line.html"
+
+    def define_flags(self) -> None:
+        define_entries()
+        flags.DEFINE_string("output", None, "FILE.html or FILE.jsonl; default: lines.")
+        flags.DEFINE_string("text", "", "Keep events that contain this text.")
+
+    def run(self, args: list[str]) -> int:
+        if not FLAGS.entry:
+            print("citronpin timeline: --entry is missing.", file=sys.stderr)
+            return EXIT_USAGE
+        answers = fetch_all([Fetch(entry, "/admin/events") for entry in FLAGS.entry])
+        errors = [answer.error for answer in answers if answer.error is not None]
+        print_faults(errors)
+        events = merge_events(
+            [event for answer in answers for event in from_jsonl(answer.body)]
+        )
+        if FLAGS.text:
+            events = [e for e in events if FLAGS.text in str(msgspec.to_builtins(e))]
+        self._write(events)
+        return EXIT_FAILED if errors else 0
+
+    def _write(self, events) -> None:
+        if not FLAGS.output:
+            sys.stdout.write(to_jsonl(events).decode())
+        elif FLAGS.output.endswith(".html"):
+            Path(FLAGS.output).write_text(to_page(events), encoding="utf-8")
+        else:
+            Path(FLAGS.output).write_bytes(to_jsonl(events))
+
+
+@register
+class LoadCommand(Command):
+    """Loads entries and checks every answer."""
+
+    name = "load"
+    summary = "send chats and calls, check every answer, switch faults"
+    example = "citronpin load --plan plan.json --effects 127.0.0.1:9300"
+
+    def define_flags(self) -> None:
+        flags.DEFINE_string("plan", None, "JSON file of a load plan; may hold faults.")
+        flags.DEFINE_multi_string(
+            "effects", [], "Service stand-in that counts effects; repeatable."
+        )
+        flags.DEFINE_bool("check_text", False, "Check texts of the engine stand-in.")
+
+    def run(self, args: list[str]) -> int:
+        if not FLAGS.plan:
+            print("citronpin load: --plan is missing.", file=sys.stderr)
+            return EXIT_USAGE
+        try:
+            raw = msgspec.json.decode(Path(FLAGS.plan).read_bytes())
+            faults = msgspec.convert(raw.pop("faults", []), tuple[Fault, ...])
+            plan = msgspec.convert(raw, LoadPlan)
+        except (OSError, msgspec.MsgspecError, AttributeError) as exc:
+            print(f"citronpin load: {FLAGS.plan}: {exc}", file=sys.stderr)
+            return EXIT_USAGE
+        summary = run_load(plan, faults, FLAGS.effects, FLAGS.check_text)
+        print(json.dumps(summary, indent=2, sort_keys=True))
+        return EXIT_FAILED if summary["violations"] else 0
+
+
+def _expected_text(messages: list[dict], max_tokens: int) -> str:
+    """Return what an engine stand-in answers."""
+    return answer_to({"messages": messages, "max_tokens": max_tokens}).text
+
+
+def run_load(
+    plan: LoadPlan,
+    faults: tuple[Fault, ...],
+    effects: list[str],
+    check_text: bool,
+) -> dict:
+    """Run a load to its end and return its figures and violations."""
+    task = LoadTask(
+        plan=plan,
+        clock=SystemClock(),
+        faults=faults,
+        expected_text=_expected_text if check_text else None,
+    )
+    task.on_finished(task.stop)
+    task.clock.call_later(0.0, task.begin)
+    task.run()
+    counted: dict[str, int] = {}
+    for answer in fetch_all([Fetch(address, "/effects") for address in effects]):
+        for key, count in answer.json().items():
+            counted[key] = counted.get(key, 0) + count
+    if effects:
+        task.tally.violations += check_effects(task.calls, counted)
+    return task.tally.summary() | {"sent": task.sent}
--- /dev/null
+++ b/citronpin/generations.py
@@ -0,0 +1,289 @@
+"""Admission, routing and dispatch of chat completions."""
+
+import logging
+from collections.abc import Callable
+
+from citronpin.admissions import (
+    AdmissionPolicy,
+    AdmissionRequest,
+    Admit,
+    Refuse,
+)
+from citronpin.chats import answer_for
+from citronpin.clocks import Clock
+from citronpin.directories import GroupDirectory
+from citronpin.dispatches import Dispatch, Target
+from citronpin.engines import EngineClient, Frame
+from citronpin.errors import CitronpinError, Outcome
+from citronpin.events import EventKind
+from citronpin.filters import Context, Ending, Filter, Proceed
+from citronpin.ids import DeploymentName, GroupId, RequestId
+from citronpin.prefixes import prefix_blocks
+from citronpin.refusals import Overloaded
+from citronpin.routers import GroupLoad, RoutePolicy, RouteRequest
+
+logger = logging.getLogger(__name__)
+
+QUEUE_TICK_S = 0.05
+DEFAULT_TOKENS = 256
+GROUP_SLOTS = 16
+CALLER_LEFT_STATUS = 499
+
+
+def expected_tokens(chat: dict) -> int:
+    """Return how many tokens a request may generate."""
+    limit = chat.get("max_completion_tokens") or chat.get("max_tokens")
+    return limit or DEFAULT_TOKENS
+
+
+class AdmitFilter(Filter):
+    """Holds requests until the admission policy of their deployment lets them go."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        make_policy: Callable[[], AdmissionPolicy],
+        slots: Callable[[DeploymentName], float],
+    ) -> None:
+        self._clock = clock
+        self._make_policy = make_policy
+        self._slots = slots
+        self._policies: dict[DeploymentName, AdmissionPolicy] = {}
+        self._held: dict[RequestId, tuple[Context, Proceed]] = {}
+        self._ticking = False
+
+    @property
+    def held(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._held)
+
+    def policy(self, deployment: DeploymentName) -> AdmissionPolicy:
+        """Return the policy of a deployment."""
+        policy = self._policies.get(deployment)
+        if policy is None:
+            policy = self._policies[deployment] = self._make_policy()
+        return policy
+
+    def handle(self, ctx: Context, proceed: Proceed) -> None:
+        deployment = ctx.deployment.name
+        policy = self.policy(deployment)
+        now_s = self._clock.now()
+        policy.slots(slots=self._slots(deployment), now_s=now_s)
+        ctx.on_end(lambda ending: self._ended(policy, ctx.id))
+        decision = policy.offer(req=self._request(ctx), now_s=now_s)
+        if isinstance(decision, Refuse):
+            raise Overloaded(decision.reason, retry_after_s=decision.retry_after_s)
+        if isinstance(decision, Admit):
+            self._admit(ctx, proceed)
+            return
+        self._held[ctx.id] = (ctx, proceed)
+        ctx.reply.on_gone = lambda: self._left(ctx)
+        self._start_ticking()
+
+    def _request(self, ctx: Context) -> AdmissionRequest:
+        return AdmissionRequest(
+            request=ctx.id,
+            customer=ctx.customer.name,
+            deployment=ctx.deployment.name,
+            deadline_s=ctx.deadline_s,
+            share=ctx.customer.share,
+            priority=ctx.priority,
+            expected_tokens=expected_tokens(ctx.chat),
+        )
+
+    def _admit(self, ctx: Context, proceed: Proceed) -> None:
+        detail = f"{ctx.customer.name} {ctx.deployment.name}"
+        ctx.recorder.note(EventKind.REQUEST_ADMITTED, detail, request=ctx.id)
+        proceed(ctx)
+
+    def _left(self, ctx: Context) -> None:
+        error = Overloaded("The caller left while the request waited.")
+        ctx.end(Ending(outcome=Outcome.NOT_RUN, status=CALLER_LEFT_STATUS, error=error))
+
+    def _ended(self, policy: AdmissionPolicy, request: RequestId) -> None:
+        now_s = self._clock.now()
+        if self._held.pop(request, None) is not None:
+            policy.cancelled(request=request, now_s=now_s)
+        else:
+            policy.ended(request=request, now_s=now_s)
+            self._release(policy)
+
+    def _start_ticking(self) -> None:
+        if not self._ticking:
+            self._ticking = True
+            self._clock.call_later(QUEUE_TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = False
+        for policy in self._policies.values():
+            self._give_up(policy)
+            self._release(policy)
+        if self._held:
+            self._start_ticking()
+
+    def _give_up(self, policy: AdmissionPolicy) -> None:
+        for request, answer in policy.expired(now_s=self._clock.now()):
+            held = self._held.pop(request, None)
+            if held is not None:
+                held[0].refuse(
+                    Overloaded(answer.reason, retry_after_s=answer.retry_after_s)
+                )
+
+    def _release(self, policy: AdmissionPolicy) -> None:
+        for request in policy.take_ready(now_s=self._clock.now()):
+            held = self._held.pop(request, None)
+            if held is not None:
+                self._admit(*held)
+
+
+class Generation:
+    """One admitted request: its route, its dispatch and its answer."""
+
+    def __init__(self, *, task: "GenerateFilter", ctx: Context) -> None:
+        self._task = task
+        self._ctx = ctx
+        self._answer = answer_for(ctx)
+        self._group: GroupId | None = None
+        self._sent_s = 0.0
+        self._route = RouteRequest(
+            request=ctx.id,
+            customer=ctx.customer.name,
+            deployment=ctx.deployment.name,
+            blocks=prefix_blocks(ctx.chat["messages"]),
+            expected_tokens=expected_tokens(ctx.chat),
+            priority=ctx.priority,
+        )
+        self._dispatch = Dispatch(
+            engine=task.engine,
+            clock=ctx.clock,
+            recorder=ctx.recorder,
+            request=ctx.id,
+            body=ctx.chat,
+            priority=ctx.priority,
+            deadline_s=ctx.deadline_s,
+            pick=self._pick,
+            sink=self,
+        )
+        ctx.reply.on_gone = self._left
+        ctx.on_end(lambda ending: self._leave_group(failed=ending.error is not None))
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._dispatch.start()
+
+    def _pick(self, excluded: frozenset[GroupId]) -> Target | None:
+        self._leave_group(failed=True)
+        now_s = self._ctx.clock.now()
+        loads = self._task.loads(self._ctx.deployment.name, excluded)
+        group_id = self._task.router.choose(req=self._route, groups=loads, now_s=now_s)
+        if group_id is None:
+            return None
+        self._group = group_id
+        self._sent_s = now_s
+        self._task.router.started(group=group_id, req=self._route, now_s=now_s)
+        return self._task.target(group_id)
+
+    def _leave_group(self, failed: bool) -> None:
+        if self._group is None:
+            return
+        group, self._group = self._group, None
+        gaps_s = self._answer.gaps_s
+        self._task.router.ended(
+            group=group,
+            req=self._route,
+            now_s=self._ctx.clock.now(),
+            failed=failed,
+            between_tokens_s=sum(gaps_s) / len(gaps_s) if gaps_s else None,
+        )
+
+    def text(self, frames: list[Frame]) -> None:
+        """Pass text on to the caller."""
+        if self._ctx.first_token_s is None:
+            self._note_first_token()
+        self._answer.text(frames)
+
+    def _note_first_token(self) -> None:
+        now_s = self._ctx.clock.now()
+        delay_s = now_s - self._sent_s
+        self._task.admit.policy(self._ctx.deployment.name).first_token(
+            request=self._ctx.id, delay_s=delay_s, now_s=now_s
+        )
+        if self._group is not None:
+            self._task.router.first_token(
+                group=self._group, req=self._route, delay_s=delay_s, now_s=now_s
+            )
+
+    def done(self, final: Frame) -> None:
+        """End the answer."""
+        self._note_latencies()
+        self._answer.done(final)
+
+    def failed(self, error: CitronpinError) -> None:
+        """End the answer with an error."""
+        self._note_latencies()
+        self._answer.failed(error)
+
+    def _note_latencies(self) -> None:
+        ctx, latencies = self._ctx, self._task.latencies
+        labels = (ctx.customer.name, ctx.deployment.name)
+        if ctx.first_token_s is not None:
+            latencies.record("first_token", *labels, ctx.first_token_s - ctx.started_s)
+        for gap_s in self._answer.gaps_s:
+            latencies.record("between_tokens", *labels, gap_s)
+
+    def _left(self) -> None:
+        self._dispatch.cancel()
+        self._ctx.end(
+            Ending(
+                outcome=Outcome.PARTIAL,
+                status=CALLER_LEFT_STATUS,
+                error=Overloaded("The caller left."),
+                tokens=self._answer.tokens,
+            )
+        )
+
+
+class GenerateFilter(Filter):
+    """Routes each request to a group and runs it there."""
+
+    def __init__(
+        self,
+        *,
+        engine: EngineClient,
+        router: RoutePolicy,
+        admit: AdmitFilter,
+        directory: GroupDirectory,
+        usable: Callable[[GroupId], bool],
+        latencies,
+    ) -> None:
+        self.engine = engine
+        self.router = router
+        self.admit = admit
+        self.latencies = latencies
+        self._directory = directory
+        self._usable = usable
+        directory.on_gone(lambda group: router.gone(group=group))
+
+    def handle(self, ctx: Context, proceed: Proceed) -> None:
+        Generation(task=self, ctx=ctx).start()
+
+    def loads(
+        self, deployment: DeploymentName, excluded: frozenset[GroupId]
+    ) -> list[GroupLoad]:
+        """Return the groups that may get a request now."""
+        return [
+            GroupLoad(group=group.id, slots=GROUP_SLOTS)
+            for group in self._directory.serving(deployment)
+            if group.id not in excluded and self._usable(group.id)
+        ]
+
+    def target(self, group_id: GroupId) -> Target | None:
+        """Return where a group's requests go, unless it just ceased to serve."""
+        group = self._directory.group(group_id)
+        if group is None or not self._usable(group_id):
+            return None
+        address = self._directory.address(group.members[0])
+        if address is None:
+            return None
+        return Target(group=group.id, fence=group.fence, address=address)
--- a/citronpin/loads.py
+++ b/citronpin/loads.py
@@ -294,7 +294,6 @@
         clock: Clock,
         faults: tuple[Fault, ...] = (),
         expected_text: Callable[[list[dict], int], str] | None = None,
-        finished: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__()
         self.plan = plan
@@ -309,12 +308,16 @@
             ("Content-Type", "application/json"),
         )
         self._faults = faults
-        self._finished = finished
+        self._finished: Callable[[], None] = lambda: None
         self._rng = numpy.random.default_rng(plan.seed)
         self._sending = 0
         ClockTask(clock=clock).register(self)
         self.client = HttpClient(clock=clock).register(self)
 
+    def on_finished(self, callback: Callable[[], None]) -> None:
+        """Call back when the last request has ended."""
+        self._finished = callback
+
     def begin(self) -> None:
         """Schedule the whole load."""
         for rate, send in (
