--- a/citronpin/engines.py
+++ b/citronpin/engines.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 import msgspec
+import xxhash
 from result import Result
 
 from citronpin.errors import CitronpinError
@@ -18,6 +19,8 @@
     Version,
 )
 
+BLOCK_CHARS = 64
+
 
 class OrderKind(Enum):
     """What an engine can be told to do."""
@@ -79,6 +82,8 @@
     priority: int = 0
     deadline_ms: int = 60_000
     resume_from: int = 0  # first sequence number wanted
+    prefix: str = ""  # start of the answer that the caller already has
+    prefix_tokens: int = 0  # tokens of the prefix
 
 
 class Frame(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -94,6 +99,32 @@
     usage: dict | None = None
 
 
+def prompt_text(body: dict) -> str:
+    """Return the prompt of a chat completion request as one text."""
+    messages = body.get("messages") or ()
+    return "\n".join(
+        f"{message.get('role', '')}: {message.get('content', '')}"
+        for message in messages
+        if isinstance(message, dict)
+    )
+
+
+def prompt_blocks(prompt: str, limit: int = 256) -> tuple[str, ...]:
+    """Return the cache blocks of a prompt, as cache events name them.
+
+    Block ``i`` is the hash of the first ``(i + 1) * BLOCK_CHARS`` characters; a
+    rest that fills no block has none.
+    """
+    digest = xxhash.xxh64()
+    blocks = []
+    for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS):
+        if len(blocks) == limit:
+            break
+        digest.update(prompt[end - BLOCK_CHARS : end].encode())
+        blocks.append(digest.hexdigest())
+    return tuple(blocks)
+
+
 class FrameSink(ABC):
     """Takes the frames of one attempt as they arrive, in any order."""
 
@@ -129,7 +160,11 @@
     def submit(
         self, *, address: str, submission: Submission, sink: FrameSink
     ) -> Attempt:
-        """Send a submission, or resume one when ``resume_from`` is not 0."""
+        """Send a submission; one whose attempt the engine keeps is resumed.
+
+        The sink hears `EngineRefused` or `ConnectionFailed` when the submission
+        was proved not to run.
+        """
 
     @abstractmethod
     def order(self, *, address: str, order: Order, done: StatusCallback) -> None:
--- a/citronpin/errors.py
+++ b/citronpin/errors.py
@@ -101,3 +101,12 @@
     status = 409
     outcome = Outcome.NOT_RUN
     remedy = "Read the current lease from the log and decide anew."
+
+
+class EngineRefused(CitronpinError):
+    """An engine refused a submission or an order, so it was not run there."""
+
+    kind = "engine-refused"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    remedy = "Try again; another group may take it."
--- /dev/null
+++ b/citronpin/http_engines.py
@@ -0,0 +1,232 @@
+"""Engine client over HTTP; docs/ENGINES.md describes the protocol."""
+
+import logging
+
+import msgspec
+from result import Err, Ok, Result
+
+from citronpin.clients import Exchange, HttpClient, ResponseSink, WholeSink
+from citronpin.clocks import Clock
+from citronpin.engines import (
+    Attempt,
+    CacheEvent,
+    EngineClient,
+    EngineStatus,
+    Frame,
+    FrameSink,
+    Submission,
+)
+from citronpin.errors import (
+    CitronpinError,
+    EngineRefused,
+    ProtocolFault,
+    StaleFence,
+)
+
+logger = logging.getLogger(__name__)
+
+SUBMISSIONS_PATH = "/v1/submissions"
+ORDERS_PATH = "/v1/orders"
+STATUS_PATH = "/v1/status"
+CACHE_EVENTS_PATH = "/v1/cache-events"
+JSON_HEADERS = (("Content-Type", "application/json"),)
+REFUSALS = (409, 503)
+ORDER_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 5.0
+MAX_LINE_BYTES = 1024 * 1024
+MAX_PROBLEM_BYTES = 64 * 1024
+
+
+class Problem(msgspec.Struct):
+    """The part of an engine's problem details that the client reads."""
+
+    kind: str = ""
+    detail: str = ""
+
+
+_decode_lines = msgspec.json.Decoder(Frame).decode_lines
+_decode_status = msgspec.json.Decoder(EngineStatus).decode
+_decode_events = msgspec.json.Decoder(list[CacheEvent]).decode
+_decode_problem = msgspec.json.Decoder(Problem).decode
+_encode = msgspec.json.Encoder().encode
+
+
+class FrameParser(ResponseSink):
+    """Cuts the answer to a submission into frames."""
+
+    def __init__(self, *, address: str, sink: FrameSink, clock: Clock) -> None:
+        self._address = address
+        self._sink = sink
+        self._clock = clock
+        self._status = 0
+        self._rest = b""
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        self._status = status
+
+    def data(self, data: bytes) -> None:
+        if self._rest:
+            data = self._rest + data
+            self._rest = b""
+        if self._status != 200:
+            self._rest = data[:MAX_PROBLEM_BYTES]
+            return
+        if not data.endswith(b"\n"):
+            end = data.rfind(b"\n") + 1
+            data, self._rest = data[:end], data[end:]
+            if len(self._rest) > MAX_LINE_BYTES:
+                self._close(ProtocolFault(f"{self._address}: a line is too long."))
+        if data:
+            self._pass_on(data)
+
+    def end(self) -> None:
+        if self._status != 200:
+            self._close(refusal(self._address, self._status, self._rest))
+        elif self._rest:
+            self._close(ProtocolFault(f"{self._address}: the last line is cut."))
+        else:
+            self._close(None)
+
+    def failed(self, error: CitronpinError) -> None:
+        # A write can fail while the request is being made.
+        self._clock.call_later(0.0, lambda: self._close(error))
+
+    def mute(self) -> None:
+        """Pass nothing on any more."""
+        self._sink = None
+
+    def _pass_on(self, data: bytes) -> None:
+        if self._sink is None:
+            return
+        try:
+            frames = _decode_lines(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            self._close(ProtocolFault(f"{self._address}: {exc}."))
+            return
+        self._sink.frames(frames)
+
+    def _close(self, error: CitronpinError | None) -> None:
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.ended(error)
+
+
+class HttpAttempt(Attempt):
+    """A submission whose frames come over one connection."""
+
+    def __init__(
+        self, *, client: HttpClient, submission: Submission, parser: FrameParser
+    ) -> None:
+        self._client = client
+        self._submission = submission
+        self._parser = parser
+        self.exchange: Exchange | None = None
+
+    def cancel(self) -> None:
+        self._parser.mute()
+        if self.exchange is None:
+            return
+        address = self.exchange.address
+        self._client.cancel(self.exchange)
+        self.exchange = None
+        submission = self._submission
+        self._client.request(
+            address=address,
+            method="DELETE",
+            target=f"{SUBMISSIONS_PATH}/{submission.request}/{submission.attempt}",
+            sink=WholeSink(done=_ignore),
+            timeout_s=CANCEL_TIMEOUT_S,
+        )
+
+
+class HttpEngineClient(EngineClient):
+    """Talks to engines over the connections of an HTTP client."""
+
+    def __init__(self, *, client: HttpClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+
+    def submit(
+        self, *, address: str, submission: Submission, sink: FrameSink
+    ) -> HttpAttempt:
+        parser = FrameParser(address=address, sink=sink, clock=self._clock)
+        attempt = HttpAttempt(client=self._client, submission=submission, parser=parser)
+        attempt.exchange = self._client.request(
+            address=address,
+            method="POST",
+            target=SUBMISSIONS_PATH,
+            sink=parser,
+            headers=JSON_HEADERS,
+            body=_encode(submission),
+            timeout_s=None,
+        )
+        return attempt
+
+    def order(self, *, address, order, done) -> None:
+        self._client.request(
+            address=address,
+            method="POST",
+            target=ORDERS_PATH,
+            sink=self._decoding(address, _decode_status, done),
+            headers=JSON_HEADERS,
+            body=_encode(order),
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+
+    def status(self, *, address, done, timeout_s=1.0) -> None:
+        self._client.request(
+            address=address,
+            method="GET",
+            target=STATUS_PATH,
+            sink=self._decoding(address, _decode_status, done),
+            timeout_s=timeout_s,
+        )
+
+    def cache_events(self, *, address, since, done) -> None:
+        self._client.request(
+            address=address,
+            method="GET",
+            target=f"{CACHE_EVENTS_PATH}?since={since}",
+            sink=self._decoding(address, _decode_events, done),
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+
+    def _decoding(self, address: str, decode, done) -> WholeSink:
+        def finish(answer, error: CitronpinError | None) -> None:
+            if error is None:
+                done(_decode_answer(address, answer, decode))
+            else:
+                self._clock.call_later(0.0, lambda: done(Err(error)))
+
+        return WholeSink(done=finish)
+
+
+def refusal(address: str, status: int, body: bytes) -> CitronpinError:
+    """Return the error that an answer other than 200 stands for.
+
+    Only the statuses in `REFUSALS` prove that nothing was run.
+    """
+    try:
+        problem = _decode_problem(body)
+    except msgspec.DecodeError:
+        problem = Problem()
+    detail = f"{address}: {status} {problem.kind} {problem.detail}".rstrip()
+    if status not in REFUSALS:
+        return ProtocolFault(detail)
+    if problem.kind == StaleFence.kind:
+        return StaleFence(detail)
+    return EngineRefused(detail)
+
+
+def _decode_answer(address: str, answer, decode) -> Result:
+    status, _, body = answer
+    if status != 200:
+        return Err(refusal(address, status, body))
+    try:
+        return Ok(decode(body))
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Err(ProtocolFault(f"{address}: {exc}."))
+
+
+def _ignore(answer, error) -> None:
+    """Take an answer that changes nothing."""
