--- a/citronpin/folds.py
+++ b/citronpin/folds.py
@@ -27,6 +27,7 @@
     GroupState,
     KnownEntry,
     Lease,
+    Progress,
     StreamState,
     Verdict,
 )
@@ -35,6 +36,8 @@
 
 MAX_OUTCOME_BYTES = 64 * 1024
 MAX_PENDING_CHANGES = 64
+WRITER_WINDOW = 65_536  # records after its base within which a record counts
+WRITER_SWEEP = 1_024  # records between removals of writers that fell silent
 
 
 class Rejected(Exception):
@@ -56,6 +59,13 @@
         self, state: StreamState, offset: Offset, record: Record
     ) -> tuple[StreamState, list[Verdict]]:
         """Return the state after ``record`` and a verdict for each of its items."""
+        late = late_reason(state, offset, record)
+        if late:
+            return self.skip(state, offset), [
+                Verdict(offset, record.id, number, False, late)
+                for number in range(len(record.items))
+            ]
+        state = _admit(state, offset, record)
         verdicts = []
         for number, item in enumerate(record.items):
             reason = ""
@@ -66,14 +76,41 @@
             verdicts.append(Verdict(offset, record.id, number, not reason, reason))
         return msgspec.structs.replace(state, offset=offset), verdicts
 
+    def skip(self, state: StreamState, offset: Offset) -> StreamState:
+        """Return the state after a record that changes nothing."""
+        return msgspec.structs.replace(state, offset=offset)
+
     def _accept(self, state, offset: Offset, record: Record, item):
-        if isinstance(item, records.Checkpoint):
+        if isinstance(item, (records.Checkpoint, records.DigestMark)):
             return state
         if isinstance(item, records.LeaseClaim):
             return _claim(state, offset, record, item)
         return self.accept(state, offset, record, item)
 
 
+def late_reason(state: StreamState, offset: Offset, record: Record) -> str:
+    """Return why a record landed too late or twice, or an empty text."""
+    if not record.sequence:
+        return ""
+    known = state.writers.get(record.writer)
+    if known is not None and record.sequence <= known.sequence:
+        return "A later record of the same writer stands before this one."
+    if offset - record.base > WRITER_WINDOW:
+        return f"The record was written from offset {record.base}, too long ago."
+    return ""
+
+
+def _admit(state, offset: Offset, record: Record):
+    writers = state.writers
+    if record.sequence:
+        writers = writers.set(record.writer, Progress(record.sequence, offset))
+    if offset % WRITER_SWEEP == 0:
+        for writer, known in state.writers.items():
+            if offset - known.offset > WRITER_WINDOW and writer != record.writer:
+                writers = writers.delete(writer)
+    return msgspec.structs.replace(state, writers=writers)
+
+
 def _claim(state, offset: Offset, record: Record, item: records.LeaseClaim):
     if item.supersedes != state.lease.fence:
         raise Rejected(
--- /dev/null
+++ b/citronpin/followers.py
@@ -0,0 +1,150 @@
+"""Follows streams of the log: folds their records and proposes new ones."""
+
+import logging
+from collections.abc import Callable
+
+import numpy as np
+from circuits import BaseComponent
+
+from citronpin.appenders import APPENDS_PER_S, GIVE_UP_S, Appender, Pacer
+from citronpin.clocks import Clock
+from citronpin.events import Recorder
+from citronpin.ids import EntryId, Offset, StreamName, WriterId, new_id
+from citronpin.logs import LogClient, LogPage, ProposeCallback, StateCallback, States
+from citronpin.records import Record
+from citronpin.states import StreamState, Verdict
+from citronpin.tails import LONG_POLL_S, Tail
+
+logger = logging.getLogger(__name__)
+
+
+class Followers(BaseComponent, States):
+    """The streams that one entry follows, each with a tail and an appender."""
+
+    channel = "followers"
+
+    def __init__(
+        self,
+        *,
+        log: LogClient,
+        entry: EntryId,
+        clock: Clock,
+        recorder: Recorder,
+        rng: np.random.Generator | None = None,
+        appends_per_s: float = APPENDS_PER_S,
+        give_up_s: float = GIVE_UP_S,
+        long_poll_s: float = LONG_POLL_S,
+    ) -> None:
+        super().__init__()
+        self._log = log
+        self._entry = entry
+        self._clock = clock
+        self._recorder = recorder
+        self._rng = rng if rng is not None else np.random.default_rng()
+        self._pacer = Pacer(clock=clock, appends_per_s=appends_per_s)
+        self._give_up_s = give_up_s
+        self._long_poll_s = long_poll_s
+        self._writer = WriterId(new_id())
+        self._tails: dict[StreamName, Tail] = {}
+        self._appenders: dict[StreamName, Appender] = {}
+        self._subscribers: list[tuple[str, StateCallback]] = []
+
+    def state(self, stream: StreamName) -> StreamState:
+        return self._tails[stream].state
+
+    def current(self, stream: StreamName) -> bool:
+        return stream in self._tails and self._tails[stream].current
+
+    def streams(self) -> list[StreamName]:
+        """Return the followed streams."""
+        return sorted(self._tails)
+
+    def head_age_s(self, stream: StreamName) -> float:
+        """Return the seconds since the log or a peer last confirmed the head.
+
+        Infinite until the stream was first read to its head.
+        """
+        return self._tails[stream].head_age_s()
+
+    def follow(self, stream: StreamName) -> None:
+        if stream in self._tails:
+            return
+        tail = Tail(
+            stream=stream,
+            log=self._log,
+            clock=self._clock,
+            recorder=self._recorder,
+            rng=self._rng,
+            listener=self._folded,
+            long_poll_s=self._long_poll_s,
+        )
+        self._tails[stream] = tail
+        self._appenders[stream] = Appender(
+            stream=stream,
+            log=self._log,
+            entry=self._entry,
+            writer=self._writer,
+            clock=self._clock,
+            pacer=self._pacer,
+            rng=self._rng,
+            base=lambda: tail.state.offset if tail.current else None,
+            give_up_s=self._give_up_s,
+        )
+        tail.start()
+
+    def subscribe(self, prefix: str, callback: StateCallback) -> None:
+        self._subscribers.append((prefix, callback))
+
+    def propose(
+        self, stream: StreamName, items: tuple, done: ProposeCallback | None = None
+    ) -> None:
+        self.follow(stream)
+        self._appenders[stream].propose(items, done)
+
+    def inject(
+        self, stream: StreamName, records: tuple[tuple[Offset, bytes], ...]
+    ) -> None:
+        if stream in self._tails:
+            self._tails[stream].inject(records)
+
+    def confirm_head(
+        self, stream: StreamName, head: Offset, age_s: float = 0.0
+    ) -> None:
+        """Take a peer's word that the head was ``head`` some ``age_s`` ago."""
+        if stream in self._tails:
+            self._tails[stream].confirm_head(head, age_s)
+
+    def recent(self, stream: StreamName, start: Offset) -> LogPage:
+        return self._tails[stream].recent(start)
+
+    def snapshot(self, stream: StreamName) -> bytes:
+        """Return the folded state with its digest, for a peer that boots."""
+        return self._tails[stream].snapshot()
+
+    def restore(self, stream: StreamName, snapshot: bytes) -> bool:
+        """Take a peer's snapshot if it is sound and ahead of the own state."""
+        return stream in self._tails and self._tails[stream].restore(snapshot)
+
+    def _folded(
+        self,
+        tail: Tail,
+        record: Record | None,
+        late: str,
+        verdicts: list[Verdict],
+    ) -> None:
+        """Pass a fold on; ``record`` is ``None`` after a restored state."""
+        appender = self._appenders[tail.stream]
+        if record is None:
+            appender.jumped(tail.state)
+        elif record.writer == self._writer:
+            appender.folded(record, late, verdicts)
+        for prefix, callback in list(self._subscribers):
+            if tail.stream.startswith(prefix):
+                self._call(callback, tail, verdicts)
+        appender.kick()
+
+    def _call(self, callback: Callable, tail: Tail, verdicts: list[Verdict]) -> None:
+        try:
+            callback(tail.stream, tail.state, verdicts)
+        except Exception:
+            logger.exception("a subscriber of %s failed", tail.stream)
--- a/citronpin/ids.py
+++ b/citronpin/ids.py
@@ -23,6 +23,7 @@
 ShardNumber = NewType("ShardNumber", int)
 StreamName = NewType("StreamName", str)
 Version = NewType("Version", str)
+WriterId = NewType("WriterId", str)
 
 NO_OFFSET = Offset(-1)
 CONFIG_STREAM = StreamName("config")
@@ -38,6 +39,11 @@
     return StreamName(f"calls.{shard}")
 
 
+def checkpoint_stream(stream: StreamName) -> StreamName:
+    """Return the stream that holds the checkpoints of another stream."""
+    return StreamName(f"checkpoint.{stream}")
+
+
 def new_id() -> str:
     """Return a fresh UUIDv7, whose first 48 bits are its time in milliseconds."""
     return str(uuid_utils.uuid7())
--- a/citronpin/logs.py
+++ b/citronpin/logs.py
@@ -132,7 +132,8 @@
         """Return the records from ``start`` without waiting."""
         first = self._first.get(stream, 0)
         begin = max(start, first)
-        payloads = self._streams.get(stream, [])[begin - first :][:limit]
+        begin_index = begin - first
+        payloads = self._streams.get(stream, [])[begin_index : begin_index + limit]
         found = tuple((Offset(begin + i), data) for i, data in enumerate(payloads))
         return LogPage(first=Offset(first), head=self.head(stream), records=found)
 
--- a/citronpin/records.py
+++ b/citronpin/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citronpin.ids import (
+    NO_OFFSET,
     AdapterName,
     ApplicationName,
     CallKey,
@@ -19,6 +20,7 @@
     Offset,
     RecordId,
     Version,
+    WriterId,
 )
 from citronpin.manifests import Manifest
 
@@ -177,6 +179,13 @@
     state: bytes
 
 
+class DigestMark(Item, tag="digest"):
+    """States the digest of the stream's fold up to ``upto``."""
+
+    upto: Offset
+    digest: str
+
+
 AnyItem = (
     ConfigChange
     | ConfigPart
@@ -192,17 +201,28 @@
     | CallPurge
     | EntryNote
     | Checkpoint
+    | DigestMark
 )
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
-    """One append to a stream."""
+    """One append to a stream.
+
+    ``writer`` names one run of its author's process and ``sequence`` rises from
+    one with each record that this run appends to the stream; ``base`` is the last
+    offset that the writer had folded. A record with a sequence that was passed
+    already, or that is folded long after its base, changes nothing: so an append
+    that lands late or twice has no effect. Sequence 0 asks for no such rule.
+    """
 
     format: int
     id: RecordId
     author: EntryId
     wall_ms: int  # informative; no rule depends on it
     items: tuple[AnyItem, ...]
+    writer: WriterId = WriterId("")
+    sequence: int = 0
+    base: Offset = NO_OFFSET
 
 
 def encode_record(record: Record) -> bytes:
--- /dev/null
+++ b/citronpin/snapshots.py
@@ -0,0 +1,101 @@
+"""Folded states as bytes, with a digest: for checkpoints and for peers."""
+
+import logging
+from typing import Any
+
+import msgspec
+import xxhash
+from immutables import Map
+from result import Err, Ok, Result
+
+from citronpin.errors import ProtocolFault
+from citronpin.folds import encode_state, fold_for, state_digest
+from citronpin.ids import StreamName
+from citronpin.records import FORMAT_VERSION, ScopeChange
+from citronpin.states import (
+    AcceptedManifest,
+    Call,
+    CallsState,
+    ConfigState,
+    ControlState,
+    Group,
+    KnownEntry,
+    Progress,
+    StreamState,
+)
+
+logger = logging.getLogger(__name__)
+
+PendingParts = tuple[
+    tuple[str, int], tuple[tuple[int, tuple[ScopeChange, ...]], ...], int
+]
+
+MAP_VALUES: dict[type[StreamState], dict[str, Any]] = {
+    ConfigState: {
+        "writers": Progress,
+        "manifests": AcceptedManifest,
+        "bases": int,
+        "entries": KnownEntry,
+        "parts": PendingParts,
+    },
+    ControlState: {
+        "writers": Progress,
+        "groups": Group,
+        "assigned": str,
+        "barred": str,
+    },
+    CallsState: {"writers": Progress, "calls": Call},
+}
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The encoded state of a stream and its digest."""
+
+    format: int
+    stream: StreamName
+    digest: str
+    state: bytes
+
+
+def encode_snapshot(stream: StreamName, state: StreamState) -> bytes:
+    """Return the bytes of a state with its digest."""
+    snapshot = Snapshot(
+        format=FORMAT_VERSION,
+        stream=stream,
+        digest=state_digest(state),
+        state=encode_state(state),
+    )
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode_snapshot(
+    stream: StreamName, payload: bytes
+) -> Result[StreamState, ProtocolFault]:
+    """Return the state of a snapshot after checking its digest."""
+    try:
+        snapshot = msgspec.msgpack.decode(payload, type=Snapshot)
+    except msgspec.MsgspecError as exc:
+        return Err(ProtocolFault(f"The snapshot cannot be read: {exc}."))
+    if (snapshot.format, snapshot.stream) != (FORMAT_VERSION, stream):
+        return Err(ProtocolFault("The snapshot is of another format or stream."))
+    return decode_state(stream, snapshot.state, snapshot.digest)
+
+
+def decode_state(
+    stream: StreamName, encoded: bytes, digest: str
+) -> Result[StreamState, ProtocolFault]:
+    """Return the state of a stream from its encoded form and digest."""
+    if xxhash.xxh3_128_hexdigest(encoded) != digest:
+        return Err(ProtocolFault(f"A state of {stream} differs from its digest."))
+    kind = type(fold_for(stream).empty())
+    try:
+        fields = msgspec.msgpack.decode(encoded, type=dict[str, Any])
+        for name, values in MAP_VALUES[kind].items():
+            pairs = msgspec.convert(fields[name], list[tuple[str, values]])
+            fields[name] = Map(pairs)
+        state = msgspec.convert(fields, kind)
+    except (msgspec.MsgspecError, KeyError) as exc:
+        return Err(ProtocolFault(f"A state of {stream} cannot be read: {exc}."))
+    if state_digest(state) != digest:
+        return Err(ProtocolFault(f"A state of {stream} differs from its digest."))
+    return Ok(state)
--- a/citronpin/standins.py
+++ b/citronpin/standins.py
@@ -50,6 +50,10 @@
     def faults_changed(self) -> None:
         """Act on a change of the faults; the default does nothing."""
 
+    def loses_answer(self, req: HttpRequest) -> bool:
+        """Return whether the answer to a request is lost."""
+        return self.faults.lose_answers
+
     @property
     def address(self) -> str:
         """Return ``IP:PORT``."""
@@ -106,7 +110,7 @@
         if self._standin.faults.refuse:
             reply.json(503, {"detail": "The stand-in refuses; nothing was done."})
             return
-        if self._standin.faults.lose_answers:
+        if self._standin.loses_answer(req):
             reply = LostReply(reply=reply)
         self._standin.routes.handle(req, reply)
 
--- a/citronpin/states.py
+++ b/citronpin/states.py
@@ -105,11 +105,19 @@
     body: bytes = b""
 
 
+class Progress(msgspec.Struct, frozen=True):
+    """The latest record of one writer on a stream."""
+
+    sequence: int
+    offset: Offset
+
+
 class StreamState(msgspec.Struct, frozen=True):
     """What every folded stream has."""
 
     offset: Offset = NO_OFFSET  # of the last folded record
     lease: Lease = NO_LEASE
+    writers: Map = Map()  # WriterId -> Progress
 
 
 class ConfigState(StreamState, frozen=True):
