--- /dev/null
+++ b/citronpin/configurations.py
@@ -0,0 +1,82 @@
+"""The configuration that is in force on an entry."""
+
+import logging
+
+from citronpin.events import EventKind, Recorder
+from citronpin.ids import CONFIG_STREAM, ApplicationName, DeploymentName, Offset
+from citronpin.logs import States
+from citronpin.manifests import ApplicationManifest, Customer, DeploymentManifest
+from citronpin.states import ConfigState
+
+logger = logging.getLogger(__name__)
+
+
+class Configuration:
+    """Indexes the folded manifests; a whole fold comes into force at once."""
+
+    def __init__(self, *, states: States, recorder: Recorder) -> None:
+        self._states = states
+        self._recorder = recorder
+        self._state = ConfigState()
+        self.deployments: dict[DeploymentName, DeploymentManifest] = {}
+        self.applications: dict[ApplicationName, ApplicationManifest] = {}
+        self.customers: dict[str, Customer] = {}  # by key digest
+        states.subscribe(CONFIG_STREAM, self._take_state)
+        states.follow(CONFIG_STREAM)
+
+    @property
+    def state(self) -> ConfigState:
+        """Return the folded state that is in force."""
+        return self._state
+
+    @property
+    def booted(self) -> bool:
+        """Return whether the stream was read to its head since boot."""
+        return self._states.current(CONFIG_STREAM)
+
+    @property
+    def offset(self) -> Offset:
+        """Return the offset up to which records are in force."""
+        return self._state.offset
+
+    def _take_state(self, stream, state: ConfigState, verdicts) -> None:
+        changed = state.manifests != self._state.manifests
+        self._state = state
+        for verdict in verdicts:
+            if not verdict.accepted:
+                self._recorder.note(
+                    EventKind.CONFIG_REJECTED,
+                    f"{verdict.record}: {verdict.reason}",
+                    stream=stream,
+                    offset=verdict.offset,
+                )
+        if changed:
+            self._index(state)
+            self._recorder.note(
+                EventKind.CONFIG_IN_FORCE,
+                f"{len(state.manifests)} manifests",
+                stream=stream,
+                offset=state.offset,
+            )
+
+    def _index(self, state: ConfigState) -> None:
+        customers = {
+            digest: customer
+            for manifest in state.customer_sets().values()
+            for customer in manifest.customers
+            for digest in customer.key_digests
+        }
+        self.deployments = state.deployments()
+        self.applications = state.applications()
+        self.customers = customers
+
+    def view(self) -> dict:
+        """Return what the admin page shows."""
+        return {
+            "offset": self._state.offset,
+            "booted": self.booted,
+            "scopes": {
+                scope: accepted.offset
+                for scope, accepted in sorted(self._state.manifests.items())
+            },
+        }
