--- /dev/null
+++ b/citronpin/controls.py
@@ -0,0 +1,193 @@
+"""Control of fabric domains: one set of controllers for each domain."""
+
+import logging
+from collections.abc import Callable
+
+from circuits import BaseComponent
+
+from citronpin.clocks import Clock
+from citronpin.controllers import Controller
+from citronpin.domains import DomainFacts, Membership
+from citronpin.engines import EngineClient
+from citronpin.events import Recorder
+from citronpin.groups import GroupController
+from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, control_stream
+from citronpin.instances import InstanceKind
+from citronpin.leases import Alive, LeaseController
+from citronpin.logs import States
+from citronpin.orders import Orders
+from citronpin.plans import Detector, PlacementPolicy, RepairPolicy
+from citronpin.readbacks import Readbacks
+from citronpin.rollouts import RolloutController
+
+logger = logging.getLogger(__name__)
+
+SCAN_S = 1.0
+
+
+class DomainControl:
+    """The controllers of one fabric domain in one entry."""
+
+    def __init__(
+        self,
+        *,
+        entry: EntryId,
+        domain: DomainName,
+        states: States,
+        client: EngineClient,
+        clock: Clock,
+        recorder: Recorder,
+        membership: Membership,
+        alive: Alive,
+        head_age_s: Callable[[str], float],
+        detector: Detector,
+        repair: RepairPolicy,
+        placement: PlacementPolicy,
+    ) -> None:
+        stream = control_stream(domain)
+        common = {
+            "entry": entry,
+            "stream": stream,
+            "states": states,
+            "clock": clock,
+            "recorder": recorder,
+        }
+        self.lease = LeaseController(alive=alive, head_age_s=head_age_s, **common)
+        self.readbacks = Readbacks(
+            client=client, clock=clock, detector=detector, changed=self.wake
+        )
+        self.facts = DomainFacts(
+            domain=domain,
+            states=states,
+            clock=clock,
+            membership=membership,
+            detector=detector,
+            readbacks=self.readbacks,
+            placement=placement,
+        )
+        self.orders = Orders(
+            entry=entry,
+            stream=stream,
+            client=client,
+            clock=clock,
+            recorder=recorder,
+            lease=self.lease,
+            readbacks=self.readbacks,
+            done=self.wake,
+        )
+        parts = {
+            "lease": self.lease,
+            "facts": self.facts,
+            "readbacks": self.readbacks,
+            "orders": self.orders,
+        }
+        self.groups = GroupController(policy=repair, **parts, **common)
+        self.rollouts = RolloutController(domain=domain, **parts, **common)
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """Return the controllers in the order in which they run."""
+        return (self.lease, self.groups, self.rollouts)
+
+    def wake(self) -> None:
+        """Run the controllers of groups soon."""
+        self.groups.wake()
+        self.rollouts.wake()
+
+    def start(self) -> None:
+        """Start all controllers."""
+        for controller in self.controllers:
+            controller.start()
+
+    def close(self) -> None:
+        """Stop all controllers."""
+        for controller in self.controllers:
+            controller.close()
+
+
+class ControlTask(BaseComponent):
+    """Runs controllers for every fabric domain that the membership list shows.
+
+    ``detector`` makes a detector for one fabric domain.
+    """
+
+    channel = "control"
+
+    def __init__(
+        self,
+        *,
+        entry: EntryId,
+        states: States,
+        client: EngineClient,
+        clock: Clock,
+        recorder: Recorder,
+        membership: Membership,
+        alive: Alive,
+        head_age_s: Callable[[str], float],
+        detector: Callable[[], Detector],
+        repair: RepairPolicy,
+        placement: PlacementPolicy,
+    ) -> None:
+        super().__init__()
+        self._states = states
+        self._clock = clock
+        self._membership = membership
+        self._detector = detector
+        self._common = {
+            "entry": entry,
+            "states": states,
+            "client": client,
+            "clock": clock,
+            "recorder": recorder,
+            "membership": membership,
+            "alive": alive,
+            "head_age_s": head_age_s,
+            "repair": repair,
+            "placement": placement,
+        }
+        self._version: int | None = None
+        self._open = False
+        self.domains: dict[DomainName, DomainControl] = {}
+
+    def start(self) -> None:
+        """Begin to control the fabric domains; for entries that have booted."""
+        self._open = True
+        self._states.follow(CONFIG_STREAM)
+        self._states.subscribe(CONFIG_STREAM, self._on_config)
+        self._scan()
+
+    def leave(self) -> None:
+        """Stop to act at once and hand all leases over; for a planned stop."""
+        for domain in self.domains.values():
+            domain.lease.leave()
+
+    def handed_over(self) -> bool:
+        """Return whether this entry holds no lease in its fold any more."""
+        return not any(domain.lease.holds for domain in self.domains.values())
+
+    def close(self) -> None:
+        """Stop for good."""
+        self._open = False
+        for domain in self.domains.values():
+            domain.close()
+
+    def _on_config(self, stream, state, verdicts) -> None:
+        if stream == CONFIG_STREAM and any(v.accepted for v in verdicts):
+            for domain in self.domains.values():
+                domain.wake()
+
+    def _scan(self) -> None:
+        if not self._open:
+            return
+        self._clock.call_later(SCAN_S, self._scan)
+        view = self._membership()
+        if view is None or view.version == self._version:
+            return
+        self._version = view.version
+        engines = [i for i in view.instances if i.kind is InstanceKind.ENGINE]
+        for domain in sorted({i.domain for i in engines} - set(self.domains)):
+            control = DomainControl(
+                domain=domain, detector=self._detector(), **self._common
+            )
+            self.domains[domain] = control
+            control.start()
--- a/citronpin/folds.py
+++ b/citronpin/folds.py
@@ -13,7 +13,7 @@
 
 from citronpin import records
 from citronpin.errors import Outcome
-from citronpin.ids import NO_OFFSET, Offset, StreamName
+from citronpin.ids import NO_OFFSET, EntryId, Offset, StreamName
 from citronpin.manifests import scope_of
 from citronpin.records import Record
 from citronpin.states import (
@@ -71,6 +71,8 @@
             return state
         if isinstance(item, records.LeaseClaim):
             return _claim(state, offset, record, item)
+        if isinstance(item, records.LeaseYield):
+            return _yield_lease(state, record, item)
         return self.accept(state, offset, record, item)
 
 
@@ -84,6 +86,12 @@
     return msgspec.structs.replace(state, lease=lease)
 
 
+def _yield_lease(state, record: Record, item: records.LeaseYield):
+    _check_fence(state, record, item.fence)
+    lease = Lease(holder=EntryId(""), fence=item.fence)
+    return msgspec.structs.replace(state, lease=lease)
+
+
 def _check_fence(state, record: Record, fence) -> None:
     if fence != state.lease.fence:
         raise Rejected(f"Fence {fence} is not current; it is {state.lease.fence}.")
@@ -255,7 +263,7 @@
                 raise Rejected(f"{member} is barred: {state.barred[member]}.")
 
     def _move(self, state, offset, item: records.GroupMove):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         try:
             target = GroupState(item.state)
         except ValueError:
@@ -274,7 +282,7 @@
         )
 
     def _replace(self, state, offset, item: records.GroupReplace):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.BROKEN)
         leaving = set(item.leaving)
         if not leaving <= set(group.members) or len(leaving) != len(item.joining):
@@ -296,7 +304,7 @@
         return self._assign(freed, group.id, item.joining)
 
     def _reload(self, state, offset, item: records.GroupReload):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.RELOADING)
         after = msgspec.structs.replace(
             group,
@@ -308,7 +316,7 @@
         return self._put(state, after)
 
     def _release(self, state, offset, item: records.GroupRelease):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.RELEASING)
         groups = state.groups.delete(group.id)
         freed = msgspec.structs.replace(state, groups=groups)
@@ -323,10 +331,16 @@
             barred = state.barred.delete(item.instance)
         return msgspec.structs.replace(state, barred=barred)
 
-    def _group(self, state, group_id) -> Group:
-        if group_id not in state.groups:
-            raise Rejected(f"Group {group_id} does not exist.")
-        return state.groups[group_id]
+    def _group(self, state, item) -> Group:
+        if item.group not in state.groups:
+            raise Rejected(f"Group {item.group} does not exist.")
+        group = state.groups[item.group]
+        if item.base is not None and item.base != group.changed:
+            raise Rejected(
+                f"Group {group.id} was changed at offset {group.changed}, but the "
+                f"proposal was made from {item.base}."
+            )
+        return group
 
     def _check_state(self, group: Group, wanted: GroupState) -> None:
         if group.state is not wanted:
--- a/citronpin/records.py
+++ b/citronpin/records.py
@@ -68,6 +68,12 @@
     supersedes: Fence  # NO_OFFSET when the stream had no lease
 
 
+class LeaseYield(Item, tag="lease-yield"):
+    """Gives up the stream's lease; the next claim supersedes the same fence."""
+
+    fence: Fence
+
+
 class GroupForm(Item, tag="form"):
     """Assigns free instances to a new group."""
 
@@ -87,6 +93,7 @@
     group: GroupId
     state: str  # value of states.GroupState
     reason: str = ""
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class GroupReplace(Item, tag="replace"):
@@ -96,6 +103,7 @@
     group: GroupId
     leaving: tuple[InstanceId, ...]
     joining: tuple[InstanceId, ...]
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class GroupReload(Item, tag="reload"):
@@ -106,6 +114,7 @@
     model: ModelName
     version: Version
     adapters: tuple[AdapterName, ...] = ()
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class GroupRelease(Item, tag="release"):
@@ -113,6 +122,7 @@
 
     fence: Fence
     group: GroupId
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class InstanceBar(Item, tag="bar"):
@@ -181,6 +191,7 @@
     ConfigChange
     | ConfigPart
     | LeaseClaim
+    | LeaseYield
     | GroupForm
     | GroupMove
     | GroupReplace
--- /dev/null
+++ b/citronpin/repairers.py
@@ -0,0 +1,182 @@
+"""Execution of a repair policy's plan, bounded and checked against the fold."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from citronpin.clocks import Clock
+from citronpin.domains import DomainFacts
+from citronpin.ids import Fence, GroupId
+from citronpin.orders import Orders
+from citronpin.plans import Dissolve, Form, RepairPolicy, Replace, Wait
+from citronpin.records import GroupForm, GroupReplace, InstanceBar
+from citronpin.states import Group, GroupState
+
+logger = logging.getLogger(__name__)
+
+PLAN_PERIOD_S = 1.0
+MAX_FORMING = 8  # formations of a fabric domain that run at the same time
+REFORM_BACKOFF_S = 1.0  # doubles with each formation of the same members
+REFORM_BACKOFF_MAX_S = 30.0
+REFORM_FORGET_S = 120.0
+
+
+class _Reform(msgspec.Struct, frozen=True):
+    """When a group was formed again with the same members, and how often."""
+
+    at_s: float
+    count: int
+
+
+class Repairer:
+    """Asks the policy and proposes what its plan says.
+
+    A broken group whose members are all usable again is formed anew in place,
+    unless the plan says otherwise.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        facts: DomainFacts,
+        orders: Orders,
+        policy: RepairPolicy,
+        propose: Callable[..., bool],
+        move: Callable[..., bool],
+        pending: Callable[[], int],
+        max_forming: int = MAX_FORMING,
+    ) -> None:
+        self._clock = clock
+        self._facts = facts
+        self._orders = orders
+        self._policy = policy
+        self._propose = propose
+        self._move = move
+        self._pending = pending
+        self._max_forming = max_forming
+        self._next_s = 0.0
+        self._slots = 0
+        self._formed = 0  # makes group ids unique under one fence
+        self._reforms: dict[GroupId, _Reform] = {}
+
+    def run(self, fence: Fence) -> None:
+        """Plan and act, at most once in each period."""
+        now = self._clock.now()
+        if now < self._next_s:
+            return
+        self._next_s = now + PLAN_PERIOD_S
+        self._slots = self._free_slots()
+        plan = self._policy.plan(view=self._facts.view(), now_s=now)
+        planned = {a.group for a in plan if not isinstance(a, (Form, Wait))}
+        self._reform_broken(planned)
+        for action in plan:
+            if isinstance(action, Replace):
+                self._replace(fence, action)
+            elif isinstance(action, Dissolve):
+                self._dissolve(action)
+        self._form(fence, [a for a in plan if isinstance(a, Form)])
+
+    def _free_slots(self) -> int:
+        busy = (GroupState.FORMING, GroupState.RELOADING)
+        groups = self._facts.control.groups.values()
+        forming = sum(group.state in busy for group in groups)
+        return self._max_forming - forming - self._pending()
+
+    def _reform_broken(self, planned: set[GroupId]) -> None:
+        groups = self._facts.control.groups
+        self._reforms = {g: r for g, r in self._reforms.items() if g in groups}
+        for group in groups.values():
+            if group.state is not GroupState.BROKEN or group.id in planned:
+                continue
+            if self._slots > 0 and self._may_reform(group):
+                reason = "all members are back"
+                if self._move(group, GroupState.FORMING, reason):
+                    self._slots -= 1
+                    self._count_reform(group)
+
+    def _may_reform(self, group: Group) -> bool:
+        if not all(self._facts.usable(member) for member in group.members):
+            return False
+        known = self._reforms.get(group.id)
+        if known is None:
+            return True
+        backoff_s = REFORM_BACKOFF_S * 2 ** min(known.count, 8)
+        waited_s = self._clock.now() - known.at_s
+        return waited_s >= min(backoff_s, REFORM_BACKOFF_MAX_S)
+
+    def _count_reform(self, group: Group) -> None:
+        now = self._clock.now()
+        known = self._reforms.get(group.id)
+        recent = known is not None and now - known.at_s < REFORM_FORGET_S
+        count = known.count + 1 if recent else 0
+        self._reforms[group.id] = _Reform(at_s=now, count=count)
+
+    def _replace(self, fence: Fence, action: Replace) -> None:
+        group = self._facts.control.groups.get(action.group)
+        if group is None or not self._joinable(action.joining):
+            return
+        if group.state is GroupState.SERVING:
+            reason = f"repair: {action.leaving[0]} is to be replaced"
+            self._move(group, GroupState.DRAINING, reason)
+        elif group.state is GroupState.FORMING:
+            self._move(group, GroupState.BROKEN, "a member is to be replaced")
+        elif group.state is GroupState.BROKEN and self._slots > 0:
+            if self._propose(group.id, *self._replacement(fence, group, action)):
+                self._slots -= 1
+
+    def _replacement(self, fence: Fence, group: Group, action: Replace) -> list:
+        barred = self._facts.control.barred
+        bars = [
+            InstanceBar(fence=fence, instance=m, barred=True, reason="was replaced")
+            for m in action.leaving
+            if not self._facts.reachable(m) and m not in barred
+        ]
+        replace = GroupReplace(
+            fence=fence,
+            group=group.id,
+            leaving=action.leaving,
+            joining=action.joining,
+            base=group.changed,
+        )
+        return [*bars, replace]
+
+    def _dissolve(self, action: Dissolve) -> None:
+        group = self._facts.control.groups.get(action.group)
+        if group is None:
+            return
+        if group.state is GroupState.SERVING:
+            self._move(group, GroupState.DRAINING, f"dissolve: {action.reason}")
+        elif group.state in (GroupState.FORMING, GroupState.BROKEN):
+            self._move(group, GroupState.RELEASING, action.reason)
+
+    def _form(self, fence: Fence, actions: list[Form]) -> None:
+        items = []
+        for action in actions:
+            if len(items) < self._slots and self._joinable(action.members):
+                item = self._formation(fence, action)
+                items += [item] if item else []
+        if items:
+            self._propose("form", *items)
+
+    def _formation(self, fence: Fence, action: Form) -> GroupForm | None:
+        deployment = self._facts.deployments.get(action.deployment)
+        if deployment is None or len(action.members) != deployment.members:
+            return None
+        self._formed += 1
+        return GroupForm(
+            fence=fence,
+            group=GroupId(f"{deployment.name}-{fence}-{self._formed}"),
+            deployment=deployment.name,
+            members=action.members,
+            model=deployment.model,
+            version=deployment.version,
+            adapters=deployment.adapters,
+        )
+
+    def _joinable(self, instances) -> bool:
+        return all(
+            self._facts.offered(instance) and self._orders.quiet(instance)
+            for instance in instances
+        )
--- /dev/null
+++ b/citronpin/rollouts.py
@@ -0,0 +1,201 @@
+"""Rollouts: groups change version or adapters while enough others serve."""
+
+import logging
+import math
+
+from citronpin.controllers import Controller, register
+from citronpin.domains import DomainFacts, Fitness
+from citronpin.events import EventKind
+from citronpin.formations import FORM_DEADLINE_S
+from citronpin.groups import DrainPurpose, move, outdated
+from citronpin.ids import DeploymentName, Fence, GroupId, Offset
+from citronpin.leases import LeaseController
+from citronpin.manifests import DeploymentManifest
+from citronpin.orders import MAX_LOADS, Orders
+from citronpin.readbacks import Readbacks
+from citronpin.records import GroupReload
+from citronpin.states import Group, GroupState
+
+logger = logging.getLogger(__name__)
+
+SPREAD_S = 5.0  # until every holder has seen a manifest and acts on no older one
+RELOAD_POLL_S = 0.5
+UNDER_WAY = frozenset(
+    {
+        GroupState.SERVING,
+        GroupState.DRAINING,
+        GroupState.RELOADING,
+        GroupState.FORMING,
+    }
+)
+
+
+def floor_of(deployment: DeploymentManifest) -> int:
+    """Return how many groups of a deployment a rollout leaves serving.
+
+    Where the manifest's share would forbid to take down even one, one may go.
+    """
+    wanted = math.ceil(deployment.min_serving * deployment.groups)
+    return max(min(wanted, deployment.groups - 1), 0)
+
+
+@register
+class RolloutController(Controller):
+    """Brings the groups of a fabric domain to the versions that are wanted.
+
+    Fabric domains take turns by name, so that their holders, who do not see each
+    other's latest steps, cannot together go below the least share.
+    """
+
+    name = "rollout"
+
+    def __init__(
+        self,
+        *,
+        lease: LeaseController,
+        facts: DomainFacts,
+        readbacks: Readbacks,
+        orders: Orders,
+        domain: str,
+        max_loads: int = MAX_LOADS,
+        **common,
+    ) -> None:
+        super().__init__(**common)
+        self._lease = lease
+        self._facts = facts
+        self._readbacks = readbacks
+        self._orders = orders
+        self._domain = domain
+        self._max_loads = max_loads
+        self._wanted: dict[DeploymentName, tuple[DeploymentManifest, float]] = {}
+        self._reloading: dict[GroupId, tuple[Offset, float]] = {}
+
+    def reconcile(self) -> None:
+        fence = self._lease.fence
+        if fence is None or fence != self._facts.fence:
+            return
+        groups = self._facts.control.groups
+        self._reloading = {g: v for g, v in self._reloading.items() if g in groups}
+        for group_id in sorted(groups):
+            if groups[group_id].state is GroupState.RELOADING:
+                self._reload(fence, groups[group_id])
+        deployments = self._facts.deployments
+        self._wanted = {n: v for n, v in self._wanted.items() if n in deployments}
+        for deployment in deployments.values():
+            if self._settled_manifest(deployment):
+                self._roll(fence, deployment)
+
+    def really_serves(self, group: Group) -> bool:
+        """Return whether a group serves by its record and by its read-back."""
+        if group.state is not GroupState.SERVING:
+            return False
+        return all(
+            self._facts.fitness(member) is Fitness.FIT
+            and self._readbacks.answers(member)
+            and not self._readbacks.difference(group, member)
+            for member in group.members
+        )
+
+    def _settled_manifest(self, deployment: DeploymentManifest) -> bool:
+        known = self._wanted.get(deployment.name)
+        if known is None or known[0] != deployment:
+            known = (deployment, self._clock.now())
+            self._wanted[deployment.name] = known
+        return self._clock.now() - known[1] >= SPREAD_S
+
+    def _roll(self, fence: Fence, deployment: DeploymentManifest) -> None:
+        mine = self._of(self._facts.control.groups.values(), deployment)
+        old = [
+            g for g in mine if g.state is GroupState.SERVING and outdated(g, deployment)
+        ]
+        if not old or not self._is_turn(deployment):
+            return
+        elsewhere = self._facts.serving_elsewhere().get(deployment.name, 0)
+        serving = sum(self.really_serves(group) for group in mine) + elsewhere
+        allowed = min(
+            serving - floor_of(deployment) - self._in_flight(mine),
+            self._at_once(deployment) - self._going_down(mine),
+        )
+        for group in old[: max(allowed, 0)]:
+            self._take_down(fence, group, deployment)
+
+    def _is_turn(self, deployment: DeploymentManifest) -> bool:
+        for domain, groups in self._facts.other_groups().items():
+            if domain >= self._domain:
+                continue
+            for group in self._of(groups, deployment):
+                if group.state in UNDER_WAY and outdated(group, deployment):
+                    return False
+                if group.state in (GroupState.RELOADING, GroupState.FORMING):
+                    return False
+        return True
+
+    def _of(self, groups, deployment: DeploymentManifest) -> list[Group]:
+        found = [group for group in groups if group.deployment == deployment.name]
+        return sorted(found, key=lambda group: group.id)
+
+    def _in_flight(self, groups: list[Group]) -> int:
+        return sum(group.id in self._blocked for group in groups)
+
+    def _at_once(self, deployment: DeploymentManifest) -> int:
+        """Return how many groups may be down while the weight store is shared."""
+        return max(self._max_loads // deployment.members, 1)
+
+    def _going_down(self, groups: list[Group]) -> int:
+        busy = (GroupState.DRAINING, GroupState.RELOADING)
+        return sum(group.state in busy for group in groups)
+
+    def _take_down(self, fence, group: Group, deployment: DeploymentManifest) -> None:
+        purpose = DrainPurpose.RELOAD
+        if len(group.members) != deployment.members:
+            purpose = DrainPurpose.DISSOLVE
+        reason = purpose.reason(f"{deployment.model} {deployment.version}")
+        if self._move(fence, group, GroupState.DRAINING, reason):
+            self._note(EventKind.ROLLOUT, reason, fence=fence, group=group.id)
+
+    def _reload(self, fence: Fence, group: Group) -> None:
+        deployment = self._facts.deployments.get(group.deployment)
+        unfit = [m for m in group.members if self._facts.fitness(m) is not Fitness.FIT]
+        if deployment is None or len(group.members) != deployment.members:
+            self._move(fence, group, GroupState.RELEASING, "the manifest changed")
+        elif unfit:
+            self._move(fence, group, GroupState.BROKEN, f"{unfit[0]} is not fit")
+        elif outdated(group, deployment):
+            self._record_version(fence, group, deployment)
+        elif self._overdue(group):
+            self._move(fence, group, GroupState.BROKEN, "the load took too long")
+        elif self._loaded(group):
+            self._move(fence, group, GroupState.FORMING, "loaded")
+
+    def _record_version(self, fence, group: Group, deployment) -> None:
+        reload = GroupReload(
+            fence=fence,
+            group=group.id,
+            model=deployment.model,
+            version=deployment.version,
+            adapters=deployment.adapters,
+            base=group.changed,
+        )
+        if self.propose(group.id, reload):
+            detail = f"loads {deployment.model} {deployment.version}"
+            self._note(EventKind.ROLLOUT, detail, fence=fence, group=group.id)
+
+    def _loaded(self, group: Group) -> bool:
+        rows = [self._facts.rows()[member] for member in group.members]
+        for row in rows:
+            self._readbacks.poll(row, RELOAD_POLL_S)
+        return all([self._orders.load(row, group) for row in rows])
+
+    def _overdue(self, group: Group) -> bool:
+        known = self._reloading.get(group.id)
+        if known is None or known[0] != group.changed:
+            known = (group.changed, self._clock.now())
+            self._reloading[group.id] = known
+        return self._clock.now() - known[1] > FORM_DEADLINE_S
+
+    def _move(self, fence, group: Group, state: GroupState, reason: str) -> bool:
+        if not self.propose(group.id, move(fence, group, state, reason)):
+            return False
+        detail = f"{group.state.value} to {state.value}: {reason}"
+        self._note(EventKind.GROUP_STATE, detail, fence=fence, group=group.id)
+        return True
