Form answers from dispatches

Cause: the dispatch of generation requests defines the sink that answers implement. Change: answers are sinks of dispatches; text in a final frame reaches the caller.

--- a/citronpin/chats.py
+++ b/citronpin/chats.py
@@ -1,11 +1,11 @@
 """Chat completions: checking requests and forming answers."""
 
 import logging
-from abc import abstractmethod
 from collections.abc import Callable
 
 import msgspec
 
+from citronpin.dispatches import AnswerSink
 from citronpin.engines import Frame
 from citronpin.errors import CitronpinError, Outcome
 from citronpin.filters import OUTCOME_HEADER, Context, Ending, Filter, Proceed
@@ -74,7 +74,7 @@
             raise BadBody(f"messages[{number}] has no role.")
 
 
-class Answer:
+class Answer(AnswerSink):
     """Turns the text of an engine into the answer that the caller asked for."""
 
     def __init__(self, *, ctx: Context) -> None:
@@ -85,18 +85,6 @@
         self.last_text_s: float | None = None
         self.gaps_s: list[float] = []
 
-    @abstractmethod
-    def text(self, frames: list[Frame]) -> None:
-        """Pass on text in order."""
-
-    @abstractmethod
-    def done(self, final: Frame) -> None:
-        """Pass on that the answer is whole."""
-
-    @abstractmethod
-    def failed(self, error: CitronpinError) -> None:
-        """Pass on that no more will come."""
-
     def _note_text(self, frames: list[Frame]) -> None:
         now_s = self._ctx.clock.now()
         if self.last_text_s is None:
@@ -132,6 +120,8 @@
         self._parts.extend(frame.text for frame in frames)
 
     def done(self, final: Frame) -> None:
+        if final.text:
+            self.text([final])
         if not self._end(Outcome.COMPLETE, 200):
             return
         message = {"role": "assistant", "content": "".join(self._parts)}
@@ -188,6 +178,8 @@
         self._ctx.reply.push(start + role)
 
     def done(self, final: Frame) -> None:
+        if final.text:
+            self.text([final])
         if not self._end(Outcome.COMPLETE, 200):
             return
         self._start()
--- a/citronpin/generations.py
+++ b/citronpin/generations.py
@@ -12,12 +12,13 @@
 from citronpin.chats import answer_for
 from citronpin.clocks import Clock
 from citronpin.directories import GroupDirectory
-from citronpin.dispatches import Dispatch, Target
+from citronpin.dispatches import AnswerSink, Dispatch, RetryBudget, Target
 from citronpin.engines import EngineClient, Frame
 from citronpin.errors import CitronpinError, Outcome
 from citronpin.events import EventKind
 from citronpin.filters import Context, Ending, Filter, Proceed
 from citronpin.ids import DeploymentName, GroupId, RequestId
+from citronpin.metrics import LatencyCollector
 from citronpin.prefixes import prefix_blocks
 from citronpin.refusals import Overloaded
 from citronpin.routers import GroupLoad, RoutePolicy, RouteRequest
@@ -137,7 +138,7 @@
                 self._admit(*held)
 
 
-class Generation:
+class Generation(AnswerSink):
     """One admitted request: its route, its dispatch and its answer."""
 
     def __init__(self, *, task: "GenerateFilter", ctx: Context) -> None:
@@ -155,15 +156,17 @@
             priority=ctx.priority,
         )
         self._dispatch = Dispatch(
-            engine=task.engine,
-            clock=ctx.clock,
-            recorder=ctx.recorder,
-            request=ctx.id,
             body=ctx.chat,
-            priority=ctx.priority,
+            request=ctx.id,
             deadline_s=ctx.deadline_s,
             pick=self._pick,
             sink=self,
+            client=task.engine,
+            clock=ctx.clock,
+            recorder=ctx.recorder,
+            priority=ctx.priority,
+            budget=task.budget,
+            ready=lambda target: task.usable(target.group),
         )
         ctx.reply.on_gone = self._left
         ctx.on_end(lambda ending: self._leave_group(failed=ending.error is not None))
@@ -255,14 +258,15 @@
         admit: AdmitFilter,
         directory: GroupDirectory,
         usable: Callable[[GroupId], bool],
-        latencies,
+        latencies: LatencyCollector,
     ) -> None:
         self.engine = engine
+        self.budget = RetryBudget()
         self.router = router
         self.admit = admit
         self.latencies = latencies
         self._directory = directory
-        self._usable = usable
+        self.usable = usable
         directory.on_gone(lambda group: router.gone(group=group))
 
     def handle(self, ctx: Context, proceed: Proceed) -> None:
@@ -275,13 +279,13 @@
         return [
             GroupLoad(group=group.id, slots=GROUP_SLOTS)
             for group in self._directory.serving(deployment)
-            if group.id not in excluded and self._usable(group.id)
+            if group.id not in excluded and self.usable(group.id)
         ]
 
     def target(self, group_id: GroupId) -> Target | None:
         """Return where a group's requests go, unless it just ceased to serve."""
         group = self._directory.group(group_id)
-        if group is None or not self._usable(group_id):
+        if group is None or not self.usable(group_id):
             return None
         address = self._directory.address(group.members[0])
         if address is None:
