--- a/citronpin/engines.py
+++ b/citronpin/engines.py
@@ -144,6 +144,13 @@
     def cancel(self) -> None:
         """Stop generation; no more calls reach the sink."""
 
+    def detach(self) -> None:
+        """Give up the transport; the engine keeps the attempt for a while.
+
+        No more calls reach the sink. Where it cannot be kept, it is cancelled.
+        """
+        self.cancel()
+
 
 StatusCallback = Callable[[Result[EngineStatus, CitronpinError]], None]
 CacheCallback = Callable[[Result[list[CacheEvent], CitronpinError]], None]
--- a/citronpin/errors.py
+++ b/citronpin/errors.py
@@ -110,3 +110,28 @@
     status = 503
     outcome = Outcome.NOT_RUN
     remedy = "Try again; another group may take it."
+
+
+class EngineFault(CitronpinError):
+    """A generation broke and could not be taken up again."""
+
+    kind = "generation-broken"
+    status = 502
+    remedy = "Send the request again; a generation may be repeated."
+
+
+class NoGroupReady(CitronpinError):
+    """No group that may take the request serves now."""
+
+    kind = "no-group-ready"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    remedy = "Try again; ask the operators if it lasts."
+
+
+class BadSubmission(CitronpinError):
+    """An engine rejects the body of a request."""
+
+    kind = "bad-request"
+    status = 400
+    remedy = "Correct the request as the detail says."
--- a/citronpin/http_engines.py
+++ b/citronpin/http_engines.py
@@ -17,6 +17,7 @@
     Submission,
 )
 from citronpin.errors import (
+    BadSubmission,
     CitronpinError,
     EngineRefused,
     ProtocolFault,
@@ -31,6 +32,7 @@
 CACHE_EVENTS_PATH = "/v1/cache-events"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 REFUSALS = (409, 503)
+BAD_REQUESTS = (400, 413, 422)
 ORDER_TIMEOUT_S = 5.0
 CANCEL_TIMEOUT_S = 5.0
 MAX_LINE_BYTES = 1024 * 1024
@@ -115,23 +117,30 @@
     """A submission whose frames come over one connection."""
 
     def __init__(
-        self, *, client: HttpClient, submission: Submission, parser: FrameParser
+        self,
+        *,
+        client: HttpClient,
+        address: str,
+        submission: Submission,
+        parser: FrameParser,
     ) -> None:
         self._client = client
+        self._address = address
         self._submission = submission
         self._parser = parser
         self.exchange: Exchange | None = None
 
-    def cancel(self) -> None:
+    def detach(self) -> None:
         self._parser.mute()
-        if self.exchange is None:
-            return
-        address = self.exchange.address
-        self._client.cancel(self.exchange)
-        self.exchange = None
+        if self.exchange is not None:
+            self._client.cancel(self.exchange)
+            self.exchange = None
+
+    def cancel(self) -> None:
+        self.detach()
         submission = self._submission
         self._client.request(
-            address=address,
+            address=self._address,
             method="DELETE",
             target=f"{SUBMISSIONS_PATH}/{submission.request}/{submission.attempt}",
             sink=WholeSink(done=_ignore),
@@ -150,7 +159,9 @@
         self, *, address: str, submission: Submission, sink: FrameSink
     ) -> HttpAttempt:
         parser = FrameParser(address=address, sink=sink, clock=self._clock)
-        attempt = HttpAttempt(client=self._client, submission=submission, parser=parser)
+        attempt = HttpAttempt(
+            client=self._client, address=address, submission=submission, parser=parser
+        )
         attempt.exchange = self._client.request(
             address=address,
             method="POST",
@@ -211,6 +222,8 @@
     except msgspec.DecodeError:
         problem = Problem()
     detail = f"{address}: {status} {problem.kind} {problem.detail}".rstrip()
+    if status in BAD_REQUESTS:
+        return BadSubmission(detail)
     if status not in REFUSALS:
         return ProtocolFault(detail)
     if problem.kind == StaleFence.kind:
--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -39,6 +39,7 @@
         self.said = 0
         self.credit = 0.0
         self.ready_s = 0.0
+        self.detached_s = 0.0
         self.ended = False
         self.listener: Callable[[list[Frame]], None] | None = None
         self.abort: Callable[[], None] | None = None
@@ -124,6 +125,7 @@
     def detach(self, stream: Stream) -> None:
         """Keep a stream that lost its connection for a while."""
         stream.listener = None
+        stream.detached_s = self._clock.now()
         self._clock.call_later(self._speed.keep_s, lambda: self._drop_detached(stream))
 
     def drop(self, stream: Stream) -> None:
@@ -200,7 +202,8 @@
             stream.listener(frames)
 
     def _drop_detached(self, stream: Stream) -> None:
-        if stream.listener is None:
+        age_s = self._clock.now() - stream.detached_s
+        if stream.listener is None and age_s >= self._speed.keep_s:
             self.drop(stream)
 
     def _forget_ended(self, stream: Stream) -> None:
