--- a/citronpin/folds.py
+++ b/citronpin/folds.py
@@ -13,7 +13,7 @@
 
 from citronpin import records
 from citronpin.errors import Outcome
-from citronpin.ids import NO_OFFSET, Offset, StreamName
+from citronpin.ids import NO_OFFSET, EntryId, Offset, StreamName
 from citronpin.manifests import scope_of
 from citronpin.records import Record
 from citronpin.states import (
@@ -27,6 +27,7 @@
     GroupState,
     KnownEntry,
     Lease,
+    Progress,
     StreamState,
     Verdict,
 )
@@ -35,6 +36,8 @@
 
 MAX_OUTCOME_BYTES = 64 * 1024
 MAX_PENDING_CHANGES = 64
+WRITER_WINDOW = 65_536  # records after its base within which a record counts
+WRITER_SWEEP = 1_024  # records between removals of writers that fell silent
 
 
 class Rejected(Exception):
@@ -56,6 +59,13 @@
         self, state: StreamState, offset: Offset, record: Record
     ) -> tuple[StreamState, list[Verdict]]:
         """Return the state after ``record`` and a verdict for each of its items."""
+        late = late_reason(state, offset, record)
+        if late:
+            return self.skip(state, offset), [
+                Verdict(offset, record.id, number, False, late)
+                for number in range(len(record.items))
+            ]
+        state = _admit(state, offset, record)
         verdicts = []
         for number, item in enumerate(record.items):
             reason = ""
@@ -66,14 +76,43 @@
             verdicts.append(Verdict(offset, record.id, number, not reason, reason))
         return msgspec.structs.replace(state, offset=offset), verdicts
 
+    def skip(self, state: StreamState, offset: Offset) -> StreamState:
+        """Return the state after a record that changes nothing."""
+        return msgspec.structs.replace(state, offset=offset)
+
     def _accept(self, state, offset: Offset, record: Record, item):
-        if isinstance(item, records.Checkpoint):
+        if isinstance(item, (records.Checkpoint, records.DigestMark)):
             return state
         if isinstance(item, records.LeaseClaim):
             return _claim(state, offset, record, item)
+        if isinstance(item, records.LeaseYield):
+            return _yield_lease(state, record, item)
         return self.accept(state, offset, record, item)
 
 
+def late_reason(state: StreamState, offset: Offset, record: Record) -> str:
+    """Return why a record landed too late or twice, or an empty text."""
+    if not record.sequence:
+        return ""
+    known = state.writers.get(record.writer)
+    if known is not None and record.sequence <= known.sequence:
+        return "A later record of the same writer stands before this one."
+    if offset - record.base > WRITER_WINDOW:
+        return f"The record was written from offset {record.base}, too long ago."
+    return ""
+
+
+def _admit(state, offset: Offset, record: Record):
+    writers = state.writers
+    if record.sequence:
+        writers = writers.set(record.writer, Progress(record.sequence, offset))
+    if offset % WRITER_SWEEP == 0:
+        for writer, known in state.writers.items():
+            if offset - known.offset > WRITER_WINDOW and writer != record.writer:
+                writers = writers.delete(writer)
+    return msgspec.structs.replace(state, writers=writers)
+
+
 def _claim(state, offset: Offset, record: Record, item: records.LeaseClaim):
     if item.supersedes != state.lease.fence:
         raise Rejected(
@@ -84,6 +123,12 @@
     return msgspec.structs.replace(state, lease=lease)
 
 
+def _yield_lease(state, record: Record, item: records.LeaseYield):
+    _check_fence(state, record, item.fence)
+    lease = Lease(holder=EntryId(""), fence=item.fence)
+    return msgspec.structs.replace(state, lease=lease)
+
+
 def _check_fence(state, record: Record, fence) -> None:
     if fence != state.lease.fence:
         raise Rejected(f"Fence {fence} is not current; it is {state.lease.fence}.")
@@ -255,7 +300,7 @@
                 raise Rejected(f"{member} is barred: {state.barred[member]}.")
 
     def _move(self, state, offset, item: records.GroupMove):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         try:
             target = GroupState(item.state)
         except ValueError:
@@ -274,7 +319,7 @@
         )
 
     def _replace(self, state, offset, item: records.GroupReplace):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.BROKEN)
         leaving = set(item.leaving)
         if not leaving <= set(group.members) or len(leaving) != len(item.joining):
@@ -296,7 +341,7 @@
         return self._assign(freed, group.id, item.joining)
 
     def _reload(self, state, offset, item: records.GroupReload):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.RELOADING)
         after = msgspec.structs.replace(
             group,
@@ -308,7 +353,7 @@
         return self._put(state, after)
 
     def _release(self, state, offset, item: records.GroupRelease):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.RELEASING)
         groups = state.groups.delete(group.id)
         freed = msgspec.structs.replace(state, groups=groups)
@@ -323,10 +368,16 @@
             barred = state.barred.delete(item.instance)
         return msgspec.structs.replace(state, barred=barred)
 
-    def _group(self, state, group_id) -> Group:
-        if group_id not in state.groups:
-            raise Rejected(f"Group {group_id} does not exist.")
-        return state.groups[group_id]
+    def _group(self, state, item) -> Group:
+        if item.group not in state.groups:
+            raise Rejected(f"Group {item.group} does not exist.")
+        group = state.groups[item.group]
+        if item.base is not None and item.base != group.changed:
+            raise Rejected(
+                f"Group {group.id} was changed at offset {group.changed}, but the "
+                f"proposal was made from {item.base}."
+            )
+        return group
 
     def _check_state(self, group: Group, wanted: GroupState) -> None:
         if group.state is not wanted:
