--- /dev/null
+++ b/citronpin/embedded.py
@@ -0,0 +1,222 @@
+"""A whole system on loopback in one process: stand-ins and entries, a thread each."""
+
+import logging
+import time
+from collections.abc import Callable
+
+import msgspec
+from result import Err
+
+from citronpin.clocks import SystemClock
+from citronpin.entries import Entry
+from citronpin.ids import (
+    ApplicationName,
+    DomainName,
+    FailureDomainName,
+    InstanceId,
+)
+from citronpin.instances import Instance, InstanceKind, InstanceState
+from citronpin.runners import Runner
+from citronpin.settings import check_settings
+from citronpin.standin_batches import EngineSpeed
+from citronpin.standin_engines import EngineStandin
+from citronpin.standin_logs import LogStandin
+from citronpin.standin_memberships import MembershipStandin
+from citronpin.standin_services import ServiceStandin
+from citronpin.standins import Standin
+
+logger = logging.getLogger(__name__)
+
+LOOPBACK = "127.0.0.1"
+ANY_PORT = (LOOPBACK, 0)
+PEER_KEY = "embedded"
+POLL_S = 0.02
+
+
+class EngineSpec(msgspec.Struct, frozen=True):
+    """An engine to start: where it is and how it takes orders."""
+
+    id: InstanceId
+    domain: DomainName
+    failure_domain: FailureDomainName
+    accelerators: int = 8
+    checks_fence: bool = True
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """A server of a plain service to start."""
+
+    id: InstanceId
+    application: ApplicationName
+    failure_domain: FailureDomainName
+
+
+class Embedded:
+    """Starts, changes and stops the parts of a small system."""
+
+    def __init__(
+        self,
+        *,
+        failure_domains: tuple[str, ...],
+        engines: tuple[EngineSpec, ...],
+        services: tuple[ServiceSpec, ...] = (),
+        speed: EngineSpeed | None = None,
+        load_s: float = 0.1,
+    ) -> None:
+        self._failure_domains = failure_domains
+        self._engine_specs = engines
+        self._service_specs = services
+        self._speed = speed or EngineSpeed()
+        self._load_s = load_s
+        self._runners: dict[str, Runner] = {}
+        self.log: LogStandin | None = None
+        self.membership: MembershipStandin | None = None
+        self.engines: dict[InstanceId, EngineStandin] = {}
+        self.services: dict[InstanceId, ServiceStandin] = {}
+        self.entries: dict[str, Entry] = {}
+
+    def start(self) -> None:
+        """Start the stand-ins, then one entry in each failure domain."""
+        clock = SystemClock()
+        self.log = LogStandin(name="log", bind=ANY_PORT, clock=clock)
+        self._run("log", self.log, clock)
+        for spec in self._engine_specs:
+            self.add_engine(spec)
+        for spec in self._service_specs:
+            self.add_service(spec)
+        clock = SystemClock()
+        self.membership = MembershipStandin(
+            name="membership", bind=ANY_PORT, clock=clock, instances=self._rows()
+        )
+        self._run("membership", self.membership, clock)
+        for domain in self._failure_domains:
+            self.add_entry(f"entry-{domain}", domain)
+
+    def _run(self, name: str, root, clock) -> None:
+        runner = Runner(root=root, clock=clock)
+        self._runners[name] = runner
+        runner.start()
+
+    def _rows(self) -> tuple[Instance, ...]:
+        rows = [engine.instance for engine in self.engines.values()]
+        for spec in self._service_specs:
+            rows.append(
+                Instance(
+                    id=spec.id,
+                    address=self.services[spec.id].address,
+                    kind=InstanceKind.SERVICE,
+                    state=InstanceState.LIVE,
+                    failure_domain=spec.failure_domain,
+                    application=spec.application,
+                )
+            )
+        return tuple(rows)
+
+    def add_engine(self, spec: EngineSpec) -> EngineStandin:
+        """Start an engine."""
+        clock = SystemClock()
+        row = Instance(
+            id=spec.id,
+            address="",
+            kind=InstanceKind.ENGINE,
+            state=InstanceState.LIVE,
+            failure_domain=spec.failure_domain,
+            domain=spec.domain,
+            accelerators=spec.accelerators,
+            checks_fence=spec.checks_fence,
+        )
+        engine = EngineStandin(
+            name=spec.id,
+            bind=ANY_PORT,
+            clock=clock,
+            instance=row,
+            speed=self._speed,
+            load_s=self._load_s,
+        )
+        engine.instance = msgspec.structs.replace(row, address=engine.address)
+        self.engines[spec.id] = engine
+        self._run(spec.id, engine, clock)
+        return engine
+
+    def add_service(self, spec: ServiceSpec) -> ServiceStandin:
+        """Start a server of a plain service."""
+        clock = SystemClock()
+        service = ServiceStandin(name=spec.id, bind=ANY_PORT, clock=clock)
+        self.services[spec.id] = service
+        self._run(spec.id, service, clock)
+        return service
+
+    def add_entry(self, name: str, failure_domain: str) -> Entry:
+        """Start an entry."""
+        given = {
+            "entry": {
+                "name": name,
+                "listen": f"{LOOPBACK}:0",
+                "failure_domain": failure_domain,
+                "log": self.log.address,
+                "membership": self.membership.address,
+                "drain_s": "20",
+            },
+            "peers": {"listen": f"{LOOPBACK}:0", "key": PEER_KEY},
+        }
+        result = check_settings(given)
+        if isinstance(result, Err):
+            raise result.err_value[0]
+        clock = SystemClock()
+        entry = Entry(cfg=result.ok_value, clock=clock)
+        self.entries[name] = entry
+        self._run(name, entry, clock)
+        return entry
+
+    def runner(self, name: str) -> Runner:
+        """Return the loop of a part by its name or id."""
+        return self._runners[name]
+
+    def call(self, name: str, function: Callable):
+        """Run a function in the loop of a part."""
+        return self._runners[name].call(function)
+
+    def faults(self, name: str, **fields) -> None:
+        """Switch faults of a stand-in by its name or id."""
+        standin: Standin = self._runners[name].root
+        self.call(name, lambda: standin.set_faults(**fields))
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses of the entries that run."""
+        return tuple(
+            entry.server.address
+            for name, entry in self.entries.items()
+            if self._runners[name].running
+        )
+
+    def effects(self) -> dict[str, int]:
+        """Return how often each key took effect, over all plain services."""
+        counts: dict[str, int] = {}
+        for service in self.services.values():
+            for key, count in service.effects.items():
+                counts[key] = counts.get(key, 0) + count
+        return counts
+
+    def drain(self, name: str) -> None:
+        """Begin the planned stop of an entry."""
+        self._runners[name].post(self.entries[name].drain)
+
+    def kill(self, name: str) -> None:
+        """Stop a part at once, without a planned stop."""
+        self._runners.pop(name).stop()
+        self.entries.pop(name, None)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for name in reversed(list(self._runners)):
+            self._runners.pop(name).stop()
+
+
+def wait_for(condition: Callable[[], bool], limit_s: float) -> bool:
+    """Return whether a condition became true within a time."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        if condition():
+            return True
+        time.sleep(POLL_S)
+    return bool(condition())
--- /dev/null
+++ b/citronpin/runners.py
@@ -0,0 +1,67 @@
+"""Runs a component tree in a thread and calls into its loop from others."""
+
+import threading
+from collections.abc import Callable
+from typing import TypeVar
+
+from circuits import Component, Event
+
+from citronpin.clocks import Clock
+from citronpin.errors import TimedOut
+
+CALL_LIMIT_S = 20.0
+
+T = TypeVar("T")
+
+
+class wake(Event):
+    """Ends the wait of the poller, so that due timers run."""
+
+
+class Runner:
+    """One event loop in a thread of its own."""
+
+    def __init__(self, *, root: Component, clock: Clock) -> None:
+        self.root = root
+        self.clock = clock
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._thread, _ = self.root.start()
+
+    def post(self, function: Callable[[], None]) -> None:
+        """Run ``function`` in the loop soon."""
+        self.clock.call_later(0.0, function)
+        self.root.fire(wake())
+
+    def call(self, function: Callable[[], T]) -> T:
+        """Run ``function`` in the loop and return what it returned."""
+        done = threading.Event()
+        box: list = []
+
+        def run() -> None:
+            try:
+                box.append((function(), None))
+            except BaseException as exc:
+                box.append((None, exc))
+            done.set()
+
+        self.post(run)
+        if not done.wait(CALL_LIMIT_S):
+            raise TimedOut("The event loop does not run.")
+        value, exc = box[0]
+        if exc is not None:
+            raise exc
+        return value
+
+    def stop(self) -> None:
+        """Stop the loop and wait for its thread."""
+        self.root.stop()
+        if self._thread is not None:
+            self._thread.join(CALL_LIMIT_S)
+
+    @property
+    def running(self) -> bool:
+        """Return whether the loop runs."""
+        return self._thread is not None and self._thread.is_alive()
