--- /dev/null
+++ b/citronpin/calls_folds.py
@@ -0,0 +1,112 @@
+"""Fold of one shard of non-repeatable calls."""
+
+import logging
+
+import msgspec
+
+from citronpin import records
+from citronpin.errors import Outcome
+from citronpin.rules import Fold, Rejected, check_fence, misplaced
+from citronpin.states import Call, CallsState
+
+logger = logging.getLogger(__name__)
+
+MAX_OUTCOME_BYTES = 64 * 1024
+
+
+class CallsFold(Fold):
+    """Intents and outcomes of one shard of non-repeatable calls."""
+
+    def empty(self) -> CallsState:
+        return CallsState()
+
+    def accept(self, state, offset, record, item):
+        if isinstance(item, records.CallIntent):
+            return self._intent(state, offset, item)
+        if isinstance(item, records.CallOutcome):
+            return self._outcome(state, item)
+        if isinstance(item, records.CallPurge):
+            return self._purge(state, record, item)
+        raise misplaced(item)
+
+    def _intent(self, state, offset, item: records.CallIntent):
+        if key_time_ms(item.key) < state.floor_ms:
+            raise Rejected("The key is older than the window; use a new one.")
+        known = state.calls.get(item.key)
+        if known is not None:
+            self._check_again(known, item)
+        call = Call(
+            key=item.key,
+            digest=item.digest,
+            owner=item.owner,
+            application=item.application,
+            attempt=item.attempt,
+            offset=offset,
+        )
+        replaced = len(known.body) if known is not None else 0
+        return msgspec.structs.replace(
+            state,
+            calls=state.calls.set(item.key, call),
+            stored_bytes=state.stored_bytes - replaced,
+        )
+
+    def _check_again(self, known: Call, item: records.CallIntent) -> None:
+        if known.digest != item.digest:
+            raise Rejected("The key was used for another request; use a new one.")
+        if known.outcome != Outcome.NOT_RUN.value:
+            raise Rejected(f"The call is owned by {known.owner}.")
+
+    def _outcome(self, state, item: records.CallOutcome):
+        call = state.calls.get(item.key)
+        if call is None:
+            raise Rejected("There is no intent for this key.")
+        self._check_outcome(call, item)
+        body = item.body if len(item.body) <= MAX_OUTCOME_BYTES else b""
+        after = msgspec.structs.replace(
+            call,
+            outcome=item.outcome,
+            status=item.status,
+            content_type=item.content_type,
+            body=body,
+        )
+        return msgspec.structs.replace(
+            state,
+            calls=state.calls.set(item.key, after),
+            stored_bytes=state.stored_bytes + len(body) - len(call.body),
+        )
+
+    def _check_outcome(self, call: Call, item: records.CallOutcome) -> None:
+        if item.settled:
+            if item.outcome != Outcome.COMPLETE.value:
+                raise Rejected("A look-up can only settle that a call has run.")
+        elif (item.owner, item.attempt) != (call.owner, call.attempt):
+            raise Rejected(f"The call is owned by {call.owner}.")
+        open_outcomes = (None, Outcome.UNKNOWN.value)
+        if call.outcome not in open_outcomes:
+            raise Rejected(f"The outcome is known already: {call.outcome}.")
+        if call.outcome is not None and item.outcome != Outcome.COMPLETE.value:
+            raise Rejected("An unknown outcome can only be settled as complete.")
+
+    def _purge(self, state, record, item: records.CallPurge):
+        check_fence(state, record, item.fence)
+        if item.floor_ms <= state.floor_ms:
+            raise Rejected("The floor only rises.")
+        calls, stored = state.calls, state.stored_bytes
+        for key, call in state.calls.items():
+            if key_time_ms(key) < item.floor_ms:
+                calls = calls.delete(key)
+                stored -= len(call.body)
+        return msgspec.structs.replace(
+            state, calls=calls, stored_bytes=stored, floor_ms=item.floor_ms
+        )
+
+
+def key_time_ms(key: str) -> int:
+    """Return the time in a UUIDv7 key, or 0 for a key of another form."""
+    digits = key.replace("-", "")
+    if len(digits) != 32 or digits[12] != "7":
+        return 0
+    try:
+        return int(digits[:12], 16)
+    except ValueError:
+        return 0
--- /dev/null
+++ b/citronpin/control_folds.py
@@ -0,0 +1,155 @@
+"""Fold of the control stream of a fabric domain."""
+
+import logging
+
+import msgspec
+
+from citronpin import records
+from citronpin.rules import Fold, Rejected, check_fence, misplaced
+from citronpin.states import GROUP_TRANSITIONS, ControlState, Group, GroupState
+
+logger = logging.getLogger(__name__)
+
+
+class ControlFold(Fold):
+    """The lease of a fabric domain and the groups assigned under it."""
+
+    def empty(self) -> ControlState:
+        return ControlState()
+
+    def accept(self, state, offset, record, item):
+        rules = {
+            records.GroupForm: self._form,
+            records.GroupMove: self._move,
+            records.GroupReplace: self._replace,
+            records.GroupReload: self._reload,
+            records.GroupRelease: self._release,
+            records.InstanceBar: self._bar,
+        }
+        rule = rules.get(type(item))
+        if rule is None:
+            raise misplaced(item)
+        check_fence(state, record, item.fence)
+        return rule(state, offset, item)
+
+    def _form(self, state, offset, item: records.GroupForm):
+        if item.group in state.groups:
+            raise Rejected(f"Group {item.group} exists already.")
+        self._check_free(state, item.members)
+        group = Group(
+            id=item.group,
+            deployment=item.deployment,
+            members=item.members,
+            model=item.model,
+            version=item.version,
+            adapters=item.adapters,
+            state=GroupState.FORMING,
+            fence=item.fence,
+            changed=offset,
+        )
+        return self._assign(self._put(state, group), group.id, item.members)
+
+    def _check_free(self, state, members) -> None:
+        if not members or len(set(members)) != len(members):
+            raise Rejected("Members must be given, each once.")
+        for member in members:
+            if member in state.assigned:
+                raise Rejected(f"{member} belongs to {state.assigned[member]}.")
+            if member in state.barred:
+                raise Rejected(f"{member} is barred: {state.barred[member]}.")
+
+    def _move(self, state, offset, item: records.GroupMove):
+        group = self._group(state, item.group)
+        try:
+            target = GroupState(item.state)
+        except ValueError:
+            raise Rejected(f"{item.state} is not a state of groups.") from None
+        if target not in GROUP_TRANSITIONS[group.state]:
+            raise Rejected(
+                f"Group {group.id} cannot go from {group.state.value} to "
+                f"{target.value}."
+            )
+        fence = item.fence if target is GroupState.FORMING else group.fence
+        return self._put(
+            state,
+            msgspec.structs.replace(
+                group, state=target, changed=offset, reason=item.reason, fence=fence
+            ),
+        )
+
+    def _replace(self, state, offset, item: records.GroupReplace):
+        group = self._group(state, item.group)
+        self._check_state(group, GroupState.BROKEN)
+        leaving = set(item.leaving)
+        if not leaving <= set(group.members) or len(leaving) != len(item.joining):
+            raise Rejected("Each leaving member needs one that joins in its place.")
+        self._check_free(state, item.joining)
+        joining = iter(item.joining)
+        members = tuple(
+            next(joining) if member in leaving else member for member in group.members
+        )
+        after = msgspec.structs.replace(
+            group,
+            members=members,
+            state=GroupState.FORMING,
+            fence=item.fence,
+            changed=offset,
+            reason="",
+        )
+        freed = self._free(self._put(state, after), item.leaving)
+        return self._assign(freed, group.id, item.joining)
+
+    def _reload(self, state, offset, item: records.GroupReload):
+        group = self._group(state, item.group)
+        self._check_state(group, GroupState.RELOADING)
+        after = msgspec.structs.replace(
+            group,
+            model=item.model,
+            version=item.version,
+            adapters=item.adapters,
+            changed=offset,
+        )
+        return self._put(state, after)
+
+    def _release(self, state, offset, item: records.GroupRelease):
+        group = self._group(state, item.group)
+        self._check_state(group, GroupState.RELEASING)
+        groups = state.groups.delete(group.id)
+        freed = msgspec.structs.replace(state, groups=groups)
+        return self._free(freed, group.members)
+
+    def _bar(self, state, offset, item: records.InstanceBar):
+        if not item.barred and item.instance not in state.barred:
+            raise Rejected(f"{item.instance} is not barred.")
+        if item.barred:
+            barred = state.barred.set(item.instance, item.reason)
+        else:
+            barred = state.barred.delete(item.instance)
+        return msgspec.structs.replace(state, barred=barred)
+
+    def _group(self, state, group_id) -> Group:
+        if group_id not in state.groups:
+            raise Rejected(f"Group {group_id} does not exist.")
+        return state.groups[group_id]
+
+    def _check_state(self, group: Group, wanted: GroupState) -> None:
+        if group.state is not wanted:
+            raise Rejected(
+                f"Group {group.id} is {group.state.value}, not {wanted.value}."
+            )
+
+    def _put(self, state, group: Group):
+        groups = state.groups.set(group.id, group)
+        return msgspec.structs.replace(state, groups=groups)
+
+    def _assign(self, state, group_id, members):
+        assigned = state.assigned
+        for member in members:
+            assigned = assigned.set(member, group_id)
+        return msgspec.structs.replace(state, assigned=assigned)
+
+    def _free(self, state, members):
+        assigned = state.assigned
+        for member in members:
+            assigned = assigned.delete(member)
+        return msgspec.structs.replace(state, assigned=assigned)
--- a/citronpin/manifests.py
+++ b/citronpin/manifests.py
@@ -1,5 +1,12 @@
-"""Manifests: what operators publish through their build pipeline."""
+"""Manifests: what operators publish through their build pipeline.
 
+The checks here are part of the fold, so every entry must run the same ones: a
+change of them is a change of ``records.FORMAT_VERSION``.
+"""
+
+import math
+import re
+from collections.abc import Iterator
 from enum import Enum
 
 import msgspec
@@ -14,6 +21,15 @@
     Version,
 )
 
+MINUTES_PER_WEEK = 7 * 24 * 60
+MAX_GROUPS = 10_000
+MAX_MEMBERS = 1_024
+MAX_TIMEOUT_S = 86_400.0
+MAX_PRIORITY = 1_000
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+DIGEST = re.compile(r"[0-9a-f]{64}")
+METHOD = re.compile(r"\*|[A-Z]{1,16}")
+
 
 class ManifestPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of the parts of manifests; unknown fields are faults."""
@@ -96,3 +112,122 @@
 def scope_of(manifest: Manifest) -> str:
     """Return the scope that a manifest replaces, such as ``deployment/rota``."""
     return f"{type(manifest).__struct_config__.tag}/{manifest.name}"
+
+
+class ManifestFault(msgspec.Struct, frozen=True):
+    """One fault of a manifest: where it is and what to change."""
+
+    scope: str
+    field: str
+    detail: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.scope}: {self.field}: {self.detail} {self.remedy}"
+
+
+def check_manifest(manifest: Manifest) -> list[ManifestFault]:
+    """Return every fault of a manifest that its types do not rule out."""
+    checks = {
+        DeploymentManifest: _check_deployment,
+        ApplicationManifest: _check_application,
+        CustomersManifest: _check_customers,
+    }
+    scope = scope_of(manifest)
+    found = checks[type(manifest)](manifest)
+    return [ManifestFault(scope, *fault) for fault in found]
+
+
+Faults = Iterator[tuple[str, str, str]]
+
+
+def _check_deployment(manifest: DeploymentManifest) -> Faults:
+    yield from _names("name", (manifest.name,))
+    yield from _names("model", (manifest.model,))
+    yield from _names("version", (manifest.version,))
+    yield from _names("adapters", manifest.adapters)
+    yield from _names("domains", manifest.domains)
+    yield from _within("groups", manifest.groups, 0, MAX_GROUPS)
+    yield from _within("members", manifest.members, 1, MAX_MEMBERS)
+    yield from _within("spares", manifest.spares, 0, MAX_GROUPS)
+    yield from _within("min_serving", manifest.min_serving, 0.0, 1.0)
+    yield from _within("downtime_weight", manifest.downtime_weight, 0.0, 1e6)
+    yield from _within("stranded_weight", manifest.stranded_weight, 0.0, 1e6)
+    for number, period in enumerate(manifest.critical_periods):
+        yield from _check_period(f"critical_periods[{number}]", period)
+
+
+def _check_period(field: str, period: CriticalPeriod) -> Faults:
+    last = MINUTES_PER_WEEK
+    yield from _within(f"{field}.start_minute", period.start_minute, 0, last - 1)
+    yield from _within(f"{field}.end_minute", period.end_minute, 1, last)
+    yield from _within(f"{field}.downtime_factor", period.downtime_factor, 1.0, 1e6)
+    if period.start_minute >= period.end_minute:
+        remedy = "Split a period that spans Monday 00:00 UTC in two."
+        yield field, "starts after its end.", remedy
+
+
+def _check_application(manifest: ApplicationManifest) -> Faults:
+    yield from _names("name", (manifest.name,))
+    yield from _within("timeout_s", manifest.timeout_s, 0.001, MAX_TIMEOUT_S)
+    for number, rule in enumerate(manifest.calls):
+        yield from _check_rule(f"calls[{number}]", rule)
+
+
+def _check_rule(field: str, rule: CallRule) -> Faults:
+    if not METHOD.fullmatch(rule.method):
+        yield f"{field}.method", f"is {rule.method!r}.", "Give POST, GET, ... or *."
+    if not rule.path.startswith("/"):
+        yield f"{field}.path", f"is {rule.path!r}.", "Begin it with a slash."
+    if rule.lookup is None:
+        return
+    if rule.repeatable:
+        remedy = "Remove it; only calls that must not be repeated have one."
+        yield f"{field}.lookup", "is of no use to a repeatable call.", remedy
+    if not rule.lookup.startswith("/") or "{key}" not in rule.lookup:
+        remedy = "Give a path that begins with a slash and holds {key}."
+        yield f"{field}.lookup", f"is {rule.lookup!r}.", remedy
+
+
+def _check_customers(manifest: CustomersManifest) -> Faults:
+    yield from _names("name", (manifest.name,))
+    seen: set[str] = set()
+    for number, customer in enumerate(manifest.customers):
+        field = f"customers[{number}]"
+        if customer.name in seen:
+            yield f"{field}.name", f"{customer.name} is given twice.", "Merge the two."
+        seen.add(customer.name)
+        yield from _check_customer(field, customer)
+
+
+def _check_customer(field: str, customer: Customer) -> Faults:
+    yield from _names(f"{field}.name", (customer.name,))
+    yield from _names(f"{field}.deployments", customer.deployments)
+    yield from _names(f"{field}.applications", customer.applications)
+    yield from _within(f"{field}.share", customer.share, 0.001, 1e6)
+    yield from _within(f"{field}.priority", customer.priority, 0, MAX_PRIORITY)
+    yield from _within(f"{field}.deadline_s", customer.deadline_s, 0.1, MAX_TIMEOUT_S)
+    for name in ("requests_per_s", "tokens_per_s"):
+        limit = getattr(customer, name)
+        if limit is not None:
+            yield from _within(f"{field}.{name}", limit, 0.001, 1e9)
+    if not customer.key_digests:
+        yield f"{field}.key_digests", "is empty.", "Give one SHA-256 digest or more."
+    for digest in customer.key_digests:
+        if not DIGEST.fullmatch(digest):
+            remedy = "Give the SHA-256 of the key as 64 lower-case hexadecimal digits."
+            yield f"{field}.key_digests", f"holds {digest[:80]!r}.", remedy
+
+
+def _names(field: str, names: tuple[str, ...]) -> Faults:
+    for name in names:
+        if not NAME.fullmatch(name):
+            remedy = "Use up to 100 letters, digits, dots, dashes and underscores."
+            yield field, f"holds {name[:80]!r}.", remedy
+    if len(set(names)) != len(names):
+        yield field, "holds a name twice.", "Remove the second one."
+
+
+def _within(field: str, value: float, least: float, most: float) -> Faults:
+    if not (math.isfinite(value) and least <= value <= most):
+        yield field, f"is {value:g}.", f"Give {least:g} to {most:g}."
