--- a/citronpin/followers.py
+++ b/citronpin/followers.py
@@ -13,7 +13,7 @@
 from citronpin.logs import LogClient, LogPage, ProposeCallback, StateCallback, States
 from citronpin.records import Record
 from citronpin.states import StreamState, Verdict
-from citronpin.tails import LONG_POLL_S, Tail
+from citronpin.tails import LONG_POLL_S, SinceMark, Tail
 
 logger = logging.getLogger(__name__)
 
@@ -125,6 +125,10 @@
         """Take a peer's snapshot if it is sound and ahead of the own state."""
         return stream in self._tails and self._tails[stream].restore(snapshot)
 
+    def since_mark(self, stream: StreamName) -> SinceMark:
+        """Return what was folded since the latest mark or checkpoint."""
+        return self._tails[stream].since_mark()
+
     def _folded(
         self,
         tail: Tail,
--- a/citronpin/tails.py
+++ b/citronpin/tails.py
@@ -10,9 +10,10 @@
 from result import Err
 
 from citronpin.appenders import BackOff
+from citronpin.checkpoints import CheckpointSearch
 from citronpin.clocks import Clock
 from citronpin.events import EventKind, Recorder
-from citronpin.folds import fold_for, late_reason
+from citronpin.folds import fold_for, late_reason, state_digest
 from citronpin.ids import Offset, StreamName
 from citronpin.logs import LogClient, LogPage
 from citronpin.records import (
@@ -20,6 +21,7 @@
     MAX_RECORD_BYTES,
     ConfigChange,
     ConfigPart,
+    DigestMark,
     Record,
     decode_record,
 )
@@ -34,6 +36,19 @@
 PAGE_RECORDS = 200
 PAGE_BYTES = 64 * 1024
 
+HISTORY = 512  # folded states kept to compare digests
+TRIMMED_RETRY_S = 2.0
+MS_PER_S = 1_000
+
+
+class SinceMark(msgspec.Struct, frozen=True):
+    """What was folded since the latest digest mark or checkpoint."""
+
+    records: int
+    bytes: int
+    age_s: float
+
+
 FoldListener = Callable[["Tail", Record | None, str, list[Verdict]], None]
 
 
@@ -69,8 +84,17 @@
         self._kept_bytes = 0
         self._head_s = -math.inf
         self._reachable = True
+        self._gap_told: Offset | None = None
+        self._loss_told = False
+        self._search: CheckpointSearch | None = None
+        self._history: deque[StreamState] = deque(maxlen=HISTORY)
+        self._mark_records = 0
+        self._mark_bytes = 0
+        self._mark_wall_ms = clock.wall_ms()
         self.skipped = 0
         self.folded = 0
+        self.bytes = 0
+        self.disagreed: list[DigestMark] = []
 
     @property
     def next(self) -> Offset:
@@ -78,7 +102,23 @@
         return Offset(self.state.offset + 1)
 
     def start(self) -> None:
-        """Begin to read."""
+        """Look for a checkpoint, then read from there."""
+        self._search = CheckpointSearch(
+            stream=self.stream,
+            log=self._log,
+            recorder=self._recorder,
+            done=self._on_checkpoint,
+        )
+        self._search.start()
+
+    def _on_checkpoint(self, found, error) -> None:
+        if error is not None:
+            self._set_reachable(False, str(error))
+            self._clock.call_later(self._back_off.next_s(), self.start)
+            return
+        if found is not None and found.state.offset > self.state.offset:
+            self._mark_wall_ms = found.wall_ms
+            self._jump(found.state, "a checkpoint")
         self._read()
 
     def head_age_s(self) -> float:
@@ -113,12 +153,16 @@
 
     def _on_trimmed(self, page: LogPage) -> None:
         detail = f"Records {self.next} to {page.first - 1} were trimmed unread."
-        self._recorder.note(EventKind.ALARM, detail, stream=self.stream)
-        self._clock.call_later(self._long_poll_s, self._read)
+        if self._gap_told != self.next:
+            self._gap_told = self.next
+            self._recorder.note(EventKind.FAULT, detail, stream=self.stream)
+        self._clock.call_later(TRIMMED_RETRY_S, self.start)
 
     def _on_lost(self, page: LogPage) -> None:
         detail = f"The log ends at {page.head}, before {self.next}; it lost records."
-        self._recorder.note(EventKind.ALARM, detail, stream=self.stream)
+        if not self._loss_told:
+            self._loss_told = True
+            self._recorder.note(EventKind.ALARM, detail, stream=self.stream)
         self._clock.call_later(self._long_poll_s, self._read)
 
     def _set_reachable(self, reachable: bool, detail: str) -> None:
@@ -162,7 +206,9 @@
             self._skip(offset, f"The fold failed: {exc!r}.")
             return
         self.folded += 1
+        self._history.append(self.state)
         self._note(record, verdicts)
+        self._compare(record, verdicts)
         self._listener(self, record, late, verdicts)
 
     def _decode(self, offset: Offset, payload: bytes) -> Record | None:
@@ -182,6 +228,7 @@
     def _skip(self, offset: Offset, detail: str) -> None:
         self.skipped += 1
         self.state = self._fold.skip(self.state, offset)
+        self._history.append(self.state)
         self._recorder.note(
             EventKind.RECORD_SKIPPED, detail, stream=self.stream, offset=offset
         )
@@ -201,9 +248,39 @@
                 offset=verdict.offset,
             )
 
+    def _compare(self, record: Record, verdicts: list[Verdict]) -> None:
+        """Compare the own digest with those that a record states."""
+        for verdict in verdicts:
+            item = record.items[verdict.number]
+            if verdict.accepted and isinstance(item, DigestMark):
+                self._on_mark(record, verdict, item)
+
+    def _on_mark(self, record: Record, verdict: Verdict, mark: DigestMark) -> None:
+        self._mark_records = self._mark_bytes = 0
+        self._mark_wall_ms = record.wall_ms
+        known = [state for state in self._history if state.offset == mark.upto]
+        if known and state_digest(known[0]) != mark.digest:
+            self.disagreed.append(mark)
+            detail = f"{record.author} folded another state up to {mark.upto}."
+            self._recorder.note(
+                EventKind.ALARM, detail, stream=self.stream, offset=verdict.offset
+            )
+
+    def since_mark(self) -> SinceMark:
+        """Return what was folded since the latest mark or checkpoint."""
+        age_ms = self._clock.wall_ms() - self._mark_wall_ms
+        return SinceMark(
+            records=self._mark_records,
+            bytes=self._mark_bytes,
+            age_s=max(age_ms, 0) / MS_PER_S,
+        )
+
     def _keep(self, offset: Offset, payload: bytes) -> None:
         self._kept.append((offset, payload))
         self._kept_bytes += len(payload)
+        self.bytes += len(payload)
+        self._mark_records += 1
+        self._mark_bytes += len(payload)
         while len(self._kept) > KEPT_RECORDS or self._kept_bytes > KEPT_BYTES:
             _, dropped = self._kept.popleft()
             self._kept_bytes -= len(dropped)
@@ -236,10 +313,16 @@
             return False
         if result.ok_value.offset <= self.state.offset:
             return False
-        self.state = result.ok_value
+        self._jump(result.ok_value, "a peer's state")
+        return True
+
+    def _jump(self, state: StreamState, source: str) -> None:
+        self.state = state
         self._kept.clear()
         self._kept_bytes = 0
-        detail = f"Restored the state at {self.state.offset}."
+        self._history.clear()
+        self._history.append(state)
+        self._mark_records = self._mark_bytes = 0
+        detail = f"Took {source} at {state.offset}."
         self._recorder.note(EventKind.LOG_STATE, detail, stream=self.stream)
         self._listener(self, None, "", [])
-        return True
