Add peers: links, overlay, liveness and the log relay

Cause: entries must know which entries live and pass log records on. An empty frame makes pynng raise RuntimeError: it is counted as bad. Conclusion: 12 beats a second a node at nine entries on the paused clock.

--- /dev/null
+++ b/citronpin/meshes.py
@@ -0,0 +1,47 @@
+"""The other entries as the parts of an entry see them."""
+
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import msgspec
+
+from citronpin.ids import EntryId, Offset, StreamName
+from citronpin.messages import Message
+
+logger = logging.getLogger(__name__)
+
+MessageCallback = Callable[[EntryId, Message], None]
+LivenessCallback = Callable[[frozenset[EntryId]], None]
+BroadcastCallback = Callable[[EntryId, bytes], None]
+
+
+class HeldLease(msgspec.Struct, frozen=True):
+    """A readiness set that a watcher renews, and when its oldest probe was sent."""
+
+    number: int
+    probed_s: float
+
+
+LeaseSource = Callable[[], HeldLease | None]
+OffsetSource = Callable[[], dict[StreamName, Offset]]
+
+
+class Mesh(ABC):
+    """What the other parts of an entry see of the other entries."""
+
+    @abstractmethod
+    def alive(self) -> frozenset[EntryId]:
+        """Return the entries that live, this one included."""
+
+    @abstractmethod
+    def send(self, entry: EntryId, message: Message) -> bool:
+        """Send without blocking; false when the message was dropped."""
+
+    @abstractmethod
+    def subscribe(self, message_type: type[Message], callback: MessageCallback) -> None:
+        """Call back for each message of a type that arrives."""
+
+    @abstractmethod
+    def subscribe_liveness(self, callback: LivenessCallback) -> None:
+        """Call back with the living entries whenever they change."""
--- a/citronpin/messages.py
+++ b/citronpin/messages.py
@@ -24,6 +24,7 @@
     """Introduces the sender, whose address the receiver may not know."""
 
     address: str  # tcp://IP:PORT
+    number: int  # higher than those of broadcasts before the sender's start
 
 
 class Welcome(Message, tag=2):
@@ -35,22 +36,17 @@
 class Beat(Message, tag=3):
     """A heartbeat of an exchange of three: open, answer, close.
 
-    ``stamp`` is the sender's clock when it sent the beat; ``echo`` is the latest
-    stamp that it got from the receiver, ``held_ms`` before it sent this beat.
+    ``stamp`` is the sender's clock when it sent the beat; ``echo`` is the stamp of
+    the beat that this one answers.
     """
 
     stamp: int  # milliseconds of the sender's clock; NO_STAMP wants no answer
     echo: int = NO_STAMP
-    held_ms: int = 0
     lease: int = 0  # number of the readiness set that is renewed; 0 for none
     age_ms: int = 0  # of the oldest probe that the readiness set rests on
     offsets: dict[StreamName, Offset] = {}  # those that rose since the last beat
 
 
-class Leaving(Message, tag=4):
-    """The sender stops in a planned way and is not to be waited for."""
-
-
 class Suspicion(Message, tag=5):
     """What an entry thinks of a neighbour, passed on from entry to entry."""
 
@@ -174,7 +170,6 @@
     Hello
     | Welcome
     | Beat
-    | Leaving
     | Suspicion
     | Broadcast
     | RecordsRequest
--- /dev/null
+++ b/citronpin/relays.py
@@ -0,0 +1,223 @@
+"""Passing log records and folded states between entries."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+
+from citronpin.clocks import Clock, TimerHandle
+from citronpin.events import EventKind, Recorder
+from citronpin.ids import NO_OFFSET, EntryId, Offset, StreamName
+from citronpin.logs import States
+from citronpin.messages import (
+    Beat,
+    RecordsReply,
+    RecordsRequest,
+    SnapshotPart,
+    SnapshotRequest,
+)
+from citronpin.peers import Peers
+
+logger = logging.getLogger(__name__)
+
+LAG_S = 0.4  # the log itself delivers most records within this time
+RETRY_S = 1.0
+SNAPSHOT_TIMEOUT_S = 3.0
+MAX_REPLY_BYTES = 300 * 1024
+PART_BYTES = 256 * 1024
+MAX_PARTS = 256
+
+TakeSnapshot = Callable[[StreamName], bytes]
+RestoreSnapshot = Callable[[StreamName, bytes], None]
+SnapshotCallback = Callable[[bool], None]
+
+
+class _Lag(msgspec.Struct):
+    """A stream on which other entries are ahead."""
+
+    heads: dict[EntryId, Offset] = {}
+    timer: TimerHandle | None = None
+    asked: EntryId | None = None
+
+
+class _Fetch(msgspec.Struct):
+    """A folded state that is being fetched."""
+
+    left: list[EntryId]  # entries still to be asked
+    done: SnapshotCallback
+    source: EntryId | None = None
+    digest: str = ""
+    parts: dict[int, bytes] = {}
+    timer: TimerHandle | None = None
+
+
+class LogRelay:
+    """Fetches from peers what the log does not deliver, and serves them."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        states: States,
+        clock: Clock,
+        recorder: Recorder,
+        snapshot: TakeSnapshot,
+        restore: RestoreSnapshot,
+    ) -> None:
+        self._peers = peers
+        self._states = states
+        self._clock = clock
+        self._recorder = recorder
+        self._snapshot = snapshot
+        self._restore = restore
+        self._streams: set[StreamName] = set()
+        self._lags: dict[StreamName, _Lag] = {}
+        self._fetches: dict[StreamName, _Fetch] = {}
+        peers.set_offset_source(self._offsets)
+        peers.subscribe(Beat, self._on_beat)
+        peers.subscribe(RecordsRequest, self._on_records_request)
+        peers.subscribe(RecordsReply, self._on_records)
+        peers.subscribe(SnapshotRequest, self._on_snapshot_request)
+        peers.subscribe(SnapshotPart, self._on_snapshot_part)
+        states.subscribe("", lambda stream, state, verdicts: self.follow(stream))
+
+    def follow(self, stream: StreamName) -> None:
+        """Keep up with a stream; following twice is harmless."""
+        self._streams.add(stream)
+
+    def fetch_snapshot(self, stream: StreamName, done: SnapshotCallback) -> None:
+        """Fetch the folded state of a stream from some living entry.
+
+        ``done`` gets whether one was restored.
+        """
+        others = sorted(self._peers.alive() - {self._peers.entry})
+        running = self._fetches.get(stream)
+        if running is not None:
+            self._clock.call_later(0.0, lambda: done(False))
+            return
+        self._fetches[stream] = _Fetch(left=others, done=done)
+        self._clock.call_later(0.0, lambda: self._ask_next(stream))
+
+    def _offsets(self) -> dict[StreamName, Offset]:
+        return {stream: self._offset(stream) for stream in self._streams}
+
+    def _offset(self, stream: StreamName) -> Offset:
+        return self._states.state(stream).offset
+
+    def _on_beat(self, sender: EntryId, beat: Beat) -> None:
+        for stream, offset in beat.offsets.items():
+            if stream not in self._streams or offset <= self._offset(stream):
+                continue
+            lag = self._lags.setdefault(stream, _Lag())
+            lag.heads[sender] = offset
+            if lag.timer is None:
+                lag.timer = self._later(LAG_S, stream)
+
+    def _later(self, delay_s: float, stream: StreamName) -> TimerHandle:
+        return self._clock.call_later(delay_s, lambda: self._catch_up(stream))
+
+    def _catch_up(self, stream: StreamName) -> None:
+        lag = self._lags[stream]
+        own = self._offset(stream)
+        ahead = sorted(entry for entry, head in lag.heads.items() if head > own)
+        living = [entry for entry in ahead if entry in self._peers.alive()]
+        if not living:
+            del self._lags[stream]
+            return
+        # A peer that did not answer is asked again only when it is the last.
+        fresh = [entry for entry in living if entry != lag.asked]
+        lag.asked = (fresh or living)[0]
+        request = RecordsRequest(stream, Offset(own + 1))
+        self._peers.send(lag.asked, request)
+        lag.timer = self._later(RETRY_S, stream)
+
+    def _on_records_request(self, sender: EntryId, request: RecordsRequest) -> None:
+        if request.stream not in self._streams:
+            return
+        page = self._states.recent(request.stream, request.start)
+        chosen, size = [], 0
+        for offset, payload in page.records:
+            size += len(payload)
+            if size > MAX_REPLY_BYTES:
+                break
+            chosen.append((offset, payload))
+        self._peers.send(sender, RecordsReply(request.stream, tuple(chosen)))
+
+    def _on_records(self, sender: EntryId, reply: RecordsReply) -> None:
+        stream = reply.stream
+        if stream not in self._streams:
+            return
+        before = self._offset(stream)
+        if reply.records:
+            self._states.inject(stream, reply.records)
+        after = self._offset(stream)
+        if after > before:
+            self._note(f"{after - before} records of {stream} from {sender}", stream)
+        elif not reply.records or reply.records[0][0] > before + 1:
+            self._note(f"{sender} keeps no record after {before}", stream)
+            self._fetch_from(stream, sender)
+        lag = self._lags.get(stream)
+        if lag is not None and after > before:
+            lag.timer.cancel()
+            lag.asked = None
+            self._catch_up(stream)
+
+    def _note(self, detail: str, stream: StreamName) -> None:
+        self._recorder.note(
+            EventKind.LOG_STATE, detail, stream=stream, offset=self._offset(stream)
+        )
+
+    def _fetch_from(self, stream: StreamName, entry: EntryId) -> None:
+        if stream not in self._fetches:
+            self._fetches[stream] = _Fetch(left=[entry], done=lambda restored: None)
+            self._ask_next(stream)
+
+    def _ask_next(self, stream: StreamName) -> None:
+        fetch = self._fetches[stream]
+        if not fetch.left:
+            self._end_fetch(stream, False)
+            return
+        fetch.source = fetch.left.pop(0)
+        fetch.parts = {}
+        fetch.digest = ""
+        self._peers.send(fetch.source, SnapshotRequest(stream))
+        fetch.timer = self._clock.call_later(
+            SNAPSHOT_TIMEOUT_S, lambda: self._ask_next(stream)
+        )
+
+    def _end_fetch(self, stream: StreamName, restored: bool) -> None:
+        fetch = self._fetches.pop(stream)
+        if fetch.timer is not None:
+            fetch.timer.cancel()
+        fetch.done(restored)
+
+    def _on_snapshot_request(self, sender: EntryId, request: SnapshotRequest) -> None:
+        state = b""
+        if self._states.current(request.stream):
+            state = self._snapshot(request.stream)
+        digest = xxhash.xxh3_128_hexdigest(state)
+        count = max(1, -(-len(state) // PART_BYTES))
+        for number in range(min(count, MAX_PARTS)):
+            piece = state[number * PART_BYTES : (number + 1) * PART_BYTES]
+            part = SnapshotPart(request.stream, digest, number, count, piece)
+            self._peers.send(sender, part)
+
+    def _on_snapshot_part(self, sender: EntryId, part: SnapshotPart) -> None:
+        fetch = self._fetches.get(part.stream)
+        if fetch is None or sender != fetch.source or not 0 < part.count <= MAX_PARTS:
+            return
+        if fetch.digest != part.digest:
+            fetch.digest = part.digest
+            fetch.parts = {}
+        fetch.parts[part.number] = part.state
+        if len(fetch.parts) < part.count:
+            return
+        state = b"".join(fetch.parts[number] for number in sorted(fetch.parts))
+        fetch.timer.cancel()
+        if not state or xxhash.xxh3_128_hexdigest(state) != part.digest:
+            self._ask_next(part.stream)
+            return
+        self._restore(part.stream, state)
+        self._note(f"state of {part.stream} from {sender}", part.stream)
+        self._end_fetch(part.stream, self._offset(part.stream) > NO_OFFSET)
--- /dev/null
+++ b/citronpin/tests/test_links.py
@@ -0,0 +1,97 @@
+"""Tests of links over TCP on loopback."""
+
+import pynng
+import pytest
+
+from citronpin.events import Recorder
+from citronpin.ids import EntryId
+from citronpin.links import NngLinks
+from citronpin.messages import Broadcast
+from citronpin.peers import Peers
+from citronpin.tests.conftest import wait_until
+
+LOOPBACK = "tcp://127.0.0.1:0"
+
+
+def make_peers(name, key=b"key", **options):
+    """Return a builder of `Peers` for the ``loops`` fixture."""
+
+    def build(clock):
+        return Peers(
+            entry=EntryId(name),
+            clock=clock,
+            recorder=Recorder(process=name, clock=clock),
+            listen=LOOPBACK,
+            key=key,
+            **options,
+        )
+
+    return build
+
+
+@pytest.fixture
+def entries(loops):
+    """Start entries in loops of their own, and close their sockets."""
+    started = []
+
+    def start(*builders):
+        for build in builders:
+            loop, peer = loops(build)
+            started.append((loop, peer))
+        return started
+
+    yield start
+    for loop, peer in started:
+        loop.call(peer.stop_links)
+
+
+def test_entries_find_each_other_over_tcp(entries):
+    pairs = entries(*(make_peers(f"e{n}", beat_s=0.05) for n in range(3)))
+    seed = pairs[0][1].address
+    for loop, peer in pairs:
+        loop.call(lambda peer=peer: peer.set_peers({}, seeds=(seed,)))
+    for _, peer in pairs:
+        wait_until(lambda peer=peer: len(peer.alive()) == 3)
+    assert all(peer.counters.bad_frames == 0 for _, peer in pairs)
+
+
+def test_noise_and_foreign_frames_are_counted(entries):
+    ((loop, peer),) = entries(make_peers("e0"))
+    with pynng.Push0(dial=peer.address, block_on_dial=True) as push:
+        push.send(b"")
+        push.send(b"noise" * 100)
+    wait_until(lambda: peer.counters.bad_frames == 2)
+    assert peer.counters.received_bytes == 500
+
+
+def test_sends_to_a_stuck_peer_never_block_and_are_counted(loops):
+    with pynng.Pull0(recv_buffer_size=1) as stuck:
+        stuck.listen("tcp://127.0.0.1:0")
+        port = int.from_bytes(
+            stuck.listeners[0].local_address.port.to_bytes(2, "little")
+        )
+        address = f"tcp://127.0.0.1:{port}"
+        loop, links = loops(
+            lambda clock: NngLinks(
+                entry=EntryId("e0"), listen=LOOPBACK, key=b"key", clock=clock
+            )
+        )
+        message = Broadcast(EntryId("e0"), 1, "t", b"x" * 400_000)
+        loop.call(lambda: links.connect(address))
+        sent = loop.call(lambda: [links.send(address, message) for _ in range(400)])
+        assert not sent[-1]
+        assert links.counters.dropped == sent.count(False) > 100
+        assert links.counters.sent_messages == sent.count(True)
+        loop.call(links.close)
+
+
+def test_messages_over_the_bound_are_not_sent(loops):
+    loop, links = loops(
+        lambda clock: NngLinks(
+            entry=EntryId("e0"), listen=LOOPBACK, key=b"key", clock=clock
+        )
+    )
+    message = Broadcast(EntryId("e0"), 1, "t", b"x" * 600_000)
+    assert loop.call(lambda: links.send("tcp://127.0.0.1:9", message)) is False
+    assert links.counters.dropped == 1
+    loop.call(links.close)
--- /dev/null
+++ b/citronpin/tests/test_peers.py
@@ -0,0 +1,241 @@
+"""Tests of liveness, the overlay and the log relay, on a paused clock."""
+
+import pytest
+
+from citronpin import records
+from citronpin.folds import encode_state
+from citronpin.ids import CONFIG_STREAM, EntryId, Offset, new_id
+from citronpin.logs import MemoryLog
+from citronpin.messages import CallFinished
+from citronpin.overlays import neighbours, rendezvous
+from citronpin.peers import BEAT_S, DEAD_S, Peers
+from citronpin.relays import LogRelay
+from citronpin.tests.meshes import FakeStates, MemoryLinks, Network, recorder_for
+
+
+@pytest.fixture
+def network(paused_clock):
+    return Network(clock=paused_clock)
+
+
+def start_peers(network, count, **options):
+    """Start entries that know each other."""
+    names = [EntryId(f"entry-{number}") for number in range(count)]
+    peers = {
+        name: Peers(
+            entry=name,
+            clock=network.clock,
+            recorder=recorder_for(name, network.clock),
+            links=MemoryLinks(entry=name, network=network),
+            **options,
+        )
+        for name in names
+    }
+    for peer in peers.values():
+        peer.set_peers({name: f"tcp://{name}" for name in names})
+    network.clock.advance(DEAD_S)
+    return peers
+
+
+def kill(network, peer):
+    network.isolate(peer.address)
+    peer.stop_links()
+
+
+def test_nine_entries_know_each_other_with_few_messages(network):
+    peers = start_peers(network, 9)
+    assert all(peer.alive() == frozenset(peers) for peer in peers.values())
+    before = [peer.counters.sent_messages for peer in peers.values()]
+    sizes = [peer.counters.sent_bytes for peer in peers.values()]
+    network.clock.advance(20)
+    for peer, messages, size in zip(peers.values(), before, sizes):
+        assert 8 * 20 <= peer.counters.sent_messages - messages <= 16 * 20
+        assert peer.counters.sent_bytes - size < 1024 * 20
+    total = sum(peer.counters.sent_messages for peer in peers.values()) - sum(before)
+    assert total == pytest.approx(9 * 12 * 20, rel=0.05)
+
+
+def test_death_is_seen_and_return_too(network):
+    peers = start_peers(network, 3)
+    seen = []
+    first, second, third = peers.values()
+    first.subscribe_liveness(seen.append)
+    network.isolate(second.address)
+    network.clock.advance(DEAD_S + 2 * BEAT_S)
+    assert first.alive() == third.alive() == {first.entry, third.entry}
+    assert second.alive() == {second.entry}
+    network.cut.clear()
+    network.clock.advance(3 * BEAT_S)
+    assert all(peer.alive() == frozenset(peers) for peer in peers.values())
+    assert [len(alive) for alive in seen] == [2, 3]
+
+
+def test_one_way_link_counts_as_dead_on_both_sides(network):
+    first, second = start_peers(network, 2).values()
+    network.cut.add((first.address, second.address))
+    network.clock.advance(DEAD_S + 3 * BEAT_S)
+    assert second.entry not in first.alive() and first.entry not in second.alive()
+
+
+def test_leaving_entry_is_dropped_at_once_until_it_starts_again(network):
+    first, second, third = start_peers(network, 3).values()
+    second.leave()
+    network.clock.advance(0.01)
+    assert first.alive() == third.alive() == {first.entry, third.entry}
+    network.clock.advance(5)
+    assert second.entry not in first.alive()
+    kill(network, second)
+    network.cut.clear()
+    again = Peers(
+        entry=second.entry,
+        clock=network.clock,
+        recorder=recorder_for(second.entry, network.clock),
+        links=MemoryLinks(entry=second.entry, network=network),
+    )
+    again.set_peers({}, seeds=(first.address,))
+    network.clock.advance(5)
+    names = {first.entry, second.entry, third.entry}
+    assert first.alive() == third.alive() == again.alive() == names
+
+
+def test_frames_of_another_key_are_counted_and_dropped(network):
+    first, second = start_peers(network, 2).values()
+    stranger = MemoryLinks(entry="stranger", network=network, key=b"other")
+    stranger.connect(first.address)
+    stranger.send(first.address, CallFinished("k", "a", Offset(1)))
+    network.clock.advance(0.1)
+    assert first.counters.bad_frames == 1
+    assert first.alive() == {first.entry, second.entry}
+
+
+def test_repeated_frames_are_dropped(network):
+    first, second = start_peers(network, 2).values()
+    got = []
+    first.subscribe(CallFinished, lambda sender, message: got.append(message))
+    frame = network.links[second.address].gate.encode(CallFinished("k", "a", 1))
+    for _ in range(2):
+        network.carry(second.address, first.address, frame)
+    network.clock.advance(0.1)
+    assert len(got) == 1 and first.counters.stale_frames == 1
+
+
+def test_large_overlay_is_bounded_connected_and_passes_suspicion_on(network):
+    peers = start_peers(network, 40)
+    for peer in peers.values():
+        assert 4 <= len(peer.overlay()) <= 8
+        assert all(peer.entry in peers[other].overlay() for other in peer.overlay())
+    victim = peers["entry-7"]
+    heard = []
+    peers["entry-3"].subscribe_topic("news", lambda *news: heard.append(news))
+    peers["entry-31"].broadcast("news", b"x")
+    kill(network, victim)
+    network.clock.advance(2 * DEAD_S)
+    others = frozenset(peers) - {victim.entry}
+    alive = [peer.alive() for peer in peers.values() if peer is not victim]
+    assert all(seen == others for seen in alive)
+    assert heard == [("entry-31", b"x")]
+
+
+def test_overlay_spans_the_target_size_in_few_steps():
+    entries = frozenset(f"e{number}" for number in range(380))
+    reached, steps = {"e0"}, 0
+    while reached != entries:
+        reached |= {n for entry in reached for n in neighbours(entry, entries, 8)}
+        steps += 1
+    assert steps <= 10
+    assert all(len(neighbours(entry, entries, 8)) <= 8 for entry in entries)
+
+
+def test_rendezvous_moves_only_what_it_must():
+    entries = [f"e{number}" for number in range(9)]
+    keys = [f"g{number}" for number in range(120)]
+    before = {key: rendezvous(key, entries, 2) for key in keys}
+    after = {key: rendezvous(key, entries[:-1], 2) for key in keys}
+    moved = [key for key in keys if before[key] != after[key]]
+    assert all("e8" in before[key] for key in moved)
+    assert 10 <= len(moved) <= 45
+
+
+def test_paused_entry_does_not_take_its_own_silence_for_deaths(network, paused_clock):
+    first, second, third = start_peers(network, 3).values()
+    seen = []
+    first.subscribe_liveness(seen.append)
+    first._timer.cancel()
+    network.held.add(first.address)
+    paused_clock.advance(30)
+    network.resume(first.address)
+    first._tick()
+    paused_clock.advance(5)
+    assert seen == [] and len(first.alive()) == 3
+
+
+@pytest.fixture
+def relays(network, paused_clock):
+    peers = list(start_peers(network, 3).values())
+    log = MemoryLog(clock=paused_clock)
+    parts = []
+    for peer in peers:
+        states = FakeStates(entry=peer.entry, log=log, clock=paused_clock)
+        states.follow(CONFIG_STREAM)
+        relay = LogRelay(
+            peers=peer,
+            states=states,
+            clock=paused_clock,
+            recorder=recorder_for(peer.entry, paused_clock),
+            snapshot=lambda stream, states=states: encode_state(states.state(stream)),
+            restore=lambda stream, data, states=states: states.folded.update(
+                {stream: _decoded(data, parts)}
+            ),
+        )
+        relay.follow(CONFIG_STREAM)
+        parts.append((states, relay))
+    return log, parts
+
+
+def _decoded(data, parts):
+    """Return the state of the entry that has these bytes; fakes share memory."""
+    known = [states.state(CONFIG_STREAM) for states, _ in parts]
+    return next(state for state in known if encode_state(state) == data)
+
+
+def _put_entry(log, name, pad=0):
+    note = records.EntryNote(name, "tcp://x" + "x" * pad, "a")
+    record = records.Record(1, new_id(), name, 0, (note,))
+    log.put(CONFIG_STREAM, records.encode_record(record))
+
+
+def test_entry_cut_off_from_the_log_gets_records_from_peers(relays, paused_clock):
+    log, parts = relays
+    parts[0][0].cut = True
+    for number in range(3):
+        _put_entry(log, f"new-{number}", pad=150_000)
+    for states, _ in parts:
+        states.pull()
+    paused_clock.advance(3.0)
+    assert parts[0][0].state(CONFIG_STREAM) == parts[1][0].state(CONFIG_STREAM)
+    assert parts[0][0].state(CONFIG_STREAM).offset == 2
+
+
+def test_booting_entry_gets_the_state_from_a_peer(relays, paused_clock):
+    log, parts = relays
+    parts[0][0].cut = True
+    parts[0][0].folded.clear()
+    _put_entry(log, "new", pad=600_000)
+    parts[1][0].pull()
+    parts[2][0].pull()
+    log.trim(CONFIG_STREAM, Offset(1))
+    done = []
+    parts[0][1].fetch_snapshot(CONFIG_STREAM, done.append)
+    paused_clock.advance(0.5)
+    assert done == [True]
+    assert parts[0][0].state(CONFIG_STREAM) == parts[1][0].state(CONFIG_STREAM)
+
+
+def test_snapshot_of_an_entry_that_knows_nothing_is_not_taken(relays, paused_clock):
+    _, parts = relays
+    for states, _ in parts:
+        states.folded.clear()
+    done = []
+    parts[0][1].fetch_snapshot(CONFIG_STREAM, done.append)
+    paused_clock.advance(10)
+    assert done == [False]
