--- a/citronpin/controls.py
+++ b/citronpin/controls.py
@@ -13,7 +13,7 @@
 from citronpin.groups import GroupController
 from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, control_stream
 from citronpin.instances import InstanceKind
-from citronpin.leases import Alive, LeaseController
+from citronpin.leases import MAX_HEAD_AGE_S, Alive, LeaseController
 from citronpin.logs import States
 from citronpin.orders import Orders
 from citronpin.plans import Detector, PlacementPolicy, RepairPolicy
@@ -43,6 +43,7 @@
         detector: Detector,
         repair: RepairPolicy,
         placement: PlacementPolicy,
+        max_head_age_s: float = MAX_HEAD_AGE_S,
     ) -> None:
         stream = control_stream(domain)
         common = {
@@ -52,7 +53,12 @@
             "clock": clock,
             "recorder": recorder,
         }
-        self.lease = LeaseController(alive=alive, head_age_s=head_age_s, **common)
+        self.lease = LeaseController(
+            alive=alive,
+            head_age_s=head_age_s,
+            max_head_age_s=max_head_age_s,
+            **common,
+        )
         self.readbacks = Readbacks(
             client=client, clock=clock, detector=detector, changed=self.wake
         )
@@ -64,6 +70,7 @@
             detector=detector,
             readbacks=self.readbacks,
             placement=placement,
+            max_head_age_s=max_head_age_s,
         )
         self.orders = Orders(
             entry=entry,
@@ -127,6 +134,7 @@
         detector: Callable[[], Detector],
         repair: RepairPolicy,
         placement: PlacementPolicy,
+        max_head_age_s: float = MAX_HEAD_AGE_S,
     ) -> None:
         super().__init__()
         self._states = states
@@ -144,6 +152,7 @@
             "head_age_s": head_age_s,
             "repair": repair,
             "placement": placement,
+            "max_head_age_s": max_head_age_s,
         }
         self._version: int | None = None
         self._open = False
--- a/citronpin/domains.py
+++ b/citronpin/domains.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from citronpin.clocks import Clock
+from citronpin.drains import DrainPurpose, purpose_of
 from citronpin.ids import (
     CONFIG_STREAM,
     DeploymentName,
@@ -15,15 +16,15 @@
 )
 from citronpin.instances import Instance, InstanceKind, InstanceState, MembershipView
 from citronpin.leases import MAX_HEAD_AGE_S
+from citronpin.logs import States
 from citronpin.manifests import DeploymentManifest
-from citronpin.orders import ORDER_TTL_S
+from citronpin.orders import ORDER_TRANSIT_S, ORDER_TTL_S
 from citronpin.plans import Detector, DomainView, Health, InstanceView, PlacementPolicy
 from citronpin.readbacks import Readbacks
 from citronpin.states import ControlState, Group, GroupState
 
 logger = logging.getLogger(__name__)
 
-QUARANTINE_S = MAX_HEAD_AGE_S + ORDER_TTL_S + 1.0
 FRESH_S = 6.0  # age up to which a status of a free instance counts
 MINUTE_MS = 60_000
 MINUTES_PER_WEEK = 7 * 24 * 60
@@ -49,12 +50,13 @@
         self,
         *,
         domain: DomainName,
-        states,
+        states: States,
         clock: Clock,
         membership: Membership,
         detector: Detector,
         readbacks: Readbacks,
         placement: PlacementPolicy,
+        max_head_age_s: float = MAX_HEAD_AGE_S,
     ) -> None:
         self._domain = domain
         self._states = states
@@ -63,6 +65,7 @@
         self._detector = detector
         self._readbacks = readbacks
         self._placement = placement
+        self._quarantine_s = max_head_age_s + ORDER_TTL_S + ORDER_TRANSIT_S
         self._version: int | None = None
         self._rows: dict[InstanceId, Instance] = {}
         self._listed: dict[InstanceId, Instance] = {}
@@ -97,6 +100,8 @@
         rows = self._rows | self._listed
         self._rows = {i: row for i, row in rows.items() if i in kept}
         self._others = _count([i for i in engines if i.domain != self._domain])
+        for domain in self._others:
+            self._states.follow(control_stream(domain))
         self._detector.listed(
             instances=tuple(self._listed.values()), now_s=self._clock.now()
         )
@@ -118,6 +123,12 @@
         """Return what the detector makes of an instance."""
         return self._detector.health(instance=instance, now_s=self._clock.now())[0]
 
+    def dead_for_s(self, instance: InstanceId) -> float:
+        """Return for how long an instance has been dead; 0 for others."""
+        now = self._clock.now()
+        health, since_s = self._detector.health(instance=instance, now_s=now)
+        return now - since_s if health is Health.DEAD else 0.0
+
     def fitness(self, member: InstanceId) -> Fitness:
         """Return whether a member lets its group serve.
 
@@ -153,7 +164,7 @@
         row = self._rows.get(instance)
         if row is not None and row.checks_fence:
             return False
-        return self._clock.now() < self.since_s + QUARANTINE_S
+        return self._clock.now() < self.since_s + self._quarantine_s
 
     def offered(self, instance: InstanceId) -> bool:
         """Return whether a free instance may be given to a group."""
@@ -170,23 +181,34 @@
         """Return the groups that serve in other fabric domains."""
         counts: dict[DeploymentName, int] = {}
         for domain in self._others:
-            for name, count in self._serving(domain).items():
+            for name, count in self._count(domain, _serves).items():
                 counts[name] = counts.get(name, 0) + count
         return counts
 
+    def sees_all(self) -> bool:
+        """Return whether every other fabric domain's stream was read."""
+        streams = [control_stream(domain) for domain in self._others]
+        return all(self._states.current(stream) for stream in streams)
+
     def other_groups(self) -> dict[DomainName, tuple[Group, ...]]:
         """Return the groups of the other fabric domains that are followed."""
         return {domain: self._groups(domain) for domain in sorted(self._others)}
 
     def quotas(self) -> dict[DeploymentName, int]:
-        """Return the groups wanted in this fabric domain."""
+        """Return the groups wanted in this fabric domain.
+
+        All fabric domains work it out from the log and the membership list alone,
+        so that they agree. A group counts where it is until it is given up.
+        """
         live = [i for i in self._listed.values() if i.state is InstanceState.LIVE]
         capacity = self._others | {self._domain: len(live)}
-        serving = {domain: self._serving(domain) for domain in capacity}
+        for domain in capacity:
+            barred = self._states.state(control_stream(domain)).barred
+            capacity[domain] = max(capacity[domain] - len(barred), 0)
         quotas = self._placement.quotas(
             deployments=tuple(self.deployments.values()),
             capacity=capacity,
-            serving=serving,
+            serving={domain: self._count(domain, _stays) for domain in capacity},
         )
         return quotas.get(self._domain, {})
 
@@ -226,14 +248,27 @@
         state = self._states.state(control_stream(domain))
         return tuple(state.groups.values())
 
-    def _serving(self, domain: DomainName) -> dict[DeploymentName, int]:
+    def _count(
+        self, domain: DomainName, counted: Callable[[Group], bool]
+    ) -> dict[DeploymentName, int]:
         counts: dict[DeploymentName, int] = {}
         for group in self._groups(domain):
-            if group.state is GroupState.SERVING:
+            if counted(group):
                 counts[group.deployment] = counts.get(group.deployment, 0) + 1
         return counts
 
 
+def _serves(group: Group) -> bool:
+    return group.state is GroupState.SERVING
+
+
+def _stays(group: Group) -> bool:
+    """Return whether a group is not being given up."""
+    if group.state is GroupState.DRAINING:
+        return purpose_of(group) is not DrainPurpose.DISSOLVE
+    return group.state is not GroupState.RELEASING
+
+
 def minute_of_week(wall_ms: int) -> int:
     """Return the minutes since Monday 00:00 UTC."""
     return (wall_ms // MINUTE_MS + EPOCH_MINUTE_OF_WEEK) % MINUTES_PER_WEEK
--- a/citronpin/drains.py
+++ b/citronpin/drains.py
@@ -1,6 +1,7 @@
 """Graceful drains: a group gets no new work and ends what it has."""
 
 import logging
+from enum import Enum
 
 import msgspec
 
@@ -8,7 +9,7 @@
 from citronpin.ids import GroupId, Offset
 from citronpin.manifests import CustomersManifest
 from citronpin.readbacks import Readbacks
-from citronpin.states import Group
+from citronpin.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
@@ -18,6 +19,32 @@
 MIN_DEADLINE_S = 90.0
 
 
+class DrainPurpose(Enum):
+    """Why a group drains; the reason of its record begins with the value."""
+
+    REPAIR = "repair"
+    RELOAD = "reload"
+    DISSOLVE = "dissolve"
+
+    def reason(self, detail: str) -> str:
+        """Return the reason to record."""
+        return f"{self.value}: {detail}"
+
+
+AFTER_DRAIN = {
+    DrainPurpose.REPAIR: GroupState.BROKEN,
+    DrainPurpose.RELOAD: GroupState.RELOADING,
+    DrainPurpose.DISSOLVE: GroupState.RELEASING,
+}
+
+
+def purpose_of(group: Group) -> DrainPurpose:
+    """Return why a group drains, from its record."""
+    value = group.reason.partition(":")[0]
+    known = {purpose.value: purpose for purpose in DrainPurpose}
+    return known.get(value, DrainPurpose.REPAIR)
+
+
 class _Drain(msgspec.Struct):
     """One drain under way; times are clock seconds."""
 
--- a/citronpin/groups.py
+++ b/citronpin/groups.py
@@ -1,12 +1,17 @@
 """Groups of a fabric domain: formed, watched, repaired, drained and released."""
 
 import logging
-from enum import Enum
 
 from citronpin.clocks import Clock
-from citronpin.controllers import Controller, register
+from citronpin.controllers import PERIOD_S, Controller, register
 from citronpin.domains import DomainFacts, Fitness
-from citronpin.drains import Drains, drain_deadline_s
+from citronpin.drains import (
+    AFTER_DRAIN,
+    DrainPurpose,
+    Drains,
+    drain_deadline_s,
+    purpose_of,
+)
 from citronpin.events import EventKind
 from citronpin.formations import Formations
 from citronpin.ids import CONFIG_STREAM, Fence, InstanceId
@@ -25,36 +30,12 @@
 SILENT_POLL_S = 0.5  # for members that missed the last probe
 DRAIN_POLL_S = 0.5
 FREE_POLL_S = 4.0
+BUSY_PERIOD_S = 0.25  # between runs while a group is not in a lasting state
+BAR_DEAD_S = 30.0  # a dead member of a broken group is barred after this
 RELEASE_DEADLINE_S = 10.0
 BAR_FORGET_S = 600.0  # a barred instance that is not listed is forgotten after this
 
 
-class DrainPurpose(Enum):
-    """Why a group drains; the reason of its record begins with the value."""
-
-    REPAIR = "repair"
-    RELOAD = "reload"
-    DISSOLVE = "dissolve"
-
-    def reason(self, detail: str) -> str:
-        """Return the reason to record."""
-        return f"{self.value}: {detail}"
-
-
-AFTER_DRAIN = {
-    DrainPurpose.REPAIR: GroupState.BROKEN,
-    DrainPurpose.RELOAD: GroupState.RELOADING,
-    DrainPurpose.DISSOLVE: GroupState.RELEASING,
-}
-
-
-def purpose_of(group: Group) -> DrainPurpose:
-    """Return why a group drains, from its record."""
-    value = group.reason.partition(":")[0]
-    known = {purpose.value: purpose for purpose in DrainPurpose}
-    return known.get(value, DrainPurpose.REPAIR)
-
-
 def outdated(group: Group, deployment: DeploymentManifest) -> bool:
     """Return whether a group has not what its deployment's manifest wants."""
     wanted = (deployment.model, deployment.version, set(deployment.adapters))
@@ -143,6 +124,9 @@
                 step(groups[group_id])
         self._tend_free()
         self._repairer.run(fence)
+        lasting = (GroupState.SERVING, GroupState.BROKEN)
+        busy = any(group.state not in lasting for group in groups.values())
+        self.period_s = BUSY_PERIOD_S if busy else PERIOD_S
 
     def report(self, group: Group) -> None:
         """Ask the members of a group at once, since a watcher reports it faulty."""
@@ -244,6 +228,22 @@
             self._move(group, GroupState.RELEASING, "its deployment was removed")
         elif outdated(group, deployment):
             self._move(group, GroupState.RELEASING, "the manifest changed")
+        else:
+            self._bar_dead(group)
+
+    def _bar_dead(self, group: Group) -> None:
+        """Bar members that stay dead, so that other domains see them missing."""
+        fence = self._lease.fence
+        for member in group.members:
+            if member in self._facts.control.barred or fence is None:
+                continue
+            if self._facts.dead_for_s(member) > BAR_DEAD_S:
+                bar = InstanceBar(
+                    fence=fence, instance=member, barred=True, reason="is dead"
+                )
+                if self.propose(f"bar.{member}", bar):
+                    detail = f"{member} is barred: it is dead"
+                    self._note(EventKind.INSTANCE_STATE, detail, group=group.id)
 
     def _draining(self, group: Group) -> None:
         self._poll(group, DRAIN_POLL_S)
@@ -311,7 +311,7 @@
 
     def _may_unbar(self, instance: InstanceId) -> bool:
         if instance in self._facts.control.assigned:
-            return False
+            return self._facts.reachable(instance)
         now = self._clock.now()
         if not self._facts.listed(instance):
             return now - self._absent_s.setdefault(instance, now) > BAR_FORGET_S
--- a/citronpin/orders.py
+++ b/citronpin/orders.py
@@ -8,6 +8,7 @@
 
 from citronpin.clocks import MS_PER_S, Clock
 from citronpin.engines import EngineClient, EngineStatus, Order, OrderKind
+from citronpin.errors import Outcome
 from citronpin.events import EventKind, Recorder
 from citronpin.ids import EntryId, Fence, GroupId, InstanceId, StreamName
 from citronpin.instances import Instance
@@ -18,6 +19,7 @@
 logger = logging.getLogger(__name__)
 
 ORDER_TTL_S = 3.0
+ORDER_TRANSIT_S = 2.0  # longest time from the clock check to the engine's receipt
 RETRY_S = 0.5
 MAX_LOADS = 4  # instances of a fabric domain that load at the same time
 
@@ -28,7 +30,7 @@
     order: Order
     sent_s: float
     in_flight: bool = True
-    settled: bool = False  # answered, so it cannot take effect later
+    settled: bool = False  # answered or refused, so it cannot take effect later
 
 
 class Orders:
@@ -174,6 +176,7 @@
             errand.settled = True
             self._take(instance, result.ok_value, errand.sent_s)
         elif isinstance(result, Err):
+            errand.settled = result.err_value.outcome is Outcome.NOT_RUN
             self._recorder.note(
                 EventKind.FAULT,
                 f"{errand.order.kind.value} to {instance.id}: "
@@ -189,7 +192,8 @@
             self._readbacks.take(status, sent_s)
 
     def _expired(self, errand: _Errand) -> bool:
-        return self._clock.now() - errand.sent_s > self._ttl_s
+        age_s = self._clock.now() - errand.sent_s
+        return age_s > self._ttl_s + ORDER_TRANSIT_S
 
 
 def _same(order: Order, kind: OrderKind, fence: Fence, fields: dict) -> bool:
--- a/citronpin/rollouts.py
+++ b/citronpin/rollouts.py
@@ -5,9 +5,10 @@
 
 from citronpin.controllers import Controller, register
 from citronpin.domains import DomainFacts, Fitness
+from citronpin.drains import DrainPurpose
 from citronpin.events import EventKind
 from citronpin.formations import FORM_DEADLINE_S
-from citronpin.groups import DrainPurpose, move, outdated
+from citronpin.groups import move, outdated
 from citronpin.ids import DeploymentName, Fence, GroupId, Offset
 from citronpin.leases import LeaseController
 from citronpin.manifests import DeploymentManifest
@@ -74,6 +75,8 @@
         fence = self._lease.fence
         if fence is None or fence != self._facts.fence:
             return
+        if not self._facts.sees_all():
+            return
         groups = self._facts.control.groups
         self._reloading = {g: v for g, v in self._reloading.items() if g in groups}
         for group_id in sorted(groups):
