--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -1,10 +1,17 @@
 """Entry point of the program."""
 
+import importlib
 import sys
 
 from absl import app
 
-from citronpin import commands, commands_config  # noqa: F401
+from citronpin import commands
+
+COMMAND_MODULES = (
+    "commands_benches",
+    "commands_config",
+    "commands_entries",
+)
 
 
 def main(argv: list[str]) -> int:
@@ -12,9 +19,16 @@
     return commands.dispatch(argv)
 
 
+def parse(argv: list[str]) -> list[str]:
+    """Register all commands and parse the flags of the one that is named."""
+    for module in COMMAND_MODULES:
+        importlib.import_module(f"citronpin.{module}")
+    return commands.parse(argv)
+
+
 def run() -> None:
     """Run the program."""
-    app.run(main, flags_parser=commands.parse)
+    app.run(main, flags_parser=parse)
 
 
 if __name__ == "__main__":
