Name cache blocks in one place

Cause: engine stand-in and routing hashed prompts in two ways.

Change: the stand-in stores the blocks of prefixes.prefix_blocks; the dispatch takes its engine client as engine.

Conclusion: cache events name what the router looks for.

--- a/citronpin/dispatches.py
+++ b/citronpin/dispatches.py
@@ -117,7 +117,7 @@
         deadline_s: float,
         pick: Pick,
         sink: AnswerSink,
-        client: EngineClient,
+        engine: EngineClient,
         clock: Clock,
         recorder: Recorder,
         priority: int = 0,
@@ -130,7 +130,7 @@
         self._deadline_s = deadline_s
         self._pick = pick
         self._sink = sink
-        self._client = client
+        self._engine = engine
         self._clock = clock
         self._recorder = recorder
         self._priority = priority
@@ -250,7 +250,7 @@
         self._maybe_run = self._maybe_run or self._unanswered
         self._unanswered = True
         self._watch()
-        self._attempt = self._client.submit(
+        self._attempt = self._engine.submit(
             address=self._target.address, submission=submission, sink=self._transport
         )
 
--- a/citronpin/engines.py
+++ b/citronpin/engines.py
@@ -5,7 +5,6 @@
 from enum import Enum
 
 import msgspec
-import xxhash
 from result import Result
 
 from citronpin.errors import CitronpinError
@@ -19,8 +18,6 @@
     Version,
 )
 
-BLOCK_CHARS = 64
-
 
 class OrderKind(Enum):
     """What an engine can be told to do."""
@@ -67,7 +64,7 @@
     """A prefix block entered or left an engine's cache."""
 
     sequence: int
-    block: str  # hash of the prefix up to this block
+    block: str  # hash of `prefixes.prefix_blocks`
     stored: bool
 
 
@@ -109,22 +106,6 @@
     )
 
 
-def prompt_blocks(prompt: str, limit: int = 256) -> tuple[str, ...]:
-    """Return the cache blocks of a prompt, as cache events name them.
-
-    Block ``i`` is the hash of the first ``(i + 1) * BLOCK_CHARS`` characters; a
-    rest that fills no block has none.
-    """
-    digest = xxhash.xxh64()
-    blocks = []
-    for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS):
-        if len(blocks) == limit:
-            break
-        digest.update(prompt[end - BLOCK_CHARS : end].encode())
-        blocks.append(digest.hexdigest())
-    return tuple(blocks)
-
-
 class FrameSink(ABC):
     """Takes the frames of one attempt as they arrive, in any order."""
 
--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from citronpin.clocks import Clock, TimerHandle
-from citronpin.engines import Frame, Submission, prompt_blocks, prompt_text
+from citronpin.engines import Frame, Submission, prompt_text
+from citronpin.prefixes import prefix_blocks
 from citronpin.standin_caches import PrefixCache
 from citronpin.standin_texts import answer_after, count_tokens
 
@@ -31,7 +32,7 @@
     def __init__(self, *, submission: Submission) -> None:
         self.submission = submission
         prompt = prompt_text(submission.body)
-        self.blocks = prompt_blocks(prompt)
+        self.blocks = prefix_blocks(submission.body.get("messages") or ())
         self.prompt_tokens = count_tokens(prompt)
         self.cached_tokens = 0
         self.answer = answer_after(submission.body, submission.prefix)
--- a/citronpin/tests/test_dispatches.py
+++ b/citronpin/tests/test_dispatches.py
@@ -113,7 +113,7 @@
             request="r",
             pick=self.pick,
             sink=self.answer,
-            client=self.engines,
+            engine=self.engines,
             clock=clock,
             recorder=self.recorder,
             **options,
