--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -4,7 +4,7 @@
 
 from absl import app
 
-from citronpin import commands
+from citronpin import commands, commands_standins  # noqa: F401
 
 
 def main(argv: list[str]) -> int:
--- a/citronpin/settings.py
+++ b/citronpin/settings.py
@@ -117,11 +117,60 @@
     "name": Setting(default="standin", doc="Name in logs and the time line."),
 }
 
+STANDIN_ENGINE_DEFAULTS = {
+    "failure_domain": Setting(default="a", doc="Failure domain it runs in."),
+    "region": Setting(default="", doc="Region it runs in."),
+    "domain": Setting(default="fabric-1", doc="Fabric domain it belongs to."),
+    "accelerators": _count("8", "Accelerators of the instance."),
+    "checks_fence": Setting(
+        default="yes",
+        kind=ValueKind.SWITCH,
+        doc="Whether orders with an old fencing number are refused.",
+    ),
+    "tokens_per_s": Setting(
+        default="50",
+        kind=ValueKind.NUMBER,
+        minimum=0.1,
+        doc="Tokens a second of one stream alone.",
+    ),
+    "batch": _count("32", "Most streams that are generated at once.", minimum=1),
+    "cache_blocks": _count("4096", "Blocks that the prefix cache holds.", minimum=1),
+    "load_s": _seconds("1", "Time to load a model without a weight store.", 0.0),
+    "weights": Setting(
+        default="",
+        kind=ValueKind.ADDRESSES,
+        doc="Address of the weight store; empty: load_s.",
+    ),
+}
+
+STANDIN_MEMBERSHIP_DEFAULTS = {
+    "instances": Setting(default="", doc="JSON file with the instances; empty: none."),
+}
+
+STANDIN_WEIGHTS_DEFAULTS = {
+    "bytes_per_s": Setting(
+        default="10e9",
+        kind=ValueKind.NUMBER,
+        minimum=1,
+        doc="Bytes a second that all downloads share.",
+    ),
+    "model_bytes": Setting(
+        default="10e9", kind=ValueKind.NUMBER, minimum=0, doc="Size of a model."
+    ),
+    "adapter_bytes": Setting(
+        default="0.1e9", kind=ValueKind.NUMBER, minimum=0, doc="Size of an adapter."
+    ),
+    "slots": _count("4", "Most downloads at once.", minimum=1),
+}
+
 DEFAULTS: dict[str, dict[str, Setting]] = {
     "entry": ENTRY_DEFAULTS,
     "server": SERVER_DEFAULTS,
     "peers": PEERS_DEFAULTS,
     "standin": STANDIN_DEFAULTS,
+    "standin_engine": STANDIN_ENGINE_DEFAULTS,
+    "standin_membership": STANDIN_MEMBERSHIP_DEFAULTS,
+    "standin_weights": STANDIN_WEIGHTS_DEFAULTS,
 }
 
 ENTRY_SECTIONS = ("entry", "server", "peers")
--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -26,6 +26,16 @@
     keep_s: float = 30.0  # how long a detached or ended attempt is kept
 
 
+class Outlet(Protocol):
+    """Takes the frames of a stream as they are generated."""
+
+    def take(self, frames: list[Frame]) -> None:
+        """Take frames."""
+
+    def abort(self) -> None:
+        """Cut the transport."""
+
+
 class Stream:
     """One attempt: what it will say and what it has said."""
 
@@ -42,8 +52,7 @@
         self.ready_s = 0.0
         self.detached_s = 0.0
         self.ended = False
-        self.listener: Callable[[list[Frame]], None] | None = None
-        self.abort: Callable[[], None] | None = None
+        self.outlet: Outlet | None = None
 
     @property
     def key(self) -> tuple[str, int]:
@@ -125,14 +134,14 @@
 
     def detach(self, stream: Stream) -> None:
         """Keep a stream that lost its connection for a while."""
-        stream.listener = None
+        stream.outlet = None
         stream.detached_s = self._clock.now()
         self._clock.call_later(self._speed.keep_s, lambda: self._drop_detached(stream))
 
     def drop(self, stream: Stream) -> None:
         """Stop a stream and forget it."""
         stream.ended = True
-        stream.listener = None
+        stream.outlet = None
         if self._kept.get(stream.key) is stream:
             del self._kept[stream.key]
         self._running = [known for known in self._running if known is not stream]
@@ -199,12 +208,12 @@
             self._clock.call_later(
                 self._speed.keep_s, lambda: self._forget_ended(stream)
             )
-        if stream.listener is not None:
-            stream.listener(frames)
+        if stream.outlet is not None:
+            stream.outlet.take(frames)
 
     def _drop_detached(self, stream: Stream) -> None:
         age_s = self._clock.now() - stream.detached_s
-        if stream.listener is None and age_s >= self._speed.keep_s:
+        if stream.outlet is None and age_s >= self._speed.keep_s:
             self.drop(stream)
 
     def _forget_ended(self, stream: Stream) -> None:
--- /dev/null
+++ b/citronpin/standin_holdings.py
@@ -0,0 +1,130 @@
+"""What the engine stand-in holds, and how orders change it."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from citronpin.engines import Order, OrderKind
+from citronpin.ids import (
+    AdapterName,
+    Fence,
+    GroupId,
+    InstanceId,
+    ModelName,
+    Version,
+    new_id,
+)
+from citronpin.standin_loaders import Loader
+
+NO_FENCE = Fence(-1)
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Why an engine refuses a submission or an order."""
+
+    status: int
+    kind: str
+    detail: str
+
+
+class Holding:
+    """The group, model and adapters of one run of the engine's process.
+
+    ``on_lost`` is called when the streams of the group cannot go on.
+    """
+
+    def __init__(
+        self, *, checks_fence: bool, loader: Loader, on_lost: Callable[[], None]
+    ) -> None:
+        self.boot = new_id()
+        self.group: GroupId | None = None
+        self.fence = NO_FENCE
+        self.members: tuple[InstanceId, ...] = ()
+        self.model: ModelName | None = None
+        self.version: Version | None = None
+        self.adapters: tuple[AdapterName, ...] = ()
+        self.loading = False
+        self._highest_fence = NO_FENCE
+        self._checks_fence = checks_fence
+        self._loader = loader
+        self._on_lost = on_lost
+        self._latest_load = ""
+
+    def obey(self, order: Order) -> Refusal | None:
+        """Act on an order, unless its fencing number is old and checked."""
+        if self._checks_fence and order.fence < self._highest_fence:
+            seen = f"Number {self._highest_fence} was seen."
+            return Refusal(409, "stale-fence", seen)
+        self._highest_fence = max(self._highest_fence, order.fence)
+        if order.kind is OrderKind.RELEASE:
+            self._release()
+        elif order.model and self._missing(order):
+            self._load(order)
+        elif order.kind is OrderKind.FORM:
+            self._form(order)
+        return None
+
+    def close(self) -> None:
+        """End the run; what is being loaded has no effect any more."""
+        self._latest_load = ""
+        self._release()
+
+    def _release(self) -> None:
+        self.group = None
+        self.members = ()
+        self.fence = NO_FENCE
+        self._on_lost()
+
+    def _form(self, order: Order) -> None:
+        if (self.group, self.members) != (order.group, order.members):
+            self._release()
+        self.group = order.group
+        self.fence = order.fence
+        self.members = order.members
+
+    def _missing(self, order: Order) -> bool:
+        return self._missing_model(order) or set(order.adapters) != set(self.adapters)
+
+    def _missing_model(self, order: Order) -> bool:
+        return (order.model, order.version) != (self.model, self.version)
+
+    def _load(self, order: Order) -> None:
+        self._latest_load = order.id
+        self.loading = True
+        if self._missing_model(order):
+            self.model = None
+            self.version = None
+            self.adapters = ()
+            self._on_lost()
+            self._loader.load_model(
+                order.model, order.version or "", lambda: self._model_loaded(order)
+            )
+        else:
+            self._load_adapters(order)
+
+    def _model_loaded(self, order: Order) -> None:
+        if self._latest_load != order.id:
+            return
+        self.model = order.model
+        self.version = order.version
+        self._load_adapters(order)
+
+    def _load_adapters(self, order: Order) -> None:
+        if self._latest_load != order.id:
+            return
+        for adapter in order.adapters:
+            if adapter not in self.adapters:
+                self._load_adapter(adapter, order)
+                return
+        self.adapters = order.adapters
+        self.loading = False
+        if order.kind is OrderKind.FORM:
+            self._form(order)
+
+    def _load_adapter(self, adapter: AdapterName, order: Order) -> None:
+        def loaded() -> None:
+            if self._latest_load == order.id:
+                self.adapters += (adapter,)
+                self._load_adapters(order)
+
+        self._loader.load_adapter(adapter, order.version or "", loaded)
--- /dev/null
+++ b/citronpin/standin_loaders.py
@@ -0,0 +1,72 @@
+"""How the engine stand-in comes by models and adapters."""
+
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from citronpin.clients import HttpClient, WholeSink
+from citronpin.clocks import Clock
+from citronpin.standin_weights import ADAPTERS_PATH, WEIGHTS_PATH
+
+logger = logging.getLogger(__name__)
+
+RETRY_S = 1.0
+
+
+class Loader(ABC):
+    """Loads a model or an adapter; ``done`` is called once, when it is there."""
+
+    @abstractmethod
+    def load_model(self, model: str, version: str, done: Callable[[], None]) -> None:
+        """Load a version of a model."""
+
+    @abstractmethod
+    def load_adapter(
+        self, adapter: str, version: str, done: Callable[[], None]
+    ) -> None:
+        """Load an adapter."""
+
+
+class TimedLoader(Loader):
+    """Takes a set time for a model and a tenth of it for an adapter."""
+
+    def __init__(self, *, clock: Clock, load_s: float) -> None:
+        self._clock = clock
+        self._load_s = load_s
+
+    def load_model(self, model, version, done) -> None:
+        self._clock.call_later(self._load_s, done)
+
+    def load_adapter(self, adapter, version, done) -> None:
+        self._clock.call_later(self._load_s / 10, done)
+
+
+class WeightLoader(Loader):
+    """Downloads from the weight store and tries again until it has all."""
+
+    def __init__(self, *, client: HttpClient, address: str, clock: Clock) -> None:
+        self._client = client
+        self._address = address
+        self._clock = clock
+
+    def load_model(self, model, version, done) -> None:
+        self._get(f"{WEIGHTS_PATH}/{model}/{version}", done)
+
+    def load_adapter(self, adapter, version, done) -> None:
+        self._get(f"{ADAPTERS_PATH}/{adapter}/{version}", done)
+
+    def _get(self, target: str, done: Callable[[], None]) -> None:
+        def answered(answer, error) -> None:
+            if error is None and answer[0] == 200:
+                done()
+                return
+            logger.info("download failed: %s", target)
+            self._clock.call_later(RETRY_S, lambda: self._get(target, done))
+
+        self._client.request(
+            address=self._address,
+            method="GET",
+            target=target,
+            sink=WholeSink(done=answered),
+            timeout_s=None,
+        )
--- a/citronpin/standin_logs.py
+++ b/citronpin/standin_logs.py
@@ -10,7 +10,8 @@
 from citronpin.logs import MemoryLog
 from citronpin.records import MAX_RECORD_BYTES
 from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.standins import Faults, Standin
+from citronpin.settings import Settings, split_address
+from citronpin.standins import Faults, Standin, register_standin
 
 logger = logging.getLogger(__name__)
 
@@ -153,3 +154,10 @@
         while times and times[0][0] < limit_s:
             _, offset = times.popleft()
             self.log.trim(stream, Offset(offset + 1))
+
+
+@register_standin("log", "standin")
+def build_log(cfg: Settings, clock: Clock) -> LogStandin:
+    """Build the stand-in from its settings."""
+    own = cfg.section("standin")
+    return LogStandin(name=own["name"], bind=split_address(own["listen"]), clock=clock)
--- a/citronpin/standins.py
+++ b/citronpin/standins.py
@@ -1,17 +1,22 @@
 """Stand-ins for the platform and back ends: small servers with faults to switch."""
 
+import itertools
 import logging
 from abc import abstractmethod
 from collections.abc import Callable
 
 import msgspec
-from circuits import Component
+from circuits import Component, handler
+from circuits.core.utils import findcmp
 
 from citronpin.clocks import Clock, ClockTask
 from citronpin.servers import HttpHandler, HttpRequest, Reply, Routes, WebServer
+from citronpin.settings import Settings
 
 logger = logging.getLogger(__name__)
 
+_channels = itertools.count()
+
 
 class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """Faults that every stand-in knows; ``POST /control`` merges given fields."""
@@ -38,11 +43,19 @@
         self.routes.add("GET", "/control", self._show)
         self.add_routes(self.routes)
         self._held: list[Callable[[], None]] = []
-        ClockTask(clock=clock).register(self)
+        # Servers that share an event loop must not hear each other's events.
         self.server = WebServer(
-            bind=bind, target=FaultGate(standin=self), clock=clock
+            bind=bind,
+            target=FaultGate(standin=self),
+            clock=clock,
+            channel=f"web-standin-{next(_channels)}",
         ).register(self)
 
+    @handler("registered", "started", channel="*")
+    def _on_registered(self, component, manager=None) -> None:
+        if findcmp(self.root, ClockTask) is None:
+            ClockTask(clock=self.clock).register(self.root)
+
     @abstractmethod
     def add_routes(self, routes: Routes) -> None:
         """Register the endpoints of the stand-in."""
@@ -150,3 +163,23 @@
 
     def close_after(self) -> None:
         """The connection is cut anyway."""
+
+
+class StandinType(msgspec.Struct, frozen=True):
+    """How a kind of stand-in is built from its settings."""
+
+    sections: tuple[str, ...]
+    build: Callable[[Settings, Clock], Standin]
+
+
+STANDINS: dict[str, StandinType] = {}
+
+
+def register_standin(name: str, *sections: str):
+    """Register the function that builds a kind of stand-in."""
+
+    def decorate(build: Callable[[Settings, Clock], Standin]):
+        STANDINS[name] = StandinType(sections=sections, build=build)
+        return build
+
+    return decorate
