--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -5,7 +5,7 @@
 
 from absl import app
 
-from citronpin import commands
+from citronpin import commands, commands_standins  # noqa: F401
 
 COMMAND_MODULES = (
     "commands_benches",
