Run the whole path: callers, entry, groups, engines, log

Change: the entry finds its poller when it first connects, dispatches take the engine by its own name, a fault inside a filter answers with outcome unknown instead of not run, and a test drives the whole path with the openai client. Ruled out: the answer 'not run' for a fault inside a filter, since the request may have left by then. Before: no request served. Conclusion: the path stands; readiness leases and calls come next.

--- a/citronpin/clients.py
+++ b/citronpin/clients.py
@@ -136,12 +136,12 @@
         self._conns: dict[socket.socket, Connection] = {}
         self._idle: dict[str, deque[Connection]] = {}
 
-    @handler("registered", "started", channel="*")
-    def _on_registered(self, component, manager=None) -> None:
-        if self._poller is not None:
-            return
-        found = findcmp(self.root, BasePoller)
-        self._poller = found if found is not None else Poller().register(self)
+    def _find_poller(self) -> BasePoller:
+        """Return the poller of the root, which gets one if it has none."""
+        if self._poller is None:
+            found = findcmp(self.root, BasePoller)
+            self._poller = found if found is not None else Poller().register(self)
+        return self._poller
 
     def request(
         self,
@@ -224,7 +224,7 @@
         conn.connect_timer = self._clock.call_later(
             CONNECT_TIMEOUT_S, lambda: self._lose(conn, "No connection in time.")
         )
-        self._poller.addWriter(self, sock)
+        self._find_poller().addWriter(self, sock)
         return conn
 
     def _fail_later(self, exchange: Exchange, error: CitronpinError) -> None:
--- a/citronpin/embedded.py
+++ b/citronpin/embedded.py
@@ -5,17 +5,27 @@
 from collections.abc import Callable
 
 import msgspec
+from circuits import Component
 from result import Err
 
-from citronpin.clocks import SystemClock
+from citronpin.clients import HttpClient
+from citronpin.clocks import ClockTask, SystemClock
 from citronpin.entries import Entry
+from citronpin.events import Recorder
+from citronpin.followers import Followers
+from citronpin.http_logs import HttpLog
 from citronpin.ids import (
     ApplicationName,
     DomainName,
+    EntryId,
     FailureDomainName,
     InstanceId,
+    Offset,
+    new_id,
 )
 from citronpin.instances import Instance, InstanceKind, InstanceState
+from citronpin.manifest_files import ManifestFile
+from citronpin.publishers import Published, Publisher
 from citronpin.runners import Runner
 from citronpin.settings import check_settings
 from citronpin.standin_batches import EngineSpeed
@@ -31,6 +41,7 @@
 ANY_PORT = (LOOPBACK, 0)
 PEER_KEY = "embedded"
 POLL_S = 0.02
+PUBLISH_TIMEOUT_S = 10.0
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
@@ -51,6 +62,38 @@
     failure_domain: FailureDomainName
 
 
+class Pipeline(Component):
+    """A build pipeline that publishes one file and stops."""
+
+    def __init__(self, *, log: str, file: ManifestFile, base: Offset | None) -> None:
+        super().__init__()
+        self.result = None
+        clock = SystemClock()
+        author = EntryId(f"pipeline-{new_id()}")
+        ClockTask(clock=clock).register(self)
+        client = HttpClient(clock=clock).register(self)
+        followers = Followers(
+            log=HttpLog(client=client, address=log, clock=clock),
+            entry=author,
+            clock=clock,
+            recorder=Recorder(process=author, clock=clock),
+        ).register(self)
+        publisher = Publisher(
+            followers=followers,
+            clock=clock,
+            file=file,
+            base=base,
+            author=author,
+            timeout_s=PUBLISH_TIMEOUT_S,
+            done=self._finish,
+        )
+        clock.call_later(0.0, publisher.start)
+
+    def _finish(self, result) -> None:
+        self.result = result
+        self.stop()
+
+
 class Embedded:
     """Starts, changes and stops the parts of a small system."""
 
@@ -189,6 +232,14 @@
             if self._runners[name].running
         )
 
+    def publish(self, file: ManifestFile, base: Offset | None = None) -> Published:
+        """Publish a file as a pipeline would and return the verdict."""
+        pipeline = Pipeline(log=self.log.address, file=file, base=base)
+        pipeline.run()
+        if isinstance(pipeline.result, Err):
+            raise pipeline.result.err_value
+        return pipeline.result.ok_value
+
     def effects(self) -> dict[str, int]:
         """Return how often each key took effect, over all plain services."""
         counts: dict[str, int] = {}
--- a/citronpin/filters.py
+++ b/citronpin/filters.py
@@ -134,6 +134,9 @@
             step.handle(ctx, lambda passed: self._step(passed, index + 1))
         except CitronpinError as exc:
             ctx.refuse(exc)
+        except Exception:
+            logger.exception("request %s failed in a filter", ctx.id)
+            ctx.refuse(CitronpinError("The request failed inside the entry."))
 
 
 class GateFilter(Filter):
--- a/citronpin/generations.py
+++ b/citronpin/generations.py
@@ -161,7 +161,7 @@
             deadline_s=ctx.deadline_s,
             pick=self._pick,
             sink=self,
-            client=task.engine,
+            engine=task.engine,
             clock=ctx.clock,
             recorder=ctx.recorder,
             priority=ctx.priority,
--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -5,12 +5,13 @@
 
 from absl import app
 
-from citronpin import commands, commands_standins  # noqa: F401
+from citronpin import commands
 
 COMMAND_MODULES = (
     "commands_benches",
     "commands_config",
     "commands_entries",
+    "commands_standins",
 )
 
 
--- a/citronpin/servers.py
+++ b/citronpin/servers.py
@@ -408,7 +408,12 @@
             logger.exception("request failed: %s %s", whole.method, whole.path)
             self._count("handler_faults")
             send_problem(
-                conn.reply, 500, "internal", "The request failed.", "Report it."
+                conn.reply,
+                500,
+                "internal",
+                "The request failed.",
+                "Report the time and path to the operators.",
+                outcome="unknown",
             )
 
     @handler("response", override=True)
--- a/citronpin/tests/conftest.py
+++ b/citronpin/tests/conftest.py
@@ -1,13 +1,16 @@
 """Fixtures that several test modules share."""
 
 import time
+from pathlib import Path
 
 import pytest
 from circuits import Component
 
+import citronpin
 from citronpin.clocks import ClockTask, PausedClock, SystemClock
 from citronpin.runners import Runner
 
+SAMPLES = Path(citronpin.__file__).parent / "samples"
 WAIT_LIMIT_S = 20.0
 POLL_S = 0.01
 
--- /dev/null
+++ b/citronpin/tests/test_embedded.py
@@ -0,0 +1,116 @@
+"""Tests of the whole path: callers, entries, engines and the log on loopback."""
+
+import openai
+import pytest
+
+from citronpin.commands_entries import run_load
+from citronpin.embedded import Embedded, EngineSpec, wait_for
+from citronpin.loads import LoadPlan
+from citronpin.manifest_files import read_manifests
+from citronpin.standin_batches import EngineSpeed
+from citronpin.standin_texts import answer_to
+from citronpin.states import GroupState
+from citronpin.tests.conftest import SAMPLES
+
+KEY = "odori-demo-key"
+MESSAGES = [{"role": "user", "content": "Draft the rota for Sunday."}]
+BOOT_LIMIT_S = 30.0
+
+
+@pytest.fixture(scope="module")
+def system():
+    engines = tuple(
+        EngineSpec(id=f"s{n}", domain="fabric-1", failure_domain="sapporo")
+        for n in range(5)
+    )
+    system = Embedded(
+        failure_domains=("sapporo", "hakodate"),
+        engines=engines,
+        speed=EngineSpeed(tokens_per_s=500.0),
+    )
+    system.start()
+    try:
+        verdict = system.publish(read_manifests(SAMPLES / "kanekura.toml").ok_value)
+        assert verdict.accepted
+        assert wait_for(lambda: _serving(system) == 2, BOOT_LIMIT_S)
+        yield system
+    finally:
+        system.stop()
+
+
+def _serving(system) -> int:
+    """Return the least number of serving groups that any entry knows."""
+    return min(
+        sum(group.state is GroupState.SERVING for group in entry.directory.groups())
+        for entry in system.entries.values()
+    )
+
+
+@pytest.fixture
+def client(system):
+    address = system.addresses()[0]
+    return openai.OpenAI(
+        base_url=f"http://{address}/v1", api_key=KEY, max_retries=0, timeout=20
+    )
+
+
+def test_a_whole_answer_is_the_engines_text(client):
+    answer = client.chat.completions.create(model="rota", messages=MESSAGES)
+    wanted = answer_to({"messages": MESSAGES})
+    assert answer.choices[0].message.content == wanted.text
+    assert answer.usage.completion_tokens == len(wanted.pieces)
+
+
+def test_a_streamed_answer_is_the_engines_text(client):
+    stream = client.chat.completions.create(
+        model="rota:hokkaido",
+        messages=MESSAGES,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    chunks = list(stream)
+    text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
+    assert text == answer_to({"messages": MESSAGES}).text
+    assert chunks[-1].usage.completion_tokens > 0
+
+
+def test_models_are_those_that_the_customer_may_use(client):
+    assert [model.id for model in client.models.list()] == ["rota", "rota:hokkaido"]
+
+
+@pytest.mark.parametrize(
+    "model, key, status, kind",
+    [
+        ("rota", "wrong-key", 401, "not-identified"),
+        ("other", KEY, 404, "unknown-model"),
+        ("rota:other", KEY, 404, "unknown-model"),
+    ],
+)
+def test_refusals_are_problem_details_that_prove_not_run(
+    system, model, key, status, kind
+):
+    client = openai.OpenAI(
+        base_url=f"http://{system.addresses()[0]}/v1", api_key=key, max_retries=0
+    )
+    with pytest.raises(openai.APIStatusError) as caught:
+        client.chat.completions.create(model=model, messages=MESSAGES)
+    problem = caught.value.response.json()
+    assert caught.value.status_code == status
+    assert (problem["kind"], problem["outcome"]) == (kind, "not-run")
+    assert caught.value.response.headers["citronpin-request-id"]
+
+
+def test_every_answer_of_a_load_is_whole(system):
+    plan = LoadPlan(
+        entries=system.addresses(),
+        key=KEY,
+        model="rota",
+        duration_s=2.0,
+        chats_per_s=20.0,
+        streamed_share=0.7,
+        max_tokens=24,
+        seed=3,
+    )
+    summary = run_load(plan, (), [], check_text=True)
+    assert summary["violations"] == []
+    assert summary["outcomes"] == {"complete": summary["sent"]}
