Test engine faults, service effects, membership and stand-in processes

Cause: what the stand-ins promise was shown for the plain path only.

Change: frames late, swapped, repeated and of another attempt, cuts, restarts, late orders, weight downloads, lost answers and all kinds of stand-in as processes. A cut stream first sends what it counted.

Conclusion: every fault ends in the whole answer or a typed error.

--- a/citronpin/standin_frames.py
+++ b/citronpin/standin_frames.py
@@ -11,6 +11,7 @@
 from citronpin.standins import Faults
 
 FRAMES_TYPE = "application/x-ndjson"
+CUT_POLL_S = 0.002
 FOREIGN_TEXT = " not-of-this-attempt"
 
 _encode = msgspec.json.Encoder().encode
@@ -117,7 +118,16 @@
         if frames:
             self._reply.push(b"".join([_encode(frame) + b"\n" for frame in frames]))
         if cut:
-            self._clock.call_later(0.0, self._on_cut)
+            self._cut_when_sent()
+
+    def _cut_when_sent(self) -> None:
+        def cut() -> None:
+            if self._reply.buffered_bytes and not self._reply.ended:
+                self._cut_when_sent()
+            else:
+                self._on_cut()
+
+        self._clock.call_later(CUT_POLL_S, cut)
 
     def _finish_if_done(self) -> None:
         if self._final and not self._late:
--- /dev/null
+++ b/citronpin/tests/test_commands_standins.py
@@ -0,0 +1,74 @@
+"""Tests of the stand-ins as processes."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import urllib.request
+
+import pytest
+
+from citronpin.commands_standins import STANDINS
+from citronpin.tests.conftest import wait_until
+
+STATUS_PATHS = {
+    "engine": "/v1/status",
+    "log": "/streams",
+    "membership": "/instances",
+    "service": "/effects",
+    "weights": "/downloads",
+}
+
+
+def _free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+def _fetch(port, path):
+    try:
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}", timeout=5) as res:
+            return json.load(res)
+    except OSError:
+        return None
+
+
+def _start(kind, path):
+    args = [sys.executable, "-m", "citronpin", "standin", kind, "--settings", str(path)]
+    return subprocess.Popen(args, stderr=subprocess.PIPE, text=True)
+
+
+def test_every_kind_answers_and_ends_with_zero_on_sigterm(tmp_path):
+    assert set(STANDINS) == set(STATUS_PATHS)
+    running = []
+    for kind in STANDINS:
+        port = _free_port()
+        path = tmp_path / f"{kind}.ini"
+        path.write_text(f"[standin]\nlisten = 127.0.0.1:{port}\nname = {kind}\n")
+        running.append((kind, port, _start(kind, path)))
+    try:
+        for kind, port, _ in running:
+            wait_until(lambda: _fetch(port, STATUS_PATHS[kind]) is not None)
+        for _, _, process in running:
+            process.send_signal(signal.SIGTERM)
+        assert [process.wait(20) for _, _, process in running] == [0] * len(running)
+    finally:
+        for _, _, process in running:
+            process.kill()
+            process.communicate()
+
+
+@pytest.mark.parametrize(
+    "text, fault",
+    [
+        ("[standin]\nname = a\n", "[standin] listen: is missing."),
+        ("[standin]\nlisten = 127.0.0.1:0\n[standin_engine]\nbatch = 0\n", "batch"),
+    ],
+)
+def test_faulty_settings_are_told_and_end_with_two(tmp_path, text, fault):
+    path = tmp_path / "engine.ini"
+    path.write_text(text)
+    process = _start("engine", path)
+    _, stderr = process.communicate(timeout=20)
+    assert process.returncode == 2 and fault in stderr
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -1,15 +1,26 @@
 """Tests of the engine stand-in and its client over loopback HTTP."""
 
+import urllib.request
+
 import pytest
 
 from citronpin.clients import HttpClient
+from citronpin.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
 from citronpin.engines import FrameSink, Order, OrderKind, Submission
-from citronpin.errors import ConnectionFailed, EngineRefused, StaleFence
+from citronpin.errors import (
+    ConnectionFailed,
+    ConnectionLost,
+    EngineRefused,
+    StaleFence,
+)
+from citronpin.events import Recorder
 from citronpin.http_engines import HttpEngineClient
 from citronpin.instances import Instance, InstanceKind, InstanceState
 from citronpin.standin_batches import EngineSpeed
 from citronpin.standin_engines import EngineStandin
+from citronpin.standin_services import ServiceStandin
 from citronpin.standin_texts import answer_to
+from citronpin.standin_weights import WeightStandin
 from citronpin.tests.conftest import wait_until
 
 BODY = {"messages": [{"role": "user", "content": "Draft a rota. " * 40}]}
@@ -34,6 +45,23 @@
         return "".join(frame.text for frame in self.got)
 
 
+class Answer(AnswerSink):
+    """Collects the text and the ends of a dispatch."""
+
+    def __init__(self):
+        self.parts = []
+        self.ends = []
+
+    def text(self, frames):
+        self.parts += [frame.text for frame in frames]
+
+    def done(self, final):
+        self.ends.append(final)
+
+    def failed(self, error):
+        self.ends.append(error)
+
+
 class Bench:
     """An engine stand-in with a client in another event loop."""
 
@@ -60,6 +88,29 @@
         self.loop, http = loops(lambda clock: HttpClient(clock=clock))
         self.client = HttpEngineClient(client=http, clock=self.loop.clock)
 
+    def faults(self, **fields):
+        self.engine_loop.call(lambda: self.engine.set_faults(**fields))
+
+    def dispatch(self, **limits):
+        """Run a dispatch to its end and return its answer."""
+        answer = Answer()
+        clock = self.loop.clock
+        target = Target(group="g1", fence=3, address=self.engine.address)
+        dispatch = Dispatch(
+            body=BODY,
+            request="r",
+            deadline_s=clock.now() + 20.0,
+            pick=lambda tried: target,
+            sink=answer,
+            engine=self.client,
+            clock=clock,
+            recorder=Recorder(process="e1", clock=clock),
+            limits=DispatchLimits(**limits),
+        )
+        self.loop.call(dispatch.start)
+        wait_until(lambda: answer.ends)
+        return answer
+
     def order(self, kind, fence, ttl_ms=5_000, **fields):
         order = Order(id="o", kind=kind, fence=fence, ttl_ms=ttl_ms, **fields)
         return self.ask(
@@ -145,3 +196,115 @@
     )
     wait_until(lambda: sink.ends)
     assert isinstance(sink.ends[0], ConnectionFailed)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"swapped_share": 0.3, "repeated_share": 0.3, "foreign_share": 0.3},
+        {"late_share": 0.3, "late_s": 0.01, "repeated_share": 0.2},
+        {"cut_after_frames": 20},
+    ],
+)
+def test_faulty_frames_give_the_whole_answer(bench, faults):
+    bench = bench(speed=EngineSpeed(tokens_per_s=4_000.0))
+    bench.form(3)
+    bench.faults(**faults)
+    answer = bench.dispatch(resumes=4)
+    assert answer.ends[0].final and len(answer.ends) == 1
+    assert "".join(answer.parts) == answer_to(BODY).text
+
+
+def test_a_kept_attempt_is_resumed_and_another_continues_a_prefix(bench):
+    bench = bench()
+    bench.form(3)
+    bench.faults(cut_after_frames=5)
+    cut = bench.run()
+    assert isinstance(cut.ends[0], ConnectionLost) and len(cut.got) == 5
+    bench.faults(cut_after_frames=None)
+    resumed = bench.run(resume_from=5)
+    assert resumed.got[0].sequence == 5
+    assert cut.text + resumed.text == answer_to(BODY).text
+    moved = bench.run(attempt=1, prefix=cut.text, prefix_tokens=5)
+    assert moved.text == resumed.text
+    assert moved.got[-1].usage == resumed.got[-1].usage | {
+        "prompt_tokens_details": moved.got[-1].usage["prompt_tokens_details"]
+    }
+    unknown = bench.run(attempt=2, resume_from=5)
+    assert isinstance(unknown.ends[0], EngineRefused)
+
+
+def test_a_restart_forgets_the_group_and_cuts_its_streams(bench):
+    bench = bench(speed=EngineSpeed(tokens_per_s=20.0))
+    bench.form(3)
+    before = bench.status().ok()
+    sink = bench.submit()
+    wait_until(lambda: sink.got)
+    bench.faults(restart=True)
+    wait_until(lambda: sink.ends)
+    assert isinstance(sink.ends[0], ConnectionLost)
+    after = bench.status().ok()
+    assert after.boot != before.boot and after.group is None
+    assert isinstance(bench.run(attempt=1).ends[0], EngineRefused)
+
+
+def test_cancelling_stops_generation_on_the_engine(bench):
+    bench = bench(speed=EngineSpeed(tokens_per_s=20.0), load_lag_s=0.0)
+    bench.form(3)
+    sink = bench.submit()
+    wait_until(lambda: bench.status().ok().running == 1)
+    bench.loop.call(sink.attempt.cancel)
+    wait_until(lambda: bench.status().ok().running == 0)
+    assert not sink.ends
+
+
+def test_an_order_that_comes_to_its_turn_late_has_no_effect(bench):
+    bench = bench()
+    bench.faults(order_delay_s=0.1)
+    late = bench.order(OrderKind.FORM, 3, ttl_ms=10, group="g1")
+    assert isinstance(late.err(), EngineRefused)
+    assert bench.status().ok().group is None
+
+
+def test_the_group_is_held_once_its_model_is_loaded(bench, loops):
+    weights_loop, weights = loops(
+        lambda clock: WeightStandin(
+            name="weights",
+            bind=("127.0.0.1", 0),
+            clock=clock,
+            bytes_per_s=1e9,
+            model_bytes=0.1e9,
+            adapter_bytes=0.01e9,
+        )
+    )
+    bench = bench(weights=weights.address)
+    what = {"model": "m", "version": "1", "adapters": ("a1", "a2")}
+    taken = bench.order(OrderKind.FORM, 3, group="g1", members=("i1",), **what).ok()
+    assert taken.loading and taken.group is None
+    assert isinstance(bench.run().ends[0], EngineRefused)
+    held = wait_until(lambda: (s := bench.status().ok()).group == "g1" and s)
+    assert (held.model, held.version, held.adapters) == ("m", "1", ("a1", "a2"))
+    assert weights_loop.call(lambda: weights.downloads) == 3
+    assert bench.run(attempt=1).ends == [None]
+
+
+def test_members_that_do_not_lead_refuse(bench):
+    bench = bench()
+    bench.order(OrderKind.FORM, 3, group="g1", members=("i0", "i1"))
+    assert isinstance(bench.run().ends[0], EngineRefused)
+
+
+def test_two_stand_ins_share_a_loop(loops):
+    loop, *services = loops(
+        *(
+            lambda clock, n=n: ServiceStandin(
+                name=f"s{n}", bind=("127.0.0.1", 0), clock=clock
+            )
+            for n in range(2)
+        )
+    )
+    for service in services:
+        url = f"http://{service.address}/swaps"
+        request = urllib.request.Request(url, b"{}", {"Idempotency-Key": "k"})
+        assert urllib.request.urlopen(request, timeout=10).status == 201
+    assert [service.effects for service in services] == [{"k": 1}] * 2
