--- a/citronpin/events.py
+++ b/citronpin/events.py
@@ -81,7 +81,7 @@
         )
         self._events.append(event)
         if logger.isEnabledFor(logging.INFO):
-            logger.info(kind.value, extra=msgspec.to_builtins(event))
+            logger.info(kind.value, extra={"event": msgspec.to_builtins(event)})
         return event
 
     def since(self, sequence: int = 0) -> list[TimelineEvent]:
