Bound the wait for a lease's handover in a planned stop

Cause: an entry that held a lease waited 30 s and more for a planned stop while the log was down, since the yield could not be recorded. Change: once no request is in flight the handover is waited for 3 s at most. Before: killed after 30 s. Conclusion: a holder ceases to act at once, so the wait protects nothing more.

--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -37,6 +37,7 @@
 ID_SUFFIX_LENGTH = 8
 SLOTS_PER_GROUP = 16.0
 DRAIN_TICK_S = 0.05
+HANDOVER_LIMIT_S = 3.0
 LINGER_S = 0.5  # answers reach callers before connections are closed
 
 
@@ -59,6 +60,7 @@
         self._add_control()
         self._add_callers(own)
         self._stopping = False
+        self._stopped_s = 0.0
         self._signals: tuple[int, ...] = ()
 
     def _add_state(self, own: dict) -> None:
@@ -192,17 +194,25 @@
         self.recorder.note(EventKind.DRAIN, f"{self.api.in_flight} in flight")
         self.gate.drain()
         self.control.leave()
-        limit_s = self.clock.now() + self.cfg.section("entry")["drain_s"]
-        self._wait_until_drained(limit_s)
-
-    def _wait_until_drained(self, limit_s: float) -> None:
-        open_replies = self.server.http.open_replies
-        busy = open_replies or not self.control.handed_over()
-        if busy and self.clock.now() < limit_s:
-            self.clock.call_later(
-                DRAIN_TICK_S, lambda: self._wait_until_drained(limit_s)
-            )
+        self._stopped_s = self.clock.now()
+        self._wait_until_drained()
+
+    def _busy(self) -> bool:
+        """Return whether a planned stop still has to wait.
+
+        A lease that cannot be handed over, since the log is down, is left to the
+        other entries' suspicion; its holder has ceased to act in any case.
+        """
+        waited_s = self.clock.now() - self._stopped_s
+        if self.server.http.open_replies:
+            return waited_s < self.cfg.section("entry")["drain_s"]
+        return not self.control.handed_over() and waited_s < HANDOVER_LIMIT_S
+
+    def _wait_until_drained(self) -> None:
+        if self._busy():
+            self.clock.call_later(DRAIN_TICK_S, self._wait_until_drained)
             return
+        open_replies = self.server.http.open_replies
         self.recorder.note(EventKind.PROCESS, f"stops with {open_replies} in flight")
         self.server.http.close_idle()
         self.clock.call_later(LINGER_S, self._finish)
