Add watchers and readiness leases

Cause: no group may get work while a member is missing. Change: two watchers a group probe every member; leases count from a stamp of the receiver's own clock; negative reports go out at once; whole sets only on a change or on request. A watcher's first set had no base, so its own table never took it; the first set now replaces all.

--- a/citronpin/meshes.py
+++ b/citronpin/meshes.py
@@ -34,6 +34,18 @@
     def alive(self) -> frozenset[EntryId]:
         """Return the entries that live, this one included."""
 
+    @abstractmethod
+    def alone(self, limit_s: float) -> bool:
+        """Return whether no other entry, though some are known, answered in time."""
+
+    @abstractmethod
+    def refresh(self) -> None:
+        """Exchange beats with the neighbours now, ahead of the next tick."""
+
+    @abstractmethod
+    def set_lease_source(self, source: LeaseSource) -> None:
+        """Take from ``source`` the readiness set that each beat renews."""
+
     @abstractmethod
     def send(self, entry: EntryId, message: Message) -> bool:
         """Send without blocking; false when the message was dropped."""
--- a/citronpin/peers.py
+++ b/citronpin/peers.py
@@ -29,6 +29,7 @@
     Welcome,
 )
 from citronpin.overlays import neighbours, score
+from citronpin.suspicions import Suspicions
 
 logger = logging.getLogger(__name__)
 
@@ -90,7 +91,7 @@
         self._seeds: tuple[str, ...] = ()
         self._left: set[EntryId] = set()
         self._used: dict[str, float] = {}  # address -> when last sent to
-        self._suspicions: dict[EntryId, dict[EntryId, Suspicion]] = {}
+        self._suspicions = Suspicions()
         self._seen: OrderedDict[tuple[EntryId, int], None] = OrderedDict()
         self._first_number = self._number = clock.wall_ms()
         self._joined: dict[EntryId, int] = {}
@@ -104,14 +105,11 @@
         self._topics: dict[str, list[BroadcastCallback]] = {}
         self._lease_source: LeaseSource = lambda: None
         self._offset_source: OffsetSource = dict
-        for message_type, callback in (
-            (Beat, self._on_beat),
-            (Hello, self._on_hello),
-            (Welcome, self._on_welcome),
-            (Suspicion, self._on_suspicion),
-            (Broadcast, self._on_broadcast),
-        ):
-            self.subscribe(message_type, callback)
+        self.subscribe(Beat, self._on_beat)
+        self.subscribe(Hello, self._on_hello)
+        self.subscribe(Welcome, self._on_welcome)
+        self.subscribe(Suspicion, self._on_suspicion)
+        self.subscribe(Broadcast, self._on_broadcast)
         links.open(self._receive)
         self._timer = clock.call_later(0.0, self._tick)
 
@@ -134,13 +132,22 @@
         self._merge()
 
     def set_lease_source(self, source: LeaseSource) -> None:
-        """Take from ``source`` the readiness set that each beat renews."""
         self._lease_source = source
 
     def set_offset_source(self, source: OffsetSource) -> None:
         """Take from ``source`` the offsets that beats announce."""
         self._offset_source = source
 
+    def alone(self, limit_s: float) -> bool:
+        members = self._members()
+        echoed_s = max((self._peers[e].echoed_s for e in members), default=math.inf)
+        return echoed_s < self._clock.now() - limit_s
+
+    def refresh(self) -> None:
+        now_s = self._clock.now()
+        for entry in self.overlay():
+            self._open(entry, now_s, at_once=True)
+
     def alive(self) -> frozenset[EntryId]:
         return self._alive
 
@@ -151,7 +158,7 @@
         self._liveness.append(callback)
 
     def subscribe_topic(self, topic: str, callback: BroadcastCallback) -> None:
-        """Call back for each broadcast on a topic, once."""
+        """Call back once for each broadcast on a topic."""
         self._topics.setdefault(topic, []).append(callback)
 
     def send(self, entry: EntryId, message: Message) -> bool:
@@ -242,13 +249,12 @@
     def _hello(self) -> Hello:
         return Hello(address=self.address, number=self._first_number)
 
-    def _open(self, entry: EntryId, now_s: float) -> None:
+    def _open(self, entry: EntryId, now_s: float, at_once: bool = False) -> None:
         peer = self._peers[entry]
         if not peer.greeted and not self._stopping:
-            self._links.connect(peer.address)
             peer.greeted = self.send(entry, self._hello())
-        patience_s = 0.5 if _opens(self.entry, entry) else 2.5
-        if now_s - peer.opened_s < patience_s * self._beat_s:
+        patience_s = 0.1 if _opens(self.entry, entry) else 2.5
+        if not at_once and now_s - peer.opened_s < patience_s * self._beat_s:
             return
         peer.opened_s = now_s
         self.send(entry, Beat(stamp=self._stamp()))
@@ -348,23 +354,17 @@
         self._pass_on(Suspicion(self.entry, self._number, subject, dead), None)
 
     def _on_suspicion(self, sender: EntryId, suspicion: Suspicion) -> None:
-        by_subject = self._suspicions.setdefault(suspicion.subject, {})
-        known = by_subject.get(suspicion.by)
-        if known is not None and known.number >= suspicion.number:
+        if not self._suspicions.take(suspicion):
             return
-        by_subject[suspicion.by] = suspicion
         self._pass_on(suspicion, sender)
         self._update()
 
     def _condemned(self, entry: EntryId) -> bool:
-        """Return whether most neighbours of a distant entry hold it dead."""
-        if entry not in self._suspicions:
+        if not self._suspicions.known(entry):
             return False
         known = frozenset(self._peers) | {self.entry}
         around = neighbours(entry, known, self._degree)
-        found = self._suspicions[entry]
-        votes = sum(by in found and found[by].dead for by in around)
-        return votes * 2 > len(around)
+        return self._suspicions.condemned(entry, around)
 
     def _on_broadcast(self, sender: EntryId, message: Broadcast) -> None:
         mark = (message.origin, message.number)
--- /dev/null
+++ b/citronpin/watchers.py
@@ -0,0 +1,360 @@
+"""Watchers: probe the members of groups and give leases on their readiness."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+from circuits import BaseComponent
+from result import Result
+
+from citronpin.clocks import Clock, TimerHandle
+from citronpin.engines import EngineClient, EngineStatus
+from citronpin.errors import CitronpinError
+from citronpin.events import EventKind, Recorder
+from citronpin.ids import EntryId, GroupId, InstanceId, StreamName
+from citronpin.logs import States
+from citronpin.meshes import HeldLease, Mesh
+from citronpin.messages import GroupReady, ReadinessChange, ReadinessRequest
+from citronpin.overlays import rendezvous
+from citronpin.plans import Detector
+from citronpin.readiness import ReadinessTable, ready_form
+from citronpin.states import ControlState, Group, GroupState
+
+logger = logging.getLogger(__name__)
+
+PROBE_S = 0.5
+PROBE_TIMEOUT_S = 0.25
+WATCHERS = 2  # of each group
+READY_DELAY_S = 0.02  # gathers groups that become ready together
+NUMBER_MASK = (1 << 30) - 1  # keeps set numbers short
+PHASES = 1000
+PULSE_S = 0.2
+PULSE_LATE_S = 0.35  # a later pulse means that this process was paused
+RENEW_OWN_S = 0.25
+NO_ANSWER = "not probed yet"
+
+
+class _Member(msgspec.Struct):
+    """What the probes found of one member."""
+
+    fault: str = NO_ANSWER
+    probed_s: float = 0.0  # when the latest good probe was sent
+    boot: str = ""  # as first read back in this state of the group
+
+
+class _Watch(msgspec.Struct):
+    """A group under watch."""
+
+    group: Group
+    stream: StreamName
+    members: dict[InstanceId, _Member]
+    timer: TimerHandle | None = None
+
+    def fault(self) -> str:
+        """Return the first member's fault, or an empty text."""
+        for instance, member in self.members.items():
+            if member.fault:
+                return f"{instance}: {member.fault}"
+        return ""
+
+
+def mismatch(group: Group, status: EngineStatus, boot: str) -> str:
+    """Return how an engine's status differs from the group's record."""
+    if status.group != group.id:
+        return f"is in group {status.group}"
+    if status.fence != group.fence:
+        return f"has fence {status.fence}, not {group.fence}"
+    if tuple(status.members) != tuple(group.members):
+        return "has other members"
+    if (status.model, status.version) != (group.model, group.version):
+        return f"has {status.model} {status.version}"
+    if set(status.adapters) != set(group.adapters):
+        return "has other adapters"
+    if status.loading:
+        return "is loading"
+    if boot and status.boot != boot:
+        return "was restarted"
+    return ""
+
+
+class Watcher(BaseComponent):
+    """Probes the groups that fall to this entry by rendezvous hash."""
+
+    channel = "watcher"
+
+    def __init__(
+        self,
+        *,
+        entry: EntryId,
+        clock: Clock,
+        recorder: Recorder,
+        mesh: Mesh,
+        states: States,
+        engines: EngineClient,
+        address_of: Callable[[InstanceId], str | None],
+        table: ReadinessTable,
+        detector: Detector | None = None,
+        probe_s: float = PROBE_S,
+        timeout_s: float = PROBE_TIMEOUT_S,
+        watchers: int = WATCHERS,
+    ) -> None:
+        super().__init__()
+        self._entry = entry
+        self._clock = clock
+        self._recorder = recorder
+        self._mesh = mesh
+        self._engines = engines
+        self._address_of = address_of
+        self._table = table
+        self._detector = detector
+        self._probe_s = probe_s
+        self._timeout_s = timeout_s
+        self._watchers = watchers
+        self._states: dict[StreamName, ControlState] = {}
+        self._watches: dict[GroupId, _Watch] = {}
+        self._number = clock.wall_ms() & NUMBER_MASK | 1
+        self._published = False
+        self._ready: dict[GroupId, GroupReady] = {}
+        self._missing: dict[GroupId, GroupReady] = {}
+        self._publishing: TimerHandle | None = None
+        self.probes = 0
+        self._renewed_s = self._pulsed_s = self._resumed_s = clock.now()
+        states.subscribe("control.", self._on_state)
+        mesh.subscribe_liveness(lambda alive: self._assign_all())
+        mesh.subscribe(ReadinessRequest, self._on_request)
+        mesh.set_lease_source(self._lease)
+        clock.call_later(PULSE_S, self._pulse)
+
+    def watched(self) -> tuple[GroupId, ...]:
+        """Return the groups that this entry watches."""
+        return tuple(sorted(self._watches))
+
+    def fault(self, group: GroupId) -> str:
+        """Return what is wrong with a watched group, or an empty text."""
+        watch = self._watches.get(group)
+        return watch.fault() if watch else ""
+
+    def _on_state(self, stream: StreamName, state: ControlState, verdicts) -> None:
+        self._states[stream] = state
+        self._assign(stream, state)
+
+    def _assign_all(self) -> None:
+        for stream, state in self._states.items():
+            self._assign(stream, state)
+
+    def _assign(self, stream: StreamName, state: ControlState) -> None:
+        alive = self._mesh.alive()
+        for group in state.groups.values():
+            chosen = rendezvous(group.id, alive, self._watchers)
+            if self._entry in chosen and group.state is not GroupState.RELEASING:
+                self._watch(stream, group)
+            else:
+                self._unwatch(group.id)
+        for watch in list(self._watches.values()):
+            if watch.stream == stream and watch.group.id not in state.groups:
+                self._unwatch(watch.group.id)
+
+    def _watch(self, stream: StreamName, group: Group) -> None:
+        known = self._watches.get(group.id)
+        if known is not None and known.group.changed == group.changed:
+            return
+        members = {instance: _Member() for instance in group.members}
+        if known is None:
+            known = _Watch(group=group, stream=stream, members=members)
+            self._watches[group.id] = known
+        known.group = group
+        known.members = members
+        if known.timer is not None:
+            known.timer.cancel()
+        known.timer = self._clock.call_later(0.0, lambda: self._probe(known, True))
+        self._changed(group.id)
+
+    def _unwatch(self, group: GroupId) -> None:
+        watch = self._watches.pop(group, None)
+        if watch is not None:
+            watch.timer.cancel()
+            self._changed(group)
+
+    def _probe(self, watch: _Watch, first: bool = False) -> None:
+        phase = 1.0
+        if first:
+            # Spreads the probes of many groups over the interval.
+            phase = xxhash.xxh32_intdigest(watch.group.id) % PHASES / PHASES
+        watch.timer = self._clock.call_later(
+            max(phase * self._probe_s, 0.01), lambda: self._probe(watch)
+        )
+        for instance, member in watch.members.items():
+            self._probe_member(watch, instance, member)
+
+    def _probe_member(self, watch: _Watch, instance: InstanceId, member) -> None:
+        address = self._address_of(instance)
+        if address is None:
+            self._found(watch, instance, member, "has no address")
+            return
+        self.probes += 1
+        sent_s = self._clock.now()
+
+        def done(result: Result[EngineStatus, CitronpinError]) -> None:
+            self._probed(watch, instance, member, sent_s, result)
+
+        self._engines.status(address=address, done=done, timeout_s=self._timeout_s)
+
+    def _pulse(self) -> None:
+        now_s = self._clock.now()
+        if now_s - self._pulsed_s > PULSE_LATE_S:
+            self._resumed_s = now_s
+        self._pulsed_s = now_s
+        self._clock.call_later(PULSE_S, self._pulse)
+
+    def _was_paused(self, sent_s: float, now_s: float) -> bool:
+        """Return whether a timeout may be due to a pause of this process."""
+        return sent_s < self._resumed_s or now_s - self._pulsed_s > PULSE_LATE_S
+
+    def _probed(self, watch, instance, member: _Member, sent_s: float, result) -> None:
+        now_s = self._clock.now()
+        if result.is_err():
+            if self._was_paused(sent_s, now_s):
+                return
+            if self._detector is not None:
+                self._detector.missed(instance=instance, now_s=now_s)
+            self._found(watch, instance, member, result.unwrap_err().detail)
+            return
+        status = result.unwrap()
+        if self._detector is not None:
+            self._detector.heard(
+                instance=instance,
+                boot=status.boot,
+                delay_s=now_s - sent_s,
+                now_s=now_s,
+            )
+        fault = mismatch(watch.group, status, member.boot)
+        if not fault:
+            member.boot = status.boot
+            member.probed_s = max(member.probed_s, sent_s)
+        self._found(watch, instance, member, fault)
+
+    def _found(self, watch: _Watch, instance, member: _Member, fault: str) -> None:
+        before = member.fault
+        member.fault = fault
+        if watch.members.get(instance) is not member:
+            return  # The group changed while the probe was under way.
+        if bool(before) != bool(fault) or before == NO_ANSWER:
+            self._changed(watch.group.id)
+        elif self._clock.now() - self._renewed_s > RENEW_OWN_S:
+            self._renew_own()
+
+    def _changed(self, group: GroupId) -> None:
+        watch = self._watches.get(group)
+        healthy = watch is not None and not watch.fault()
+        if healthy and group not in self._missing:
+            delay_s = READY_DELAY_S
+        else:
+            delay_s = 0.0
+        if self._publishing is not None:
+            if self._publishing.due_s <= self._clock.now() + delay_s:
+                return
+            self._publishing.cancel()
+        self._publishing = self._clock.call_later(delay_s, self._publish)
+
+    def _sets(self) -> tuple[dict[GroupId, GroupReady], dict[GroupId, GroupReady]]:
+        ready, missing = {}, {}
+        for group_id, watch in self._watches.items():
+            if watch.group.state is not GroupState.SERVING:
+                continue
+            fault = watch.fault()
+            if not fault:
+                ready[group_id] = ready_form(watch.group)
+            elif not fault.endswith(NO_ANSWER):
+                missing[group_id] = ready_form(watch.group)
+        if not ready and self._cut_off():
+            missing = {}
+        return ready, missing
+
+    def _cut_off(self) -> bool:
+        """Return whether no member answers in any of several fabric domains.
+
+        Such a watcher gives no leases, but does not speak against those of others.
+        """
+        watches = self._watches.values()
+        silent = all(m.fault for watch in watches for m in watch.members.values())
+        return silent and len({watch.stream for watch in watches}) > 1
+
+    def _publish(self) -> None:
+        if self._publishing is not None:
+            self._publishing.cancel()
+            self._publishing = None
+        ready, missing = self._sets()
+        change = self._difference(ready, missing)
+        if change is None:
+            self._renew_own()
+            return
+        self._note(change)
+        self._number = change.number
+        self._published = True
+        self._ready, self._missing = ready, missing
+        self._table.take(self._entry, change)
+        for other in self._mesh.alive():
+            if other != self._entry:
+                self._mesh.send(other, change)
+        self._renew_own()
+        if change.ready:
+            self._mesh.refresh()
+
+    def _difference(self, ready, missing) -> ReadinessChange | None:
+        before = {**self._ready, **self._missing}
+        change = ReadinessChange(
+            number=self._number + 1,
+            base=self._number if self._published else 0,
+            ready=_news(self._ready, ready),
+            missing=_news(self._missing, missing),
+            dropped=tuple(before.keys() - ready.keys() - missing.keys()),
+        )
+        if not (change.ready or change.missing or change.dropped):
+            return None
+        return change
+
+    def _note(self, change: ReadinessChange) -> None:
+        for item in change.ready:
+            self._recorder.note(
+                EventKind.READINESS, "ready", group=item.group, fence=item.fence
+            )
+        for item in change.missing:
+            detail = f"not ready: {self.fault(item.group)}"
+            self._recorder.note(
+                EventKind.READINESS, detail, group=item.group, fence=item.fence
+            )
+
+    def _probed_s(self) -> float:
+        times = [
+            member.probed_s
+            for group in self._ready
+            for member in self._watches[group].members.values()
+        ]
+        return min(times, default=self._clock.now())
+
+    def _lease(self) -> HeldLease:
+        if self._publishing is not None:
+            self._publish()
+        return HeldLease(number=self._number, probed_s=self._probed_s())
+
+    def _renew_own(self) -> None:
+        if self._publishing is None:
+            self._renewed_s = self._clock.now()
+            self._table.renew(self._entry, self._number, self._probed_s())
+
+    def _on_request(self, sender: EntryId, request: ReadinessRequest) -> None:
+        if self._publishing is not None:
+            self._publish()
+        change = ReadinessChange(
+            number=self._number,
+            base=0,
+            ready=tuple(self._ready.values()),
+            missing=tuple(self._missing.values()),
+        )
+        self._mesh.send(sender, change)
+        self._mesh.refresh()
+
+
+def _news(before: dict, after: dict) -> tuple[GroupReady, ...]:
+    return tuple(item for key, item in after.items() if before.get(key) != item)
