--- a/citronpin/engines.py
+++ b/citronpin/engines.py
@@ -64,7 +64,7 @@
     """A prefix block entered or left an engine's cache."""
 
     sequence: int
-    block: str  # hash of the prefix up to this block
+    block: str  # hash of `prefixes.prefix_blocks`
     stored: bool
 
 
@@ -79,6 +79,8 @@
     priority: int = 0
     deadline_ms: int = 60_000
     resume_from: int = 0  # first sequence number wanted
+    prefix: str = ""  # start of the answer that the caller already has
+    prefix_tokens: int = 0  # tokens of the prefix
 
 
 class Frame(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -94,6 +96,16 @@
     usage: dict | None = None
 
 
+def prompt_text(body: dict) -> str:
+    """Return the prompt of a chat completion request as one text."""
+    messages = body.get("messages") or ()
+    return "\n".join(
+        f"{message.get('role', '')}: {message.get('content', '')}"
+        for message in messages
+        if isinstance(message, dict)
+    )
+
+
 class FrameSink(ABC):
     """Takes the frames of one attempt as they arrive, in any order."""
 
@@ -113,6 +125,13 @@
     def cancel(self) -> None:
         """Stop generation; no more calls reach the sink."""
 
+    def detach(self) -> None:
+        """Give up the transport; the engine keeps the attempt for a while.
+
+        No more calls reach the sink. Where it cannot be kept, it is cancelled.
+        """
+        self.cancel()
+
 
 StatusCallback = Callable[[Result[EngineStatus, CitronpinError]], None]
 CacheCallback = Callable[[Result[list[CacheEvent], CitronpinError]], None]
@@ -129,7 +148,11 @@
     def submit(
         self, *, address: str, submission: Submission, sink: FrameSink
     ) -> Attempt:
-        """Send a submission, or resume one when ``resume_from`` is not 0."""
+        """Send a submission; one whose attempt the engine keeps is resumed.
+
+        The sink hears `EngineRefused` or `ConnectionFailed` when the submission
+        was proved not to run.
+        """
 
     @abstractmethod
     def order(self, *, address: str, order: Order, done: StatusCallback) -> None:
--- a/citronpin/peers.py
+++ b/citronpin/peers.py
@@ -29,7 +29,7 @@
     Welcome,
 )
 from citronpin.overlays import neighbours, score
-from citronpin.suspicions import Suspicions
+from citronpin.peer_votes import PeerVotes
 
 logger = logging.getLogger(__name__)
 
@@ -91,7 +91,7 @@
         self._seeds: tuple[str, ...] = ()
         self._left: set[EntryId] = set()
         self._used: dict[str, float] = {}  # address -> when last sent to
-        self._suspicions = Suspicions()
+        self._votes = PeerVotes()
         self._seen: OrderedDict[tuple[EntryId, int], None] = OrderedDict()
         self._first_number = self._number = clock.wall_ms()
         self._joined: dict[EntryId, int] = {}
@@ -354,17 +354,17 @@
         self._pass_on(Suspicion(self.entry, self._number, subject, dead), None)
 
     def _on_suspicion(self, sender: EntryId, suspicion: Suspicion) -> None:
-        if not self._suspicions.take(suspicion):
+        if not self._votes.take(suspicion):
             return
         self._pass_on(suspicion, sender)
         self._update()
 
     def _condemned(self, entry: EntryId) -> bool:
-        if not self._suspicions.known(entry):
+        if not self._votes.known(entry):
             return False
         known = frozenset(self._peers) | {self.entry}
         around = neighbours(entry, known, self._degree)
-        return self._suspicions.condemned(entry, around)
+        return self._votes.condemned(entry, around)
 
     def _on_broadcast(self, sender: EntryId, message: Broadcast) -> None:
         mark = (message.origin, message.number)
--- a/citronpin/records.py
+++ b/citronpin/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citronpin.ids import (
+    NO_OFFSET,
     AdapterName,
     ApplicationName,
     CallKey,
@@ -19,6 +20,7 @@
     Offset,
     RecordId,
     Version,
+    WriterId,
 )
 from citronpin.manifests import Manifest
 
@@ -68,6 +70,12 @@
     supersedes: Fence  # NO_OFFSET when the stream had no lease
 
 
+class LeaseYield(Item, tag="lease-yield"):
+    """Gives up the stream's lease; the next claim supersedes the same fence."""
+
+    fence: Fence
+
+
 class GroupForm(Item, tag="form"):
     """Assigns free instances to a new group."""
 
@@ -87,6 +95,7 @@
     group: GroupId
     state: str  # value of states.GroupState
     reason: str = ""
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class GroupReplace(Item, tag="replace"):
@@ -96,6 +105,7 @@
     group: GroupId
     leaving: tuple[InstanceId, ...]
     joining: tuple[InstanceId, ...]
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class GroupReload(Item, tag="reload"):
@@ -106,6 +116,7 @@
     model: ModelName
     version: Version
     adapters: tuple[AdapterName, ...] = ()
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class GroupRelease(Item, tag="release"):
@@ -113,6 +124,7 @@
 
     fence: Fence
     group: GroupId
+    base: Offset | None = None  # the group's last change that the author saw
 
 
 class InstanceBar(Item, tag="bar"):
@@ -177,10 +189,18 @@
     state: bytes
 
 
+class DigestMark(Item, tag="digest"):
+    """States the digest of the stream's fold up to ``upto``."""
+
+    upto: Offset
+    digest: str
+
+
 AnyItem = (
     ConfigChange
     | ConfigPart
     | LeaseClaim
+    | LeaseYield
     | GroupForm
     | GroupMove
     | GroupReplace
@@ -192,17 +212,28 @@
     | CallPurge
     | EntryNote
     | Checkpoint
+    | DigestMark
 )
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
-    """One append to a stream."""
+    """One append to a stream.
+
+    ``writer`` names one run of its author's process and ``sequence`` rises from
+    one with each record that this run appends to the stream; ``base`` is the last
+    offset that the writer had folded. A record with a sequence that was passed
+    already, or that is folded long after its base, changes nothing: so an append
+    that lands late or twice has no effect. Sequence 0 asks for no such rule.
+    """
 
     format: int
     id: RecordId
     author: EntryId
     wall_ms: int  # informative; no rule depends on it
     items: tuple[AnyItem, ...]
+    writer: WriterId = WriterId("")
+    sequence: int = 0
+    base: Offset = NO_OFFSET
 
 
 def encode_record(record: Record) -> bytes:
--- a/citronpin/suspicions.py
+++ b/citronpin/suspicions.py
@@ -1,35 +1,79 @@
-"""What entries think of neighbours that others do not hear themselves."""
+"""Suspicion detectors: what the silence or slowness of an instance means."""
 
 import logging
-from collections.abc import Iterable
 
-from citronpin.ids import EntryId
-from citronpin.messages import Suspicion
+import msgspec
+
+from citronpin.ids import InstanceId
+from citronpin.instances import InstanceState
+from citronpin.plans import Detector, Health
 
 logger = logging.getLogger(__name__)
 
 
-class Suspicions:
-    """The latest suspicion of each entry about each of its neighbours."""
+class Seen(msgspec.Struct):
+    """What a detector remembers of one instance."""
+
+    heard_s: float
+    missed: int = 0
+    boot: str = ""
+    leaving: bool = False
+    listed: bool = True
+    health: Health = Health.HEALTHY
+    since_s: float = 0.0
+
+
+DETECTORS: dict[str, type[Detector]] = {}
+
+
+def register(detector: type[Detector]) -> type[Detector]:
+    """Register a detector by the name that settings use."""
+    DETECTORS[detector.name] = detector
+    return detector
+
+
+@register
+class TimeoutDetector(Detector):
+    """Calls an instance dead after a fixed silence; sees nothing else."""
+
+    name = "timeout"
+
+    def __init__(self, *, dead_after_s: float = 2.0) -> None:
+        self._dead_after_s = dead_after_s
+        self._seen: dict[InstanceId, Seen] = {}
+
+    def _of(self, instance: InstanceId, now_s: float) -> Seen:
+        if instance not in self._seen:
+            self._seen[instance] = Seen(heard_s=now_s, since_s=now_s)
+        return self._seen[instance]
+
+    def heard(self, *, instance, boot, delay_s, now_s):
+        seen = self._of(instance, now_s)
+        seen.heard_s = now_s
+        seen.missed = 0
+        seen.boot = boot
 
-    def __init__(self) -> None:
-        self._latest: dict[EntryId, dict[EntryId, Suspicion]] = {}
+    def missed(self, *, instance, now_s):
+        self._of(instance, now_s).missed += 1
 
-    def take(self, suspicion: Suspicion) -> bool:
-        """Keep a suspicion; false when it is not newer than the one known."""
-        by_subject = self._latest.setdefault(suspicion.subject, {})
-        known = by_subject.get(suspicion.by)
-        if known is not None and known.number >= suspicion.number:
-            return False
-        by_subject[suspicion.by] = suspicion
-        return True
+    def listed(self, *, instances, now_s):
+        states = {row.id: row.state for row in instances}
+        for instance in states:
+            self._of(instance, now_s)
+        for instance in [known for known in self._seen if known not in states]:
+            del self._seen[instance]
+        for instance, state in states.items():
+            self._seen[instance].leaving = state is InstanceState.LEAVING
 
-    def known(self, entry: EntryId) -> bool:
-        """Return whether anybody ever suspected an entry."""
-        return entry in self._latest
+    def health(self, *, instance, now_s):
+        seen = self._of(instance, now_s)
+        health = self._judge(seen, now_s)
+        if health is not seen.health:
+            seen.health = health
+            seen.since_s = now_s
+        return seen.health, seen.since_s
 
-    def condemned(self, entry: EntryId, around: Iterable[EntryId]) -> bool:
-        """Return whether most of the neighbours ``around`` hold an entry dead."""
-        found = self._latest.get(entry, {})
-        votes = [by in found and found[by].dead for by in around]
-        return sum(votes) * 2 > len(votes)
+    def _judge(self, seen: Seen, now_s: float) -> Health:
+        if seen.missed and now_s - seen.heard_s >= self._dead_after_s:
+            return Health.DEAD
+        return Health.LEAVING if seen.leaving else Health.HEALTHY
