Drive the folds by a state machine and the followers by faults

Change: one state machine a kind of stream, with a model built from the verdicts alone and ten mutations that it must catch; tests of followers and checkpoints against the log in memory and over HTTP with each fault.

--- a/citronpin/tests/builders.py
+++ b/citronpin/tests/builders.py
@@ -1,9 +1,23 @@
-"""Builders of records and manifests that several test modules share."""
+"""Builders of records, manifests and logs that several test modules share."""
 
-from citronpin.ids import NO_OFFSET
-from citronpin.manifests import DeploymentManifest, scope_of
+import numpy as np
+from result import Err, Ok
+
+from citronpin.errors import LogUnavailable, Outcome
+from citronpin.events import EventKind, Recorder
+from citronpin.followers import Followers
+from citronpin.ids import NO_OFFSET, EntryId
+from citronpin.logs import LogClient, MemoryLog
+from citronpin.manifests import (
+    Customer,
+    CustomersManifest,
+    DeploymentManifest,
+    scope_of,
+)
 from citronpin.records import ConfigChange, ScopeChange
 
+DIGEST = "a" * 64
+
 
 def deployment(name="rota", **fields):
     """Return a small deployment manifest."""
@@ -11,8 +25,91 @@
     return DeploymentManifest(**(known | fields))
 
 
+def customers(name="export", *, keys=(DIGEST,), customer="port-louis", **fields):
+    """Return a set of one customer."""
+    one = Customer(name=customer, key_digests=tuple(keys), **fields)
+    return CustomersManifest(name=name, customers=(one,))
+
+
 def change(*manifests, base=NO_OFFSET):
     """Return a change of the scopes of the manifests from one base."""
     return ConfigChange(
         changes=tuple(ScopeChange(scope_of(m), base, m) for m in manifests)
     )
+
+
+def build(log, clock, name="entry-1", **more):
+    """Return followers whose time line is at hand as ``recorder``."""
+    recorder = Recorder(process=name, clock=clock)
+    followers = Followers(
+        log=log,
+        entry=EntryId(name),
+        clock=clock,
+        recorder=recorder,
+        rng=np.random.default_rng(7),
+        **more,
+    )
+    followers.recorder = recorder
+    return followers
+
+
+def alarms(followers):
+    """Return the alarms on the time line."""
+    return [e for e in followers.recorder.since() if e.kind is EventKind.ALARM]
+
+
+class FaultyLog(LogClient):
+    """A log in memory whose faults one test switches for one client."""
+
+    def __init__(self, *, log: MemoryLog, clock) -> None:
+        self.log = log
+        self.clock = clock
+        self.down = False  # nothing is sent
+        self.silent = False  # reads get no answer but an error
+        self.lose = 0  # appends that act and lose their answer
+        self.late: list = []  # appends that are held back; None acts at once
+        self.hold = 0  # appends that act only when the test releases them
+        self.refuse = 0  # appends that are refused, not run
+        self.calls = 0
+
+    def append(self, *, stream, payload, done):
+        self.calls += 1
+        if self.down or self.refuse:
+            self.refuse -= not self.down
+            self._fail(done, Outcome.NOT_RUN)
+        elif self.hold:
+            self.hold -= 1
+            self.late.append((stream, payload))
+            self._fail(done, Outcome.UNKNOWN)
+        elif self.lose:
+            self.lose -= 1
+            self.log.put(stream, payload)
+            self._fail(done, Outcome.UNKNOWN)
+        else:
+            self.log.append(stream=stream, payload=payload, done=done)
+
+    def release(self):
+        """Let the appends act that were held back."""
+        for stream, payload in self.late:
+            self.log.put(stream, payload)
+        self.late = []
+
+    def read(self, *, stream, start, wait_s, done, limit=500):
+        if self.down or self.silent:
+            self._fail(done, Outcome.NOT_RUN)
+            return
+        self.log.read(
+            stream=stream,
+            start=start,
+            wait_s=wait_s,
+            limit=limit,
+            done=lambda result: done(self._cut(result)),
+        )
+
+    def _cut(self, result):
+        broken = self.down or self.silent
+        return Err(LogUnavailable("cut")) if broken else Ok(result.ok_value)
+
+    def _fail(self, done, outcome):
+        error = LogUnavailable("fault", outcome=outcome)
+        self.clock.call_later(0.0, lambda: done(Err(error)))
--- /dev/null
+++ b/citronpin/tests/test_folds.py
@@ -0,0 +1,174 @@
+"""Tests of the folds: the state machine, its mutations and single rules."""
+
+import os
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+from result import Ok
+
+from citronpin import control_folds, rules
+from citronpin.calls_folds import CallsFold
+from citronpin.config_folds import ConfigFold, scope_base
+from citronpin.control_folds import ControlFold
+from citronpin.folds import fold_for
+from citronpin.ids import NO_OFFSET, Offset
+from citronpin.records import ConfigChange, ConfigPart, LeaseClaim, Record, ScopeChange
+from citronpin.rules import WRITER_SWEEP, WRITER_WINDOW
+from citronpin.snapshots import decode_snapshot
+from citronpin.states import Lease
+from citronpin.tests import fold_machines
+from citronpin.tests.builders import change, customers, deployment
+from citronpin.tests.fold_machines import (
+    MACHINES,
+    CallsMachine,
+    ConfigMachine,
+    ControlMachine,
+)
+
+QUICK = settings(
+    derandomize=True,
+    max_examples=80,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    print_blob=False,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+HUNT = settings(QUICK, max_examples=300)
+
+
+@pytest.mark.parametrize("machine", MACHINES)
+def test_invariants_hold_whatever_is_appended(machine):
+    run_state_machine_as_test(machine, settings=QUICK)
+
+
+@pytest.mark.soak
+@pytest.mark.skipif("CITRONPIN_SOAK_SEED" not in os.environ, reason="only in a soak")
+@pytest.mark.parametrize("machine", MACHINES)
+def test_invariants_hold_in_a_soak(machine):
+    machine = seed(int(os.environ["CITRONPIN_SOAK_SEED"]))(machine)
+    long = settings(
+        QUICK, derandomize=False, max_examples=2_000, stateful_step_count=100
+    )
+    run_state_machine_as_test(machine, settings=long)
+
+
+def _partial_change(self, state, offset, record, item):
+    return self._change(state, offset, item.changes)
+
+
+def _lose_writers(stream, payload):
+    state = decode_snapshot(stream, payload).unwrap()
+    return Ok(msgspec.structs.replace(state, writers=type(state)().writers))
+
+
+def _any_base(self, state, one):
+    base = scope_base(state, one.scope)
+    check_change(self, state, msgspec.structs.replace(one, base=base))
+
+
+def _any_claim(state, offset, record, item):
+    return msgspec.structs.replace(state, lease=Lease(record.author, offset))
+
+
+check_change = ConfigFold._check_change
+MUTATIONS = {
+    "fence": (ControlMachine, control_folds, "check_fence", lambda *args: None),
+    "lease": (ControlMachine, rules, "_claim", _any_claim),
+    "free": (ControlMachine, ControlFold, "_check_free", lambda *args: None),
+    "assigned": (
+        ControlMachine,
+        ControlFold,
+        "_free",
+        lambda self, state, members: state,
+    ),
+    "second intent": (CallsMachine, CallsFold, "_check_again", lambda *args: None),
+    "outcome": (CallsMachine, CallsFold, "_check_outcome", lambda *args: None),
+    "base": (ConfigMachine, ConfigFold, "_check_change", _any_base),
+    "atomic": (ConfigMachine, ConfigFold, "_part", _partial_change),
+    "late": (CallsMachine, rules, "late_reason", lambda *args: ""),
+    "restore": (ConfigMachine, fold_machines, "decode_snapshot", _lose_writers),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_the_machine_catches_a_broken_rule(monkeypatch, name):
+    machine, *broken = MUTATIONS[name]
+    monkeypatch.setattr(*broken)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=HUNT)
+
+
+def fold(stream, *payloads):
+    """Fold items of one author each; return the state and all verdicts."""
+    rule_set = fold_for(stream)
+    state, found = rule_set.empty(), []
+    for offset, (author, *items) in enumerate(payloads):
+        record = Record(1, f"r-{offset}", author, 0, tuple(items))
+        state, verdicts = rule_set.apply(state, offset, record)
+        found += verdicts
+    return state, found
+
+
+def part(number, one, count=2, author="p"):
+    return (author, ConfigPart("c", number, count, (one,)))
+
+
+def test_a_change_of_several_records_takes_effect_as_one_or_not_at_all():
+    good = ScopeChange("deployment/rota", NO_OFFSET, deployment())
+    stale = ScopeChange("deployment/b", 7, deployment("b"))
+    fresh = ScopeChange("deployment/b", NO_OFFSET, deployment("b"))
+    state, verdicts = fold("config", part(0, good), part(1, stale))
+    assert not state.manifests and not state.parts and not verdicts[1].accepted
+    state, verdicts = fold("config", part(1, fresh), part(0, good))
+    assert {a.offset for a in state.manifests.values()} == {1}
+    state, verdicts = fold("config", part(0, good), part(1, fresh, author="q"))
+    assert not state.manifests and not verdicts[1].accepted
+    filler = [("x", change(deployment(f"d-{n}"))) for n in range(1_100)]
+    state, _ = fold("config", part(0, good), *filler, part(1, fresh))
+    assert "deployment/b" not in state.manifests
+
+
+@pytest.mark.parametrize(
+    "second, told",
+    [
+        (customers("d"), "defined twice"),
+        (customers("d", customer="dubai"), "a key in common"),
+        (
+            customers("d", customer="dubai", keys=("b" * 64,), deployments=("x",)),
+            "which does not exist",
+        ),
+        (deployment(members=0), "members: is 0. Give 1 to 1024."),
+    ],
+)
+def test_a_change_that_breaks_a_rule_across_scopes_is_rejected(second, told):
+    _, verdicts = fold("config", ("p", change(customers())), ("p", change(second)))
+    assert [verdict.accepted for verdict in verdicts] == [True, False]
+    assert told in verdicts[1].reason
+
+
+def test_a_deployment_that_a_customer_names_cannot_be_removed_alone():
+    named = change(deployment(), customers(deployments=("rota",)))
+    gone = ScopeChange("deployment/rota", 0, None)
+    free = ScopeChange("customers/export", 0, customers())
+    alone, both = ConfigChange((gone,)), ConfigChange((gone, free))
+    state, verdicts = fold("config", ("p", named), ("p", alone), ("p", both))
+    assert [verdict.accepted for verdict in verdicts] == [True, False, True]
+    assert list(state.manifests) == ["customers/export"]
+
+
+def test_a_silent_writer_is_forgotten_only_when_its_records_have_expired():
+    rule_set = fold_for("control.a")
+    state = rule_set.empty()
+    old = Record(1, "r", "e", 0, (LeaseClaim(NO_OFFSET),), "w-1", 1, NO_OFFSET)
+    state, _ = rule_set.apply(state, 0, old)
+    sweep = (WRITER_WINDOW // WRITER_SWEEP + 1) * WRITER_SWEEP
+    other = Record(1, "s", "f", 0, (), "w-2", 1, Offset(sweep - 1))
+    state, _ = rule_set.apply(state, sweep, other)
+    assert list(state.writers) == ["w-2"]
+    _, verdicts = rule_set.apply(state, sweep + 1, old)
+    assert not verdicts[0].accepted and "too long ago" in verdicts[0].reason
--- a/citronpin/tests/test_followers.py
+++ b/citronpin/tests/test_followers.py
@@ -1,32 +1,206 @@
 """Tests of the followers against the log in memory and over HTTP, with faults."""
 
-import numpy as np
+import math
+
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from citronpin.clients import HttpClient
-from citronpin.events import Recorder
-from citronpin.followers import Followers
+from citronpin.errors import Outcome
+from citronpin.events import EventKind
 from citronpin.http_logs import HttpLog
-from citronpin.ids import CONFIG_STREAM, EntryId
+from citronpin.ids import (
+    CONFIG_STREAM,
+    EntryId,
+    RecordId,
+    StreamName,
+)
 from citronpin.logs import MemoryLog
+from citronpin.records import (
+    MAX_RECORD_BYTES,
+    InstanceBar,
+    LeaseClaim,
+    Record,
+    encode_record,
+)
 from citronpin.standin_logs import LogStandin
-from citronpin.tests.builders import change, deployment
+from citronpin.tests.builders import FaultyLog, alarms, build, change, deployment
 from citronpin.tests.conftest import wait_until
 
+CONTROL = StreamName("control.fab-a")
 
-def build(log, clock, name="entry-1", **more):
-    recorder = Recorder(process=name, clock=clock)
-    followers = Followers(
-        log=log,
-        entry=EntryId(name),
-        clock=clock,
-        recorder=recorder,
-        rng=np.random.default_rng(7),
-        **more,
-    )
-    followers.recorder = recorder
-    return followers
+
+@pytest.fixture
+def log(paused_clock):
+    return FaultyLog(log=MemoryLog(clock=paused_clock), clock=paused_clock)
+
+
+@pytest.fixture
+def entries(log, paused_clock):
+    """Build followers of both streams that have read to the head."""
+
+    def start(*names, **more):
+        built = [build(log, paused_clock, name, **more) for name in names]
+        for followers in built:
+            followers.follow(CONFIG_STREAM)
+            followers.follow(CONTROL)
+        paused_clock.advance(0.01)
+        return built
+
+    return start
+
+
+def proposed(followers, *items, stream=CONFIG_STREAM):
+    results = []
+    followers.propose(stream, items, results.append)
+    return results
+
+
+def test_of_two_pipelines_at_one_base_the_first_wins_everywhere(entries, paused_clock):
+    one, two = entries("entry-1", "entry-2")
+    first = proposed(one, change(deployment(version="1")))
+    second = proposed(two, change(deployment(version="2")))
+    paused_clock.advance(1.0)
+    verdicts = [first[0].ok_value[0], second[0].ok_value[0]]
+    assert [verdict.accepted for verdict in verdicts] == [True, False]
+    assert "make it anew from 0" in verdicts[1].reason
+    assert one.state(CONFIG_STREAM) == two.state(CONFIG_STREAM)
+
+
+def test_proposals_made_during_an_append_share_a_record(entries, log, paused_clock):
+    (one,) = entries("entry-1")
+    results = [proposed(one, LeaseClaim(-1), stream=CONTROL)]
+    results += [
+        proposed(one, InstanceBar(0, f"i-{n}", True), stream=CONTROL)
+        for n in range(100)
+    ]
+    paused_clock.advance(2.0)
+    assert all(result[0].ok_value[0].accepted for result in results)
+    assert len(results) == 101 and log.log.head(CONTROL) == 1
+
+
+@pytest.mark.parametrize("fault", ["lose", "hold"])
+def test_a_lost_answer_is_settled_without_a_second_effect(
+    entries, log, paused_clock, fault
+):
+    (one,) = entries("entry-1")
+    setattr(log, fault, 1)
+    results = proposed(one, change(deployment()))
+    paused_clock.advance(1.0)
+    log.release()
+    paused_clock.advance(1.0)
+    assert results[0].ok_value[0].accepted
+    assert one.state(CONFIG_STREAM).manifests["deployment/rota"].offset == 0
+    assert log.log.head(CONFIG_STREAM) >= 1
+
+
+def test_a_given_up_append_that_lands_after_a_later_record_has_no_effect(
+    entries, log, paused_clock
+):
+    one, two = entries("entry-1", "entry-2", give_up_s=3.0)
+    log.hold = 100
+    lost = proposed(one, change(deployment("lost")))
+    paused_clock.advance(3.5)
+    assert lost[0].err_value.outcome is Outcome.UNKNOWN
+    log.hold = 0
+    paused_clock.advance(3.0)
+    assert log.log.head(CONFIG_STREAM) == 1  # the fence
+    log.release()
+    paused_clock.advance(1.0)
+    assert not one.state(CONFIG_STREAM).manifests
+    assert one.state(CONFIG_STREAM) == two.state(CONFIG_STREAM)
+
+
+def test_not_run_is_told_only_of_items_that_never_take_effect(
+    entries, log, paused_clock
+):
+    (one,) = entries("entry-1", give_up_s=2.0)
+    log.refuse = 1_000
+    refused = proposed(one, change(deployment("refused")))
+    paused_clock.advance(1.5)
+    kept = proposed(one, change(deployment("kept")))
+    paused_clock.advance(0.7)
+    assert refused[0].err_value.outcome is Outcome.NOT_RUN
+    log.refuse = 0
+    paused_clock.advance(5.0)
+    assert kept[0].ok_value[0].accepted
+    assert list(one.state(CONFIG_STREAM).manifests) == ["deployment/kept"]
+
+
+def test_an_append_without_reads_ends_as_unknown_and_folds_later(
+    entries, log, paused_clock
+):
+    (one,) = entries("entry-1", give_up_s=2.0)
+    log.silent = True
+    results = proposed(one, change(deployment()))
+    paused_clock.advance(3.0)
+    assert results[0].err_value.outcome is Outcome.UNKNOWN
+    log.silent = False
+    paused_clock.advance(12.0)
+    assert "deployment/rota" in one.state(CONFIG_STREAM).manifests
+
+
+def test_bad_records_are_skipped_and_never_stop_the_fold(entries, log, paused_clock):
+    one, two = entries("entry-1", "entry-2")
+    good = Record(1, RecordId("r"), EntryId("x"), 0, (change(deployment()),))
+    newer = Record(2, RecordId("n"), EntryId("x"), 0, (change(deployment("new")),))
+    damaged = encode_record(good)[:-3]
+    unknown = encode_record(good).replace(b"config", b"conifg")
+    for payload in (damaged, unknown, b"x" * (MAX_RECORD_BYTES + 1), b"\xc1"):
+        log.log.put(CONFIG_STREAM, payload)
+    log.log.put(CONFIG_STREAM, encode_record(newer))
+    log.log.put(CONFIG_STREAM, encode_record(good))
+    paused_clock.advance(0.1)
+    assert one.state(CONFIG_STREAM) == two.state(CONFIG_STREAM)
+    assert list(one.state(CONFIG_STREAM).manifests) == ["deployment/rota"]
+    kinds = [event.kind for event in one.recorder.since()]
+    assert kinds.count(EventKind.RECORD_SKIPPED) == 5
+
+
+def test_an_entry_that_boots_while_the_log_is_down_learns_from_a_peer(
+    entries, log, paused_clock
+):
+    (one,) = entries("entry-1")
+    proposed(one, change(deployment("a")))
+    paused_clock.advance(0.1)
+    cut = FaultyLog(log=log.log, clock=paused_clock)
+    cut.down = True
+    two = build(cut, paused_clock, "entry-2")
+    two.follow(CONFIG_STREAM)
+    paused_clock.advance(5.0)
+    assert not two.current(CONFIG_STREAM)
+    assert math.isinf(two.head_age_s(CONFIG_STREAM))
+    assert two.restore(CONFIG_STREAM, one.snapshot(CONFIG_STREAM))
+    for name in ("b", "c"):
+        proposed(one, change(deployment(name)))
+        paused_clock.advance(0.1)
+    page = one.recent(CONFIG_STREAM, 0)
+    two.inject(CONFIG_STREAM, page.records[2:])
+    assert two.state(CONFIG_STREAM).offset == 0  # a gap is never folded
+    two.confirm_head(CONFIG_STREAM, page.head)
+    assert not two.current(CONFIG_STREAM)
+    two.inject(CONFIG_STREAM, page.records)
+    two.confirm_head(CONFIG_STREAM, page.head, 1.5)
+    assert two.current(CONFIG_STREAM) and two.head_age_s(CONFIG_STREAM) == 1.5
+    assert two.state(CONFIG_STREAM) == one.state(CONFIG_STREAM)
+    assert not two.restore(CONFIG_STREAM, one.snapshot(CONFIG_STREAM)[:-1])
+    old = two.state(CONFIG_STREAM)
+    two.inject(CONFIG_STREAM, page.records)
+    assert two.state(CONFIG_STREAM) is old
+    cut.down = False
+    paused_clock.advance(5.0)
+    assert two.state(CONFIG_STREAM) == one.state(CONFIG_STREAM)
+
+
+def test_a_log_that_lost_records_never_turns_the_state_back(entries, paused_clock):
+    (one,) = entries("entry-1")
+    proposed(one, change(deployment()))
+    paused_clock.advance(0.1)
+    before = one.state(CONFIG_STREAM)
+    one._tails[CONFIG_STREAM]._log = MemoryLog(clock=paused_clock)
+    paused_clock.advance(30.0)
+    assert one.state(CONFIG_STREAM) is before
+    assert len(alarms(one)) == 1
 
 
 @pytest.fixture
@@ -50,7 +224,7 @@
 
         def followers(clock):
             log = HttpLog(client=clients[0], address=standin[1].address, clock=clock)
-            return build(log, clock, name, **more)
+            return build(log, clock, name, long_poll_s=1.0, **more)
 
         loop, _, part = loops(client, followers)
         loop.call(lambda: part.follow(CONFIG_STREAM))
@@ -59,30 +233,46 @@
     return start
 
 
-def propose(loop, followers, *items):
+def ask(loop, followers, *items):
     """Propose in the loop and wait for the result."""
     results = []
     loop.call(lambda: followers.propose(CONFIG_STREAM, items, results.append))
     return wait_until(lambda: results)[0]
 
 
-def test_two_entries_fold_the_same_state(paused_clock):
-    log = MemoryLog(clock=paused_clock)
-    one, two = (build(log, paused_clock, name) for name in ("entry-1", "entry-2"))
-    for followers in (one, two):
-        followers.follow(CONFIG_STREAM)
-    paused_clock.advance(0.1)
-    results = []
-    one.propose(CONFIG_STREAM, (change(deployment("rota")),), results.append)
-    two.propose(CONFIG_STREAM, (change(deployment("rota")),), results.append)
-    paused_clock.advance(1.0)
-    assert [r.ok_value[0].accepted for r in results] == [True, False]
-    assert one.state(CONFIG_STREAM) == two.state(CONFIG_STREAM)
-    assert one.current(CONFIG_STREAM)
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"lose_answers": True},
+        {"append_twice": True},
+        {"late_effect_s": 0.2},
+        {"delay_s": 0.05},
+        {"appends_per_s": 2.0},
+    ],
+    ids=lambda faults: next(iter(faults)),
+)
+def test_each_change_takes_effect_once_whatever_the_log_does(
+    over_http, standin, faults
+):
+    loop, followers = over_http()
+    standin[0].call(lambda: standin[1].set_faults(**faults))
+    for name in ("a", "b", "c"):
+        result = ask(loop, followers, change(deployment(name)))
+        assert isinstance(result, Ok) and result.ok_value[0].accepted
+    standin[0].call(lambda: standin[1].set_faults(lose_answers=False))
+    state = loop.call(lambda: followers.state(CONFIG_STREAM))
+    assert sorted(state.deployments()) == ["a", "b", "c"]
 
 
-def test_a_lost_answer_is_settled_by_reading_on(over_http, standin):
-    loop, followers = over_http()
-    standin[0].call(lambda: standin[1].set_faults(lose_answers=True))
-    result = propose(loop, followers, change(deployment()))
-    assert isinstance(result, Ok) and result.ok_value[0].accepted
+@pytest.mark.parametrize("fault", ["down", "refuse", "paused"])
+def test_an_outage_is_told_and_ends(over_http, standin, fault):
+    loop, followers = over_http(give_up_s=1.0)
+    assert isinstance(ask(loop, followers, change(deployment("a"))), Ok)
+    standin[0].call(lambda: standin[1].set_faults(**{fault: True}))
+    result = ask(loop, followers, change(deployment("b")))
+    assert isinstance(result, Err)
+    # Only a refusal proves that the append was not run.
+    wanted = Outcome.NOT_RUN if fault == "refuse" else Outcome.UNKNOWN
+    assert result.err_value.outcome is wanted
+    standin[0].call(lambda: standin[1].set_faults(**{fault: False}))
+    assert isinstance(ask(loop, followers, change(deployment("c"))), Ok)
