--- a/citronpin/control_folds.py
+++ b/citronpin/control_folds.py
@@ -59,7 +59,7 @@
                 raise Rejected(f"{member} is barred: {state.barred[member]}.")
 
     def _move(self, state, offset, item: records.GroupMove):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         try:
             target = GroupState(item.state)
         except ValueError:
@@ -78,7 +78,7 @@
         )
 
     def _replace(self, state, offset, item: records.GroupReplace):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.BROKEN)
         leaving = set(item.leaving)
         if not leaving <= set(group.members) or len(leaving) != len(item.joining):
@@ -100,7 +100,7 @@
         return self._assign(freed, group.id, item.joining)
 
     def _reload(self, state, offset, item: records.GroupReload):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.RELOADING)
         after = msgspec.structs.replace(
             group,
@@ -112,7 +112,7 @@
         return self._put(state, after)
 
     def _release(self, state, offset, item: records.GroupRelease):
-        group = self._group(state, item.group)
+        group = self._group(state, item)
         self._check_state(group, GroupState.RELEASING)
         groups = state.groups.delete(group.id)
         freed = msgspec.structs.replace(state, groups=groups)
@@ -127,10 +127,16 @@
             barred = state.barred.delete(item.instance)
         return msgspec.structs.replace(state, barred=barred)
 
-    def _group(self, state, group_id) -> Group:
-        if group_id not in state.groups:
-            raise Rejected(f"Group {group_id} does not exist.")
-        return state.groups[group_id]
+    def _group(self, state, item) -> Group:
+        if item.group not in state.groups:
+            raise Rejected(f"Group {item.group} does not exist.")
+        group = state.groups[item.group]
+        if item.base is not None and item.base != group.changed:
+            raise Rejected(
+                f"Group {group.id} was changed at offset {group.changed}, but the "
+                f"proposal was made from {item.base}."
+            )
+        return group
 
     def _check_state(self, group: Group, wanted: GroupState) -> None:
         if group.state is not wanted:
--- a/citronpin/rules.py
+++ b/citronpin/rules.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from citronpin import records
-from citronpin.ids import Offset
+from citronpin.ids import EntryId, Offset
 from citronpin.records import Record
 from citronpin.states import Lease, Progress, StreamState, Verdict
 
@@ -74,6 +74,8 @@
             return state
         if isinstance(item, records.LeaseClaim):
             return _claim(state, offset, record, item)
+        if isinstance(item, records.LeaseYield):
+            return _yield_lease(state, record, item)
         return self.accept(state, offset, record, item)
 
 
@@ -110,6 +112,12 @@
     return msgspec.structs.replace(state, lease=lease)
 
 
+def _yield_lease(state, record: Record, item: records.LeaseYield):
+    check_fence(state, record, item.fence)
+    lease = Lease(holder=EntryId(""), fence=item.fence)
+    return msgspec.structs.replace(state, lease=lease)
+
+
 def check_fence(state, record: Record, fence) -> None:
     """Raise `Rejected` unless the author holds the lease with this fence."""
     if fence != state.lease.fence:
