Add a state machine over the controllers

Cause: faults that come together are to be drawn, not thought of. Change: faults of entries, log, engines and list in any order, with checks in each half second; a long run by marker.

--- a/citronpin/domains.py
+++ b/citronpin/domains.py
@@ -69,7 +69,7 @@
         self._version: int | None = None
         self._rows: dict[InstanceId, Instance] = {}
         self._listed: dict[InstanceId, Instance] = {}
-        self._others: dict[DomainName, int] = {}
+        self._others: dict[DomainName, frozenset[InstanceId]] = {}
         self.fence: Fence | None = None  # of the lease that was adopted
         self.since_s = 0.0  # when it was adopted
 
@@ -99,7 +99,7 @@
         kept = set(self._listed) | set(self.control.assigned) | set(self.control.barred)
         rows = self._rows | self._listed
         self._rows = {i: row for i, row in rows.items() if i in kept}
-        self._others = _count([i for i in engines if i.domain != self._domain])
+        self._others = _live([i for i in engines if i.domain != self._domain])
         for domain in self._others:
             self._states.follow(control_stream(domain))
         self._detector.listed(
@@ -200,11 +200,11 @@
         All fabric domains work it out from the log and the membership list alone,
         so that they agree. A group counts where it is until it is given up.
         """
-        live = [i for i in self._listed.values() if i.state is InstanceState.LIVE]
-        capacity = self._others | {self._domain: len(live)}
-        for domain in capacity:
+        live = self._others | _live(list(self._listed.values()))
+        capacity = {}
+        for domain, instances in live.items():
             barred = self._states.state(control_stream(domain)).barred
-            capacity[domain] = max(capacity[domain] - len(barred), 0)
+            capacity[domain] = sum(instance not in barred for instance in instances)
         quotas = self._placement.quotas(
             deployments=tuple(self.deployments.values()),
             capacity=capacity,
@@ -274,9 +274,10 @@
     return (wall_ms // MINUTE_MS + EPOCH_MINUTE_OF_WEEK) % MINUTES_PER_WEEK
 
 
-def _count(instances: list[Instance]) -> dict[DomainName, int]:
-    counts: dict[DomainName, int] = {}
+def _live(instances: list[Instance]) -> dict[DomainName, frozenset[InstanceId]]:
+    live: dict[DomainName, set[InstanceId]] = {}
     for row in instances:
-        live = row.state is InstanceState.LIVE
-        counts[row.domain] = counts.get(row.domain, 0) + live
-    return counts
+        known = live.setdefault(row.domain, set())
+        if row.state is InstanceState.LIVE:
+            known.add(row.id)
+    return {domain: frozenset(known) for domain, known in live.items()}
--- /dev/null
+++ b/citronpin/tests/test_controls.py
@@ -0,0 +1,165 @@
+"""State machine over the real controllers, with faults drawn at every step."""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, Phase, seed, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from citronpin.folds import ConfigFold, ControlFold
+from citronpin.formations import Formations
+from citronpin.groups import GroupController
+from citronpin.ids import control_stream
+from citronpin.instances import InstanceState
+from citronpin.orders import Orders
+from citronpin.records import LeaseClaim
+from citronpin.tests.worlds import World
+
+NUMBERS = st.integers(0, 99)
+MAX_LOG_DELAY_S = 1.5
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """Entries, engines, the log and the list fail in any order."""
+
+    @initialize()
+    def boot(self):
+        self.world = World()
+        self.world.advance(16.0)
+
+    def entry(self, number):
+        names = sorted(self.world.entries)
+        return names[number % len(names)]
+
+    def engine(self, number):
+        """Return an engine, mostly one that belongs to a group."""
+        used = sorted(m for g in self.world.groups_of() for m in g.members)
+        names = used if used and number % 4 else sorted(self.world.fabric.engines)
+        return self.world.engine(names[number % len(names)])
+
+    @rule(number=NUMBERS)
+    def entry_pauses_or_goes_on(self, number):
+        name = self.entry(number)
+        paused = [e for e in self.world.entries.values() if e.clock.paused]
+        if self.world.entries[name].clock.paused:
+            self.world.fabric.go_on(name)
+        elif len(paused) < 2:
+            self.world.fabric.pause(name)
+        self._after_fault()
+
+    @rule(number=NUMBERS)
+    def entry_is_replaced(self, number):
+        name = self.entry(number)
+        self.world.fabric.kill(name)
+        self.world.fabric.boot(name)
+        self._after_fault()
+
+    @rule(number=NUMBERS)
+    def entry_stops_as_planned(self, number):
+        name = self.entry(number)
+        if not self.world.entries[name].clock.paused:
+            self.world.entries[name].control.leave()
+            self.world.advance(3.0)
+            self.world.fabric.kill(name)
+            self.world.fabric.boot(name)
+        self._after_fault()
+
+    @rule(number=NUMBERS, kind=st.sampled_from(["down", "slow", "lost", "up"]))
+    def log_fails_or_recovers(self, number, kind):
+        links = [self.world.entries[self.entry(number)].log]
+        if number % 3 == 0:
+            links = [entry.log for entry in self.world.entries.values()]
+        for link in links:
+            link.down = kind == "down"
+            link.lose_answers = kind == "lost"
+            link.delay_s = MAX_LOG_DELAY_S if kind == "slow" else 0.0
+        self._after_fault()
+
+    @rule(number=NUMBERS)
+    def entry_is_cut_off_from_engines(self, number):
+        link = self.world.entries[self.entry(number)].engines
+        link.cut_off = not link.cut_off
+        self._after_fault()
+
+    @rule(number=NUMBERS, kind=st.sampled_from(["die", "pause", "restart", "go_on"]))
+    def engine_fails_or_returns(self, number, kind):
+        engine = self.engine(number)
+        if kind != "go_on":
+            getattr(engine, kind)()
+        else:
+            engine.up = True
+            engine.go_on()
+        self._after_fault()
+
+    @rule(number=NUMBERS, slow=st.booleans())
+    def engine_answers_orders_badly(self, number, slow):
+        engine = self.engine(number)
+        engine.order_delay_s = 1.5 if slow else 0.0
+        engine.lose_answers = not slow
+        self._after_fault()
+
+    @rule(number=NUMBERS, kind=st.sampled_from([*InstanceState, None]))
+    def list_changes(self, number, kind):
+        self.world.list(self.engine(number).row.id, kind)
+        self._after_fault()
+
+    @rule(lag_s=st.sampled_from([0.0, 5.0, 20.0]))
+    def list_lags(self, lag_s):
+        self.world.fabric.membership_lag_s = lag_s
+        self._after_fault()
+
+    @rule(stale=st.booleans())
+    def manifest_is_published(self, stale):
+        self.world.publish(stale=stale)
+        self.world.advance(3.0)
+
+    @rule(domain=st.sampled_from(["a", "b"]))
+    def all_claim_at_once(self, domain):
+        stream = control_stream(domain)
+        claim = LeaseClaim(supersedes=self.world.truth[stream].lease.fence)
+        for entry in self.world.entries.values():
+            if not entry.clock.paused:
+                entry.states.propose(stream, (claim,))
+        self._after_fault()
+
+    @rule(seconds=st.sampled_from([2.0, 6.0, 15.0]))
+    def time_passes(self, seconds):
+        self.world.advance(seconds)
+
+    def _after_fault(self):
+        self.world.fault()
+        self.world.advance(1.5)
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.check_live()
+
+
+def run(examples, steps, fixed=None):
+    options = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=fixed is None,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    machine = type("Machine", (ControlMachine,), {})
+    if fixed is not None:
+        machine = seed(fixed)(machine)
+    run_state_machine_as_test(machine, settings=options)
+
+
+def test_everything_holds_under_faults():
+    run(examples=8, steps=20)
+
+
+@pytest.mark.soak
+def test_everything_holds_under_faults_for_long():
+    run(examples=300, steps=40, fixed=int(os.environ["CITRONPIN_SOAK_SEED"]))
