--- a/citronpin/admissions.py
+++ b/citronpin/admissions.py
@@ -74,8 +74,12 @@
     def first_token(self, *, request: RequestId, delay_s: float, now_s: float) -> None:
         """Take the time from dispatch to the first token of a request."""
 
-    def slots(self, *, slots: float, now_s: float) -> None:
-        """Take the streams that all serving groups batch, over all entries."""
+    def slots(self, *, slots: int, running: int, queued: int, now_s: float) -> None:
+        """Take the sums of the latest load reports of all serving groups.
+
+        ``slots`` is what the groups batch; ``running`` and ``queued`` count the
+        requests of all entries.
+        """
 
 
 ADMISSIONS: dict[str, type[AdmissionPolicy]] = {}
@@ -129,3 +133,25 @@
 
     def cancelled(self, *, request, now_s):
         self._queue = deque(req for req in self._queue if req.request != request)
+
+
+@register
+class OpenAdmission(AdmissionPolicy):
+    """Admits every request at once."""
+
+    name = "open"
+
+    def offer(self, *, req, now_s):
+        return Admit()
+
+    def ended(self, *, request, now_s):
+        """Nothing is kept."""
+
+    def take_ready(self, *, now_s):
+        return []
+
+    def expired(self, *, now_s):
+        return []
+
+    def cancelled(self, *, request, now_s):
+        """Nothing is kept."""
--- a/citronpin/affinities.py
+++ b/citronpin/affinities.py
@@ -54,10 +54,10 @@
         load_s: float = 0.2,
         queue_s: float = 4.0,
         load_bound: float = 1.25,
-        random_choices: int = 2,
+        random_choices: int = 3,
         cached_choices: int = 2,
-        own_weight: float = 4.0,
-        report_trust: float = 1.0,
+        own_weight: float = 9.0,
+        report_trust: float = 0.7,
         home_trust: float = 0.7,
         home_spread: float = 2.0,
     ) -> None:
--- /dev/null
+++ b/citronpin/shares.py
@@ -0,0 +1,192 @@
+"""Admission by weighted shares of customers, with a learned concurrency limit."""
+
+import heapq
+import itertools
+import logging
+
+import msgspec
+from numpy.random import Generator
+
+from citronpin.admissions import (
+    AdmissionPolicy,
+    AdmissionRequest,
+    Admit,
+    Queue,
+    Refuse,
+    register,
+)
+from citronpin.ids import CustomerName, RequestId
+
+logger = logging.getLogger(__name__)
+
+SMOOTHING = 0.05
+
+
+class ConcurrencyLimit:
+    """How many requests an entry may have in flight, learned from load reports.
+
+    It grows by a step while the groups have room and this entry uses its limit, and
+    shrinks in proportion while they have a queue. Equal steps and proportional cuts
+    bring the limits of all entries together.
+    """
+
+    STEP_SHARE = 0.03
+    MOST_CUT = 0.3
+    HEADROOM = 2.0
+
+    def __init__(self, *, initial: float, target_fill: float) -> None:
+        self.value = initial
+        self._target_fill = target_fill
+
+    def report(self, *, slots: int, load: int, running: int, waiting: bool) -> None:
+        """Adapt to ``load``, the requests of all entries in ``slots`` slots."""
+        fill = load / max(slots, 1)
+        if fill > self._target_fill:
+            cut = min((fill - self._target_fill) / fill, self.MOST_CUT)
+            self.value = max(self.value * (1.0 - cut), 1.0)
+        elif waiting or running >= 0.8 * self.value:
+            room = self._target_fill - fill
+            self.value += max(self.STEP_SHARE * self.value, room * self.value / 2)
+        self.value = max(min(self.value, self.HEADROOM * (running + 8)), 1.0)
+
+
+class CustomerQueue(msgspec.Struct):
+    """The queued requests of a customer, and its virtual time."""
+
+    share: float = 1.0
+    tag: float = 0.0  # virtual time at which its next request starts
+    heap: list[tuple[int, int, AdmissionRequest]] = []
+
+
+@register
+class WeightedAdmission(AdmissionPolicy):
+    """Shares the learned limit among customers by start-time fair queueing.
+
+    What a customer leaves unused goes to the others by their shares. A request that
+    cannot start in time at its customer's share of the learned rate is refused when
+    it comes. A customer's priority moves it ahead by a fixed virtual time, so the
+    shares stay the same in the long run.
+    """
+
+    name = "weighted"
+    GIVE_UP_FACTOR = 2.0
+
+    def __init__(
+        self,
+        *,
+        rng: Generator,
+        max_wait_s: float = 1.0,
+        initial_limit: float = 32.0,
+        target_fill: float = 1.0,
+        service_s: float = 2.0,
+        service_margin: float = 1.5,
+        priority_lead: float = 4.0,
+    ) -> None:
+        self._rng = rng
+        self._max_wait_s = max_wait_s
+        self._service_s = service_s
+        self._service_margin = service_margin
+        self._priority_lead = priority_lead
+        self._limit = ConcurrencyLimit(initial=initial_limit, target_fill=target_fill)
+        self._customers: dict[CustomerName, CustomerQueue] = {}
+        self._running: dict[RequestId, float] = {}  # request -> admitted at
+        self._queued: dict[RequestId, tuple[AdmissionRequest, float]] = {}
+        self._numbers = itertools.count()
+        self._virtual = 0.0
+
+    @property
+    def limit(self) -> float:
+        """Return the requests that may be in flight now."""
+        return self._limit.value
+
+    def offer(self, *, req, now_s):
+        queue = self._queue_of(req)
+        if not self._queued and len(self._running) < self._limit.value:
+            self._admit(req, queue, now_s)
+            return Admit()
+        wait_s = self._expected_wait_s(req, queue)
+        if wait_s > self._allowed_wait_s(req, now_s):
+            return self._refusal("The wait would be too long.", wait_s)
+        heapq.heappush(queue.heap, (-req.priority, next(self._numbers), req))
+        self._queued[req.request] = (req, now_s)
+        return Queue(wait_s)
+
+    def ended(self, *, request, now_s):
+        started_s = self._running.pop(request, None)
+        if started_s is not None:
+            self._service_s += SMOOTHING * (now_s - started_s - self._service_s)
+
+    def take_ready(self, *, now_s):
+        ready = []
+        while self._queued and len(self._running) < self._limit.value:
+            queue = self._next_queue()
+            req = heapq.heappop(queue.heap)[2]
+            if self._queued.pop(req.request, None) is None:
+                continue
+            self._admit(req, queue, now_s)
+            ready.append(req.request)
+        return ready
+
+    def expired(self, *, now_s):
+        given_up = []
+        longest_s = self._max_wait_s * self.GIVE_UP_FACTOR
+        for req, offered_s in list(self._queued.values()):
+            late = now_s + self._needed_s() > req.deadline_s
+            if late or now_s - offered_s > longest_s:
+                del self._queued[req.request]
+                wait_s = self._expected_wait_s(req, self._queue_of(req))
+                answer = self._refusal("The wait became too long.", wait_s)
+                given_up.append((req.request, answer))
+        return given_up
+
+    def cancelled(self, *, request, now_s):
+        self._queued.pop(request, None)
+
+    def slots(self, *, slots, running, queued, now_s):
+        self._limit.report(
+            slots=slots,
+            load=running + queued,
+            running=len(self._running),
+            waiting=bool(self._queued),
+        )
+
+    def _queue_of(self, req: AdmissionRequest) -> CustomerQueue:
+        queue = self._customers.setdefault(req.customer, CustomerQueue())
+        queue.share = max(req.share, 1e-3)
+        return queue
+
+    def _admit(self, req: AdmissionRequest, queue: CustomerQueue, now_s: float):
+        start = max(queue.tag, self._virtual - self._priority_lead)
+        self._virtual = max(self._virtual, start)
+        queue.tag = start + 1.0 / queue.share
+        self._running[req.request] = now_s
+
+    def _next_queue(self) -> CustomerQueue:
+        waiting = [queue for queue in self._customers.values() if queue.heap]
+        return min(waiting, key=self._start_tag)
+
+    def _start_tag(self, queue: CustomerQueue) -> float:
+        priority = -queue.heap[0][0]
+        lead = self._priority_lead * min(max(priority, 0), 1)
+        return max(queue.tag, self._virtual - self._priority_lead) - lead
+
+    def _needed_s(self) -> float:
+        return self._service_s * self._service_margin
+
+    def _allowed_wait_s(self, req: AdmissionRequest, now_s: float) -> float:
+        return min(req.deadline_s - now_s - self._needed_s(), self._max_wait_s)
+
+    def _expected_wait_s(self, req: AdmissionRequest, queue: CustomerQueue) -> float:
+        """Return the wait at the customer's share of the learned rate."""
+        ahead = sum(1 for priority, _, _ in queue.heap if priority <= -req.priority)
+        shares = sum(
+            other.share
+            for other in self._customers.values()
+            if other.heap and other is not queue
+        )
+        rate = self._limit.value / max(self._service_s, 1e-3)
+        return (ahead + 1) / (rate * queue.share / (shares + queue.share))
+
+    def _refusal(self, reason: str, wait_s: float) -> Refuse:
+        spread = float(self._rng.uniform(0.75, 1.5))
+        return Refuse(reason, max(wait_s, self._max_wait_s) * spread)
