--- a/citronpin/domains.py
+++ b/citronpin/domains.py
@@ -69,7 +69,8 @@
         self._version: int | None = None
         self._rows: dict[InstanceId, Instance] = {}
         self._listed: dict[InstanceId, Instance] = {}
-        self._others: dict[DomainName, frozenset[InstanceId]] = {}
+        self._live: dict[DomainName, frozenset[InstanceId]] = {domain: frozenset()}
+        self._leaving: frozenset[InstanceId] = frozenset()
         self.fence: Fence | None = None  # of the lease that was adopted
         self.since_s = 0.0  # when it was adopted
 
@@ -99,8 +100,11 @@
         kept = set(self._listed) | set(self.control.assigned) | set(self.control.barred)
         rows = self._rows | self._listed
         self._rows = {i: row for i, row in rows.items() if i in kept}
-        self._others = _live([i for i in engines if i.domain != self._domain])
-        for domain in self._others:
+        self._live = {d: frozenset() for d in self._live} | _live(engines)
+        self._leaving = frozenset(
+            i.id for i in engines if i.state is InstanceState.LEAVING
+        )
+        for domain in self._others():
             self._states.follow(control_stream(domain))
         self._detector.listed(
             instances=tuple(self._listed.values()), now_s=self._clock.now()
@@ -180,19 +184,19 @@
     def serving_elsewhere(self) -> dict[DeploymentName, int]:
         """Return the groups that serve in other fabric domains."""
         counts: dict[DeploymentName, int] = {}
-        for domain in self._others:
+        for domain in self._others():
             for name, count in self._count(domain, _serves).items():
                 counts[name] = counts.get(name, 0) + count
         return counts
 
     def sees_all(self) -> bool:
         """Return whether every other fabric domain's stream was read."""
-        streams = [control_stream(domain) for domain in self._others]
+        streams = [control_stream(domain) for domain in self._others()]
         return all(self._states.current(stream) for stream in streams)
 
     def other_groups(self) -> dict[DomainName, tuple[Group, ...]]:
         """Return the groups of the other fabric domains that are followed."""
-        return {domain: self._groups(domain) for domain in sorted(self._others)}
+        return {domain: self._groups(domain) for domain in self._others()}
 
     def quotas(self) -> dict[DeploymentName, int]:
         """Return the groups wanted in this fabric domain.
@@ -200,11 +204,7 @@
         All fabric domains work it out from the log and the membership list alone,
         so that they agree. A group counts where it is until it is given up.
         """
-        live = self._others | _live(list(self._listed.values()))
-        capacity = {}
-        for domain, instances in live.items():
-            barred = self._states.state(control_stream(domain)).barred
-            capacity[domain] = sum(instance not in barred for instance in instances)
+        capacity = {domain: self._capacity(domain) for domain in self._live}
         quotas = self._placement.quotas(
             deployments=tuple(self.deployments.values()),
             capacity=capacity,
@@ -212,6 +212,16 @@
         )
         return quotas.get(self._domain, {})
 
+    def _capacity(self, domain: DomainName) -> int:
+        """Return the instances that groups of a fabric domain may use.
+
+        Members count even if the list lost them, so that a faulty list gives no
+        group up.
+        """
+        control = self._states.state(control_stream(domain))
+        members = frozenset(control.assigned) - self._leaving
+        return len((self._live[domain] | members) - frozenset(control.barred))
+
     def view(self) -> DomainView:
         """Return what a repair policy sees."""
         control = self.control
@@ -244,6 +254,9 @@
             version=seen.status.version if seen else None,
         )
 
+    def _others(self) -> list[DomainName]:
+        return sorted(domain for domain in self._live if domain != self._domain)
+
     def _groups(self, domain: DomainName) -> tuple[Group, ...]:
         state = self._states.state(control_stream(domain))
         return tuple(state.groups.values())
--- a/citronpin/tests/worlds.py
+++ b/citronpin/tests/worlds.py
@@ -8,7 +8,14 @@
 from citronpin.folds import fold_for, scope_base
 from citronpin.ids import CONFIG_STREAM, EntryId, control_stream
 from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.records import GroupMove, Record, decode_record, encode_record
+from citronpin.records import (
+    ConfigChange,
+    GroupMove,
+    Record,
+    ScopeChange,
+    decode_record,
+    encode_record,
+)
 from citronpin.states import GroupState
 from citronpin.tests.builders import change, deployment
 
@@ -141,12 +148,21 @@
             base -= 1
         else:
             self.wanted = manifest.version
+        self._append(change(manifest, base=base))
+
+    def publish_removal(self):
+        """Remove the deployment."""
+        base = scope_base(self.truth[CONFIG_STREAM], SCOPE)
+        self.version += 1
+        self._append(ConfigChange(changes=(ScopeChange(SCOPE, base, None),)))
+
+    def _append(self, item):
         record = Record(
             format=1,
             id=f"publish-{self.version}",
             author=EntryId("pipeline"),
             wall_ms=0,
-            items=(change(manifest, base=base),),
+            items=(item,),
         )
         self.fabric.log.put(CONFIG_STREAM, encode_record(record))
 
