--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -1,20 +1,35 @@
 """Entry point of the program."""
 
+import importlib
 import sys
 
 from absl import app
 
 from citronpin import commands
 
+COMMAND_MODULES = (
+    "commands_benches",
+    "commands_config",
+    "commands_entries",
+    "commands_standins",
+)
+
 
 def main(argv: list[str]) -> int:
     """Run the command that the arguments name and return the exit code."""
     return commands.dispatch(argv)
 
 
+def parse(argv: list[str]) -> list[str]:
+    """Register all commands and parse the flags of the one that is named."""
+    for module in COMMAND_MODULES:
+        importlib.import_module(f"citronpin.{module}")
+    return commands.parse(argv)
+
+
 def run() -> None:
     """Run the program."""
-    app.run(main, flags_parser=commands.parse)
+    app.run(main, flags_parser=parse)
 
 
 if __name__ == "__main__":
--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -2,12 +2,13 @@
 
 import heapq
 import itertools
-from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
 from citronpin.clocks import Clock, TimerHandle
-from citronpin.engines import Frame, Submission, prompt_blocks, prompt_text
+from citronpin.engines import Frame, Submission, prompt_text
+from citronpin.prefixes import prefix_blocks
 from citronpin.standin_caches import PrefixCache
 from citronpin.standin_texts import answer_after, count_tokens
 
@@ -25,13 +26,23 @@
     keep_s: float = 30.0  # how long a detached or ended attempt is kept
 
 
+class Outlet(Protocol):
+    """Takes the frames of a stream as they are generated."""
+
+    def take(self, frames: list[Frame]) -> None:
+        """Take frames."""
+
+    def abort(self) -> None:
+        """Cut the transport."""
+
+
 class Stream:
     """One attempt: what it will say and what it has said."""
 
     def __init__(self, *, submission: Submission) -> None:
         self.submission = submission
         prompt = prompt_text(submission.body)
-        self.blocks = prompt_blocks(prompt)
+        self.blocks = prefix_blocks(submission.body.get("messages") or ())
         self.prompt_tokens = count_tokens(prompt)
         self.cached_tokens = 0
         self.answer = answer_after(submission.body, submission.prefix)
@@ -39,9 +50,9 @@
         self.said = 0
         self.credit = 0.0
         self.ready_s = 0.0
+        self.detached_s = 0.0
         self.ended = False
-        self.listener: Callable[[list[Frame]], None] | None = None
-        self.abort: Callable[[], None] | None = None
+        self.outlet: Outlet | None = None
 
     @property
     def key(self) -> tuple[str, int]:
@@ -123,13 +134,14 @@
 
     def detach(self, stream: Stream) -> None:
         """Keep a stream that lost its connection for a while."""
-        stream.listener = None
+        stream.outlet = None
+        stream.detached_s = self._clock.now()
         self._clock.call_later(self._speed.keep_s, lambda: self._drop_detached(stream))
 
     def drop(self, stream: Stream) -> None:
         """Stop a stream and forget it."""
         stream.ended = True
-        stream.listener = None
+        stream.outlet = None
         if self._kept.get(stream.key) is stream:
             del self._kept[stream.key]
         self._running = [known for known in self._running if known is not stream]
@@ -196,11 +208,12 @@
             self._clock.call_later(
                 self._speed.keep_s, lambda: self._forget_ended(stream)
             )
-        if stream.listener is not None:
-            stream.listener(frames)
+        if stream.outlet is not None:
+            stream.outlet.take(frames)
 
     def _drop_detached(self, stream: Stream) -> None:
-        if stream.listener is None:
+        age_s = self._clock.now() - stream.detached_s
+        if stream.outlet is None and age_s >= self._speed.keep_s:
             self.drop(stream)
 
     def _forget_ended(self, stream: Stream) -> None:
--- a/citronpin/standin_logs.py
+++ b/citronpin/standin_logs.py
@@ -10,7 +10,8 @@
 from citronpin.logs import MemoryLog
 from citronpin.records import MAX_RECORD_BYTES
 from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.standins import Faults, Standin
+from citronpin.settings import Settings, split_address
+from citronpin.standins import Faults, Standin, register_standin
 
 logger = logging.getLogger(__name__)
 
@@ -38,7 +39,7 @@
     ``POST /streams/{stream}/records`` appends the body and answers
     ``{"offset": n}``; ``GET`` of the same path with ``start``, ``limit`` and
     ``wait_ms`` answers a `LogPage` in MessagePack; ``GET /streams`` answers the
-    head of every stream.
+    head of every stream, or of those in ``names``.
     """
 
     faults_type = LogFaults
@@ -133,7 +134,11 @@
         reply.whole(200, msgspec.msgpack.encode(page), MSGPACK_TYPE)
 
     def _heads(self, req: HttpRequest, reply: Reply) -> None:
-        reply.json(200, self.log.heads())
+        heads = self.log.heads()
+        if "names" in req.query:
+            names = req.query["names"].split(",")
+            heads = {name: heads.get(name, Offset(0)) for name in names}
+        reply.json(200, heads)
 
     def _sweep(self) -> None:
         self._trim()
@@ -153,3 +158,10 @@
         while times and times[0][0] < limit_s:
             _, offset = times.popleft()
             self.log.trim(stream, Offset(offset + 1))
+
+
+@register_standin("log", "standin")
+def build_log(cfg: Settings, clock: Clock) -> LogStandin:
+    """Build the stand-in from its settings."""
+    own = cfg.section("standin")
+    return LogStandin(name=own["name"], bind=split_address(own["listen"]), clock=clock)
