--- a/citronpin/shares.py
+++ b/citronpin/shares.py
@@ -77,7 +77,7 @@
         rng: Generator,
         max_wait_s: float = 1.0,
         initial_limit: float = 32.0,
-        target_fill: float = 1.0,
+        target_fill: float = 1.05,
         service_s: float = 2.0,
         service_margin: float = 1.5,
         priority_lead: float = 4.0,
