--- a/citronpin/repairs.py
+++ b/citronpin/repairs.py
@@ -51,6 +51,18 @@
     ]
 
 
+def reformable(view: DomainView, group: Group) -> bool:
+    """Return whether a broken group's members are all there again.
+
+    It is then formed anew by a `Replace` that replaces nobody.
+    """
+    if group.state is not GroupState.BROKEN:
+        return False
+    health = {seen.instance.id: seen.health for seen in view.instances}
+    usable = (Health.HEALTHY, Health.STRAGGLER)
+    return all(health.get(member) in usable for member in group.members)
+
+
 @register
 class ImmediateRepair(RepairPolicy):
     """Replaces lost members at once and fills each quota; keeps no spares."""
@@ -70,6 +82,8 @@
         if group.state in (GroupState.RELEASING, GroupState.DRAINING):
             return None
         lost = lost_members(view, group)
+        if not lost and reformable(view, group):
+            return Replace(group=group.id, leaving=(), joining=())
         if not lost or len(lost) > len(free):
             return None
         joining = tuple(free.pop(0) for _ in lost)
@@ -93,3 +107,19 @@
                 members = tuple(free.pop(0) for _ in range(wanted.members))
                 actions.append(Form(deployment=wanted.name, members=members))
         return actions
+
+
+@register
+class DissolveRepair(ImmediateRepair):
+    """Dissolves each group that lost a member and forms it again."""
+
+    name = "dissolve"
+
+    def _mend(self, view, group, free):
+        if group.state in (GroupState.RELEASING, GroupState.DRAINING):
+            return None
+        if not lost_members(view, group):
+            if reformable(view, group):
+                return Replace(group=group.id, leaving=(), joining=())
+            return None
+        return Dissolve(group=group.id, reason="lost a member")
