Halt engine stand-ins without all members, and lag their load reports

Cause: a stand-in's lead went on generating while paused, cut off or with a member gone, and its load report was never old.

Change: tokens come only while every member takes part; being down cuts running streams; queued submissions are given up at their deadline; the load that is reported is that of a set time ago.

Conclusion: a missing member stops the whole group, as on real engines.

--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -2,17 +2,20 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
-from citronpin.clocks import Clock, TimerHandle
+from citronpin.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.engines import Frame, Submission, prompt_text
 from citronpin.prefixes import prefix_blocks
 from citronpin.standin_caches import PrefixCache
+from citronpin.standin_reports import LaggedLoad
 from citronpin.standin_texts import answer_after, count_tokens
 
 MIN_STEP_S = 0.001
+HALT_POLL_S = 0.01
 
 
 class EngineSpeed(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,6 +53,7 @@
         self.said = 0
         self.credit = 0.0
         self.ready_s = 0.0
+        self.due_s = 0.0
         self.detached_s = 0.0
         self.ended = False
         self.outlet: Outlet | None = None
@@ -92,10 +96,20 @@
 class Batch:
     """Runs the streams of one engine."""
 
-    def __init__(self, *, clock: Clock, speed: EngineSpeed, cache: PrefixCache) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        speed: EngineSpeed,
+        cache: PrefixCache,
+        load: LaggedLoad,
+        halted: Callable[[], bool],
+    ) -> None:
         self._clock = clock
         self._speed = speed
         self._cache = cache
+        self._load = load
+        self._halted = halted
         self._order = itertools.count()
         self._queue: list[tuple[int, int, Stream]] = []
         self._running: list[Stream] = []
@@ -105,14 +119,9 @@
         self.straggle = 1.0
 
     @property
-    def running(self) -> int:
-        """Return how many streams are being generated."""
-        return len(self._running)
-
-    @property
-    def queued(self) -> int:
-        """Return how many submissions wait."""
-        return len(self._queue)
+    def streams(self) -> list[Stream]:
+        """Return the kept attempts."""
+        return list(self._kept.values())
 
     @property
     def full(self) -> bool:
@@ -126,6 +135,7 @@
     def add(self, submission: Submission) -> Stream:
         """Queue a submission; higher priorities go first."""
         stream = Stream(submission=submission)
+        stream.due_s = self._clock.now() + submission.deadline_ms / MS_PER_S
         self._kept[stream.key] = stream
         entry = (-submission.priority, next(self._order), stream)
         heapq.heappush(self._queue, entry)
@@ -155,6 +165,7 @@
         self._kept.clear()
         self._running.clear()
         self._queue.clear()
+        self._load.note(0, 0)
         return streams
 
     def token_s(self) -> float:
@@ -166,12 +177,22 @@
     def _admit(self) -> None:
         while self._queue and len(self._running) < self._speed.batch:
             stream = heapq.heappop(self._queue)[2]
+            if stream.due_s < self._clock.now():
+                self._give_up(stream)
+                continue
             self._prefill(stream)
             self._running.append(stream)
+        self._load.note(len(self._running), len(self._queue))
         if self._running and self._timer is None:
             self._stepped_s = self._clock.now()
             self._schedule()
 
+    def _give_up(self, stream: Stream) -> None:
+        """Cut a stream whose deadline passed while it waited."""
+        self._kept.pop(stream.key, None)
+        if stream.outlet is not None:
+            stream.outlet.abort()
+
     def _prefill(self, stream: Stream) -> None:
         hit = self._cache.hit(stream.blocks)
         if stream.blocks:
@@ -188,6 +209,10 @@
 
     def _step(self) -> None:
         now = self._clock.now()
+        if self._halted():
+            self._stepped_s = now
+            self._timer = self._clock.call_later(HALT_POLL_S, self._step)
+            return
         share = (now - self._stepped_s) / self.token_s()
         self._stepped_s = now
         for stream in list(self._running):
--- a/citronpin/standin_engines.py
+++ b/citronpin/standin_engines.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -14,7 +15,13 @@
     STATUS_PATH,
     SUBMISSIONS_PATH,
 )
-from citronpin.ids import DomainName, FailureDomainName, InstanceId, RegionName
+from citronpin.ids import (
+    DomainName,
+    FailureDomainName,
+    GroupId,
+    InstanceId,
+    RegionName,
+)
 from citronpin.instances import Instance, InstanceKind, InstanceState
 from citronpin.servers import HttpRequest, Reply, Routes, send_problem
 from citronpin.settings import Settings, split_address
@@ -23,6 +30,7 @@
 from citronpin.standin_frames import EngineFaults, FrameOutlet
 from citronpin.standin_holdings import Holding, Refusal
 from citronpin.standin_loaders import Loader, TimedLoader, WeightLoader
+from citronpin.standin_reports import LaggedLoad
 from citronpin.standins import Standin, register_standin
 
 logger = logging.getLogger(__name__)
@@ -32,7 +40,11 @@
 
 
 class EngineStandin(Standin):
-    """A model engine: batching, prefix cache, orders with fencing numbers."""
+    """A model engine: batching, prefix cache, orders with fencing numbers.
+
+    ``member_alive`` tells the lead whether another member of its group takes
+    part; while one does not, no token is generated.
+    """
 
     faults_type = EngineFaults
 
@@ -50,11 +62,13 @@
         load_s: float = 1.0,
         load_lag_s: float = LOAD_LAG_S,
         weights: str | None = None,
+        member_alive: Callable[[InstanceId], bool] = lambda instance: True,
         seed: int = 0,
     ) -> None:
         self.instance = instance
         self._loader: Loader = TimedLoader(clock=clock, load_s=load_s)
-        self._load_lag_s = load_lag_s
+        self._member_alive = member_alive
+        self._load = LaggedLoad(clock=clock, lag_s=load_lag_s)
         self._rng = random.Random(seed)
         self._prefixes = PrefixCache(
             clock=clock,
@@ -64,9 +78,12 @@
             rng=self._rng,
         )
         self._batch = Batch(
-            clock=clock, speed=speed or EngineSpeed(), cache=self._prefixes
+            clock=clock,
+            speed=speed or EngineSpeed(),
+            cache=self._prefixes,
+            load=self._load,
+            halted=self._halted,
         )
-        self._load = (0, 0, clock.now())
         super().__init__(name=name, bind=bind, clock=clock)
         if weights is not None:
             client = HttpClient(clock=clock, channel=f"weights-{name}").register(self)
@@ -83,6 +100,10 @@
 
     def faults_changed(self) -> None:
         self._batch.straggle = self.faults.straggle
+        if self.faults.down:
+            for stream in self._batch.streams:
+                if stream.outlet is not None:
+                    self._cut(stream, stream.outlet)
         if self.faults.restart:
             self.faults.restart = False
             self.restart()
@@ -93,6 +114,20 @@
         self._prefixes.clear()
         self._holding = self._new_holding()
 
+    @property
+    def takes_part(self) -> bool:
+        """Return whether the engine runs and answers the other members."""
+        faults = self.faults
+        return not (faults.down or faults.paused or faults.silent)
+
+    def holds(self, group: GroupId) -> bool:
+        """Return whether the engine runs as a member of a group."""
+        return self.takes_part and self._holding.group == group
+
+    def _halted(self) -> bool:
+        others = (each for each in self._holding.members if each != self.instance.id)
+        return not self.takes_part or not all(map(self._member_alive, others))
+
     def _new_holding(self) -> Holding:
         return Holding(
             checks_fence=self.instance.checks_fence,
@@ -109,7 +144,7 @@
     def status(self) -> EngineStatus:
         """Return what the engine reports now."""
         held = self._holding
-        running, queued, measured_s = self._measured_load()
+        running, queued, age_s = self._load.read()
         return EngineStatus(
             instance=self.instance.id,
             boot=held.boot,
@@ -122,17 +157,11 @@
             loading=held.loading,
             running=running,
             queued=queued,
-            load_age_ms=int((self.clock.now() - measured_s) * MS_PER_S),
+            load_age_ms=int(age_s * MS_PER_S),
             tokens_per_s=running / self._batch.token_s(),
             cache_sequence=self._prefixes.sequence,
         )
 
-    def _measured_load(self) -> tuple[int, int, float]:
-        if self.clock.now() - self._load[2] >= self._load_lag_s:
-            batch = self._batch
-            self._load = (batch.running, batch.queued, self.clock.now())
-        return self._load
-
     def _show_status(self, req: HttpRequest, reply: Reply) -> None:
         if not self.faults.silent:
             reply.json(200, self.status)
--- a/citronpin/tests/test_services.py
+++ b/citronpin/tests/test_services.py
@@ -87,8 +87,9 @@
     call, answers = calls.begin("POST", "/swaps", {}, timeout_s=0.1)
     later = []
     calls.loop.call(call.cancel)
-    calls.loop.clock.call_later(0.2, lambda: later.append(True))
-    calls.call("GET", "/effects")
+    calls.loop.call(
+        lambda: calls.loop.clock.call_later(0.2, lambda: later.append(True))
+    )
     wait_until(lambda: later)
     assert not answers
 
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -1,5 +1,6 @@
 """Tests of the engine stand-in and its client over loopback HTTP."""
 
+import random
 import urllib.request
 
 import pytest
@@ -16,8 +17,10 @@
 from citronpin.events import Recorder
 from citronpin.http_engines import HttpEngineClient
 from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.standin_batches import EngineSpeed
+from citronpin.standin_batches import Batch, EngineSpeed
+from citronpin.standin_caches import PrefixCache
 from citronpin.standin_engines import EngineStandin
+from citronpin.standin_reports import LaggedLoad
 from citronpin.standin_services import ServiceStandin
 from citronpin.standin_texts import answer_to
 from citronpin.standin_weights import WeightStandin
@@ -258,6 +261,71 @@
     assert not sink.ends
 
 
+@pytest.mark.parametrize("fault", ["paused", "silent", "member"])
+def test_no_token_comes_while_a_member_takes_no_part(bench, fault):
+    gone = set()
+    bench = bench(
+        speed=EngineSpeed(tokens_per_s=200.0),
+        member_alive=lambda instance: instance not in gone,
+    )
+    bench.form(3)
+    sink = bench.submit(body=BODY | {"max_tokens": 400})
+    wait_until(lambda: sink.got)
+    if fault == "member":
+        gone.add("i2")
+    else:
+        bench.faults(**{fault: True})
+    later = []
+    for delay_s in (0.1, 0.4):
+        bench.loop.call(
+            lambda: bench.loop.clock.call_later(
+                delay_s, lambda: later.append(len(sink.got))
+            )
+        )
+    wait_until(lambda: len(later) == 2)
+    assert later[0] == later[1] and not sink.ends
+    gone.clear()
+    if fault != "member":
+        bench.faults(**{fault: False})
+    wait_until(lambda: len(sink.got) > later[1])
+
+
+def test_higher_priorities_leave_the_queue_first(paused_clock):
+    cache = PrefixCache(
+        clock=paused_clock, limit=9, delay_s=1.0, gap_share=0.0, rng=random.Random(1)
+    )
+    load = LaggedLoad(clock=paused_clock, lag_s=0.5)
+    batch = Batch(
+        clock=paused_clock,
+        speed=EngineSpeed(tokens_per_s=100.0, batch=1),
+        cache=cache,
+        load=load,
+        halted=lambda: False,
+    )
+    low, mid, high = (
+        batch.add(
+            Submission(
+                request=f"r{priority}",
+                attempt=0,
+                group="g",
+                fence=1,
+                body=BODY | {"max_tokens": 10},
+                priority=priority,
+                deadline_ms=150 if priority == 1 else 10_000,
+            )
+        )
+        for priority in (0, 1, 2)
+    )
+    assert load.read()[:2] == (0, 0)
+    paused_clock.advance(0.5)
+    assert low.ended and high.ended and load.read()[:2] == (1, 2)
+    assert not mid.ended and not mid.frames and batch.find("r1", 0) is None
+    assert high.cached_tokens > 0 and low.cached_tokens == 0
+    assert not cache.events(0)
+    paused_clock.advance(1.0)
+    assert [event.stored for event in cache.events(0)] == [True] * len(low.blocks)
+
+
 def test_an_order_that_comes_to_its_turn_late_has_no_effect(bench):
     bench = bench()
     bench.faults(order_delay_s=0.1)
