Wire peers, readiness, limits and policies into the entry

Cause: an entry dispatched without readiness leases, limits or chosen policies. Change: peers, log relay, announcements, watcher and readiness table, shared limits over demand messages, admission and routing by the settings; engines tell their load with the first and last frame of each answer, since polling 120 leads from 9 entries would cost more than the control share of a core. Before: usable was what the log said.

--- a/citronpin/admissions.py
+++ b/citronpin/admissions.py
@@ -8,6 +8,7 @@
 from collections import deque
 
 import msgspec
+from numpy.random import Generator
 
 from citronpin.ids import CustomerName, DeploymentName, RequestId
 
@@ -98,7 +99,13 @@
     name = "fifo"
     RETRY_AFTER_S = 1.0
 
-    def __init__(self, *, in_flight: int = 64, queued: int = 256) -> None:
+    def __init__(
+        self,
+        *,
+        in_flight: int = 64,
+        queued: int = 256,
+        rng: Generator | None = None,
+    ) -> None:
         self._most_in_flight = in_flight
         self._most_queued = queued
         self._running: set[RequestId] = set()
@@ -141,6 +148,9 @@
 
     name = "open"
 
+    def __init__(self, *, rng: Generator | None = None) -> None:
+        """Take the generator that other policies need; nothing is drawn."""
+
     def offer(self, *, req, now_s):
         return Admit()
 
--- a/citronpin/configurations.py
+++ b/citronpin/configurations.py
@@ -1,6 +1,7 @@
 """The configuration that is in force on an entry."""
 
 import logging
+from collections.abc import Callable
 
 from citronpin.events import EventKind, Recorder
 from citronpin.ids import CONFIG_STREAM, ApplicationName, DeploymentName, Offset
@@ -21,6 +22,7 @@
         self.deployments: dict[DeploymentName, DeploymentManifest] = {}
         self.applications: dict[ApplicationName, ApplicationManifest] = {}
         self.customers: dict[str, Customer] = {}  # by key digest
+        self._on_change: list[Callable[[], None]] = []
         states.subscribe(CONFIG_STREAM, self._take_state)
         states.follow(CONFIG_STREAM)
 
@@ -39,6 +41,10 @@
         """Return the offset up to which records are in force."""
         return self._state.offset
 
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after the manifests in force have changed."""
+        self._on_change.append(callback)
+
     def _take_state(self, stream, state: ConfigState, verdicts) -> None:
         changed = state.manifests != self._state.manifests
         self._state = state
@@ -58,6 +64,8 @@
                 stream=stream,
                 offset=state.offset,
             )
+            for callback in self._on_change:
+                callback()
 
     def _index(self, state: ConfigState) -> None:
         customers = {
--- a/citronpin/engines.py
+++ b/citronpin/engines.py
@@ -94,6 +94,7 @@
     final: bool = False
     finish_reason: str | None = None
     usage: dict | None = None
+    load: tuple[int, int] | None = None  # running and queued streams, as measured
 
 
 def prompt_text(body: dict) -> str:
--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -5,8 +5,11 @@
 import numpy
 from circuits import Component, handler
 
+from citronpin import affinities, shares, valuations  # noqa: F401
 from citronpin.admins import AdminPages
-from citronpin.admissions import FifoAdmission
+from citronpin.admissions import ADMISSIONS
+from citronpin.announcements import Announcer, Booter
+from citronpin.applications import ApplicationFilter, ServiceFilter
 from citronpin.callers import CallerApi
 from citronpin.chats import ChatFilter
 from citronpin.clients import HttpClient
@@ -15,27 +18,40 @@
 from citronpin.controls import ControlTask
 from citronpin.directories import GroupDirectory
 from citronpin.events import EventKind, Recorder
-from citronpin.filters import FilterChain, GateFilter, IdentifyFilter
+from citronpin.filters import Filter, FilterChain, GateFilter, IdentifyFilter
 from citronpin.followers import Followers
 from citronpin.gates import ServingGate
-from citronpin.generations import AdmitFilter, GenerateFilter
+from citronpin.generations import (
+    GROUP_SLOTS,
+    AdmitFilter,
+    DeploymentLoad,
+    GenerateFilter,
+)
+from citronpin.group_loads import LoadBook
 from citronpin.http_engines import HttpEngineClient
 from citronpin.http_logs import HttpLog
-from citronpin.ids import CONFIG_STREAM, EntryId, new_id
+from citronpin.ids import CONFIG_STREAM, DeploymentName, EntryId, GroupId, new_id
+from citronpin.limiters import DemandExchange, LimitFilter
+from citronpin.limits import SharedLimits
 from citronpin.memberships import MembershipTask
 from citronpin.metrics import Metrics
+from citronpin.peers import Peers
 from citronpin.placements import EvenPlacement
+from citronpin.readiness import ReadinessTable
+from citronpin.relays import LogRelay
 from citronpin.repairs import REPAIRS
 from citronpin.routers import ROUTERS
 from citronpin.server_pools import ServerPool
 from citronpin.servers import Routes, ServerLimits, WebServer
+from citronpin.services import HttpServiceClient
 from citronpin.settings import Settings, split_address
-from citronpin.suspicions import TimeoutDetector
+from citronpin.suspicions import DETECTORS
+from citronpin.views import add_entry_views
+from citronpin.watchers import Watcher
 
 logger = logging.getLogger(__name__)
 
 ID_SUFFIX_LENGTH = 8
-SLOTS_PER_GROUP = 16.0
 DRAIN_TICK_S = 0.05
 HANDOVER_LIMIT_S = 3.0
 LINGER_S = 0.5  # answers reach callers before connections are closed
@@ -56,9 +72,14 @@
         self.metrics = Metrics()
         self.routes = Routes()
         ClockTask(clock=clock).register(self)
+        self.loads = LoadBook(clock=clock)
         self._add_state(own)
+        self._add_mesh(own)
+        self._add_watch()
         self._add_control()
-        self._add_callers(own)
+        self._add_callers()
+        self._add_server(own)
+        clock.call_later(0.0, self._begin)
         self._stopping = False
         self._stopped_s = 0.0
         self._signals: tuple[int, ...] = ()
@@ -81,23 +102,76 @@
         ).register(self)
         self.membership.subscribe(self.directory.take_view)
         self.membership.subscribe(self.pool.take_view)
+        self.engines = HttpEngineClient(client=self.client, clock=clock)
+
+    def _add_mesh(self, own: dict) -> None:
+        clock, recorder = self.clock, self.recorder
+        cfg = self.cfg.section("peers")
+        self.peers = Peers(
+            entry=self.id,
+            clock=clock,
+            recorder=recorder,
+            listen=f"tcp://{cfg['listen']}",
+            advertise=f"tcp://{cfg['advertise']}" if cfg["advertise"] else "",
+            key=cfg["key"].encode(),
+        ).register(self)
+        self.relay = LogRelay(
+            peers=self.peers,
+            states=self.states,
+            clock=clock,
+            recorder=recorder,
+            snapshot=self.states.snapshot,
+            restore=self.states.restore,
+        )
+        self.announcer = Announcer(
+            entry=self.id,
+            failure_domain=own["failure_domain"],
+            states=self.states,
+            configuration=self.configuration,
+            peers=self.peers,
+            seeds=tuple(f"tcp://{seed}" for seed in cfg["seeds"]),
+            clock=clock,
+        )
+        self.booter = Booter(
+            streams=self.states.streams,
+            current=self.states.current,
+            fetch=self.relay.fetch_snapshot,
+            clock=clock,
+        )
+
+    def _add_watch(self) -> None:
+        common = {
+            "entry": self.id,
+            "clock": self.clock,
+            "recorder": self.recorder,
+            "mesh": self.peers,
+            "states": self.states,
+        }
+        self.readiness = ReadinessTable(**common)
+        self.watcher = Watcher(
+            engines=self.engines,
+            address_of=self.directory.address,
+            table=self.readiness,
+            **common,
+        ).register(self)
 
     def _add_control(self) -> None:
+        cfg = self.cfg.section("repair")
         self.control = ControlTask(
             entry=self.id,
             states=self.states,
-            client=HttpEngineClient(client=self.client, clock=self.clock),
+            client=self.engines,
             clock=self.clock,
             recorder=self.recorder,
             membership=lambda: self.membership.view,
-            alive=self.alive,
+            alive=self.peers.alive,
             head_age_s=self.states.head_age_s,
-            detector=TimeoutDetector,
-            repair=REPAIRS["immediate"](),
+            detector=DETECTORS[cfg["detector"]],
+            repair=REPAIRS[cfg["policy"]](),
             placement=EvenPlacement(),
         ).register(self)
 
-    def _add_callers(self, own: dict) -> None:
+    def _add_callers(self) -> None:
         clock, configuration = self.clock, self.configuration
         self.gate = ServingGate(
             clock=clock,
@@ -105,75 +179,99 @@
             booted=lambda: configuration.booted,
             head_age_s=lambda: self.states.head_age_s(CONFIG_STREAM),
             known_entries=lambda: max(1, len(configuration.state.entries)),
-            alive_entries=lambda: len(self.alive()),
+            alive_entries=lambda: len(self.peers.alive()),
         )
-        data_client = HttpClient(clock=clock, channel="data-client").register(self)
-        engine = HttpEngineClient(client=data_client, clock=clock)
         gate = GateFilter(refusal=self.gate.refusal)
         identify = IdentifyFilter(customers=lambda: configuration.customers)
-        admit = AdmitFilter(clock=clock, make_policy=FifoAdmission, slots=self._slots)
-        generate = GenerateFilter(
-            engine=engine,
-            router=ROUTERS["least-in-flight"](rng=numpy.random.default_rng()),
-            admit=admit,
-            directory=self.directory,
-            usable=self.usable,
-            latencies=self.metrics.latencies,
-        )
-        chat = ChatFilter(deployments=lambda: configuration.deployments)
+        limit = self._limit_filter()
+        chats = (gate, identify, self._chat_filter(), limit, *self._generation())
+        calls = (gate, identify, self._application_filter(), limit, self._service())
         self.api = CallerApi(
             clock=clock,
             recorder=self.recorder,
             metrics=self.metrics,
             configuration=configuration,
             entrance=FilterChain(filters=(gate, identify)),
-            chats=FilterChain(filters=(gate, identify, chat, admit, generate)),
-            calls=FilterChain(filters=(gate, identify)),
+            chats=FilterChain(filters=chats),
+            calls=FilterChain(filters=calls),
         )
         self.api.add_routes(self.routes)
         self.pages = AdminPages(
             gate=self.gate, metrics=self.metrics, recorder=self.recorder
         )
         self.pages.add_routes(self.routes)
-        self._add_views()
+        add_entry_views(self.pages, self)
+
+    def _limit_filter(self) -> LimitFilter:
+        requests = SharedLimits(entry=self.id)
+        tokens = SharedLimits(entry=self.id)
+        self.demand = DemandExchange(
+            entry=self.id,
+            mesh=self.peers,
+            requests=requests,
+            tokens=tokens,
+            clock=self.clock,
+        )
+        self.configuration.on_change(
+            lambda: self.demand.set_customers(self.configuration.customers)
+        )
+        return LimitFilter(requests=requests, tokens=tokens, clock=self.clock)
+
+    def _chat_filter(self) -> ChatFilter:
+        return ChatFilter(deployments=lambda: self.configuration.deployments)
+
+    def _generation(self) -> tuple[Filter, ...]:
+        data_client = HttpClient(clock=self.clock, channel="data-client").register(self)
+        rng = numpy.random.default_rng()
+        routing = self.cfg.section("routing")
+        admission = ADMISSIONS[self.cfg.section("admission")["policy"]]
+        admit = AdmitFilter(
+            clock=self.clock,
+            make_policy=lambda: admission(rng=rng),
+            load=self._load_of,
+        )
+        generate = GenerateFilter(
+            engine=HttpEngineClient(client=data_client, clock=self.clock),
+            router=ROUTERS[routing["policy"]](rng=rng),
+            admit=admit,
+            directory=self.directory,
+            usable=self.readiness.usable,
+            latencies=self.metrics.latencies,
+            loads=self.loads,
+            clock=self.clock,
+        )
+        return admit, generate
+
+    def _load_of(self, deployment: DeploymentName) -> DeploymentLoad:
+        groups = [group.id for group in self.directory.serving(deployment)]
+        running, queued = self.loads.total(groups)
+        return DeploymentLoad(
+            slots=GROUP_SLOTS * len(groups), running=running, queued=queued
+        )
+
+    def _application_filter(self) -> ApplicationFilter:
+        return ApplicationFilter(applications=lambda: self.configuration.applications)
+
+    def _service(self) -> ServiceFilter:
+        client = HttpClient(clock=self.clock, channel="service-client").register(self)
+        services = HttpServiceClient(client=client, clock=self.clock)
+        return ServiceFilter(client=services, pool=self.pool)
+
+    def _add_server(self, own: dict) -> None:
         self.server = WebServer(
             bind=split_address(own["listen"]),
             target=self.routes,
-            clock=clock,
+            clock=self.clock,
             limits=ServerLimits(**self.cfg.section("server")),
         ).register(self)
-        clock.call_later(0.0, self._begin)
-
-    def _add_views(self) -> None:
-        views = {
-            "gate": lambda: {"entry": self.id, "state": self.gate.state().value},
-            "configuration": self.configuration.view,
-            "groups": self.directory.groups,
-            "members": lambda: self.membership.view,
-            "leases": self._leases,
-            "peers": lambda: sorted(self.alive()),
-        }
-        for name, view in views.items():
-            self.pages.add_view(name, view)
-
-    def _leases(self) -> dict:
-        return {
-            stream: self.states.state(stream).lease for stream in self.states.streams()
-        }
-
-    def _slots(self, deployment) -> float:
-        return SLOTS_PER_GROUP * len(self.directory.serving(deployment))
-
-    def alive(self) -> frozenset[EntryId]:
-        """Return the entries that live, this one included."""
-        return frozenset({self.id})
 
-    def usable(self, group) -> bool:
+    def usable(self, group: GroupId) -> bool:
         """Return whether a request may be dispatched to a group now."""
-        return self.directory.group(group) is not None
+        return self.readiness.usable(group)
 
     def _begin(self) -> None:
         self.recorder.note(EventKind.PROCESS, f"entry begins at {self.server.address}")
+        self.announcer.start()
         self.control.start()
 
     def stop_on(self, *signals: int) -> None:
@@ -194,6 +292,7 @@
         self.recorder.note(EventKind.DRAIN, f"{self.api.in_flight} in flight")
         self.gate.drain()
         self.control.leave()
+        self.announcer.leave()
         self._stopped_s = self.clock.now()
         self._wait_until_drained()
 
@@ -219,5 +318,9 @@
 
     def _finish(self) -> None:
         self.control.close()
+        self.announcer.close()
+        self.demand.close()
+        self.peers.leave()
+        self.peers.stop_links()
         self.client.close_all()
         self.stop()
--- a/citronpin/filters.py
+++ b/citronpin/filters.py
@@ -11,7 +11,12 @@
 from citronpin.errors import CitronpinError, Outcome
 from citronpin.events import EventKind, Recorder
 from citronpin.ids import CustomerName, RequestId, new_id
-from citronpin.manifests import Customer, DeploymentManifest
+from citronpin.manifests import (
+    ApplicationManifest,
+    CallRule,
+    Customer,
+    DeploymentManifest,
+)
 from citronpin.refusals import BadBody, NotIdentified
 from citronpin.servers import PROBLEM_TYPE, HttpRequest, Reply, problem_body
 
@@ -48,7 +53,9 @@
         self.customer: Customer = ANONYMOUS
         self.priority = 0
         self.deployment: DeploymentManifest | None = None
-        self.application = None
+        self.application: ApplicationManifest | None = None
+        self.rule: CallRule | None = None
+        self.grant = None  # for a call that must not be repeated
         self.chat: dict = {}
         self.repeatable = True
         self.first_token_s: float | None = None
--- a/citronpin/generations.py
+++ b/citronpin/generations.py
@@ -3,6 +3,8 @@
 import logging
 from collections.abc import Callable
 
+import msgspec
+
 from citronpin.admissions import (
     AdmissionPolicy,
     AdmissionRequest,
@@ -13,11 +15,12 @@
 from citronpin.clocks import Clock
 from citronpin.directories import GroupDirectory
 from citronpin.dispatches import AnswerSink, Dispatch, RetryBudget, Target
-from citronpin.engines import EngineClient, Frame
+from citronpin.engines import EngineClient, EngineStatus, Frame
 from citronpin.errors import CitronpinError, Outcome
 from citronpin.events import EventKind
 from citronpin.filters import Context, Ending, Filter, Proceed
-from citronpin.ids import DeploymentName, GroupId, RequestId
+from citronpin.group_loads import LoadBook
+from citronpin.ids import DeploymentName, GroupId, InstanceId, RequestId
 from citronpin.metrics import LatencyCollector
 from citronpin.prefixes import prefix_blocks
 from citronpin.refusals import Overloaded
@@ -29,6 +32,7 @@
 DEFAULT_TOKENS = 256
 GROUP_SLOTS = 16
 CALLER_LEFT_STATUS = 499
+NO_INSTANCE = InstanceId("")
 
 
 def expected_tokens(chat: dict) -> int:
@@ -37,6 +41,14 @@
     return limit or DEFAULT_TOKENS
 
 
+class DeploymentLoad(msgspec.Struct, frozen=True):
+    """Sums over the serving groups of a deployment."""
+
+    slots: int  # streams that the groups batch
+    running: int
+    queued: int
+
+
 class AdmitFilter(Filter):
     """Holds requests until the admission policy of their deployment lets them go."""
 
@@ -45,11 +57,11 @@
         *,
         clock: Clock,
         make_policy: Callable[[], AdmissionPolicy],
-        slots: Callable[[DeploymentName], float],
+        load: Callable[[DeploymentName], DeploymentLoad],
     ) -> None:
         self._clock = clock
         self._make_policy = make_policy
-        self._slots = slots
+        self._load = load
         self._policies: dict[DeploymentName, AdmissionPolicy] = {}
         self._held: dict[RequestId, tuple[Context, Proceed]] = {}
         self._ticking = False
@@ -70,7 +82,10 @@
         deployment = ctx.deployment.name
         policy = self.policy(deployment)
         now_s = self._clock.now()
-        policy.slots(slots=self._slots(deployment), now_s=now_s)
+        load = self._load(deployment)
+        policy.slots(
+            slots=load.slots, running=load.running, queued=load.queued, now_s=now_s
+        )
         ctx.on_end(lambda ending: self._ended(policy, ctx.id))
         decision = policy.offer(req=self._request(ctx), now_s=now_s)
         if isinstance(decision, Refuse):
@@ -204,8 +219,13 @@
         """Pass text on to the caller."""
         if self._ctx.first_token_s is None:
             self._note_first_token()
+            self._note_load(frames[0])
         self._answer.text(frames)
 
+    def _note_load(self, frame: Frame) -> None:
+        if frame.load is not None and self._group is not None:
+            self._task.report(self._group, frame.load)
+
     def _note_first_token(self) -> None:
         now_s = self._ctx.clock.now()
         delay_s = now_s - self._sent_s
@@ -219,6 +239,7 @@
 
     def done(self, final: Frame) -> None:
         """End the answer."""
+        self._note_load(final)
         self._note_latencies()
         self._answer.done(final)
 
@@ -259,6 +280,8 @@
         directory: GroupDirectory,
         usable: Callable[[GroupId], bool],
         latencies: LatencyCollector,
+        loads: LoadBook,
+        clock: Clock,
     ) -> None:
         self.engine = engine
         self.budget = RetryBudget()
@@ -267,11 +290,26 @@
         self.latencies = latencies
         self._directory = directory
         self.usable = usable
-        directory.on_gone(lambda group: router.gone(group=group))
+        self._loads = loads
+        self._clock = clock
+        directory.on_gone(self._forget)
 
     def handle(self, ctx: Context, proceed: Proceed) -> None:
         Generation(task=self, ctx=ctx).start()
 
+    def _forget(self, group: GroupId) -> None:
+        self.router.gone(group=group)
+        self._loads.forget(group)
+
+    def report(self, group: GroupId, load: tuple[int, int]) -> None:
+        """Take the load that an engine told with an answer."""
+        running, queued = load
+        self._loads.take(group, running, queued)
+        status = EngineStatus(
+            instance=NO_INSTANCE, boot="", group=group, running=running, queued=queued
+        )
+        self.router.loads(group=group, status=status, now_s=self._clock.now())
+
     def loads(
         self, deployment: DeploymentName, excluded: frozenset[GroupId]
     ) -> list[GroupLoad]:
--- a/citronpin/messages.py
+++ b/citronpin/messages.py
@@ -5,6 +5,7 @@
 from citronpin.ids import (
     ApplicationName,
     CallKey,
+    CustomerName,
     EntryId,
     Fence,
     GroupId,
@@ -166,6 +167,20 @@
     offset: Offset
 
 
+class CustomerRate(msgspec.Struct, frozen=True, array_like=True):
+    """Units a second that the callers of a customer asked of one entry."""
+
+    customer: CustomerName
+    rate: float
+
+
+class Demand(Message, tag=17):
+    """What callers ask of the sender, for limits that entries share."""
+
+    requests: tuple[CustomerRate, ...] = ()
+    tokens: tuple[CustomerRate, ...] = ()
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -182,4 +197,5 @@
     | CallReply
     | CallFinish
     | CallFinished
+    | Demand
 )
--- a/citronpin/peers.py
+++ b/citronpin/peers.py
@@ -70,6 +70,7 @@
         clock: Clock,
         recorder: Recorder,
         listen: str = "",
+        advertise: str = "",
         key: bytes = b"",
         links: Links | None = None,
         degree: int = DEGREE,
@@ -85,6 +86,7 @@
             links = NngLinks(entry=entry, listen=listen, key=key, clock=clock)
             links.register(self)
         self._links = links
+        self._advertise = advertise
         self._peers: dict[EntryId, _Peer] = {}
         self._learned: dict[EntryId, str] = {}
         self._configured: dict[EntryId, str] = {}
@@ -116,7 +118,7 @@
     @property
     def address(self) -> str:
         """Return the address that other entries connect to."""
-        return self._links.address
+        return self._advertise or self._links.address
 
     @property
     def counters(self) -> LinkCounters:
--- a/citronpin/settings.py
+++ b/citronpin/settings.py
@@ -108,6 +108,38 @@
         default="", kind=ValueKind.ADDRESSES, doc="Entries to contact at boot."
     ),
     "key": Setting(default=REQUIRED, doc="Secret that authenticates entries."),
+    "advertise": Setting(
+        default="", doc="Address that other entries use, if it is not listen."
+    ),
+}
+
+ROUTING_DEFAULTS = {
+    "policy": Setting(
+        default="affinity",
+        choices=("affinity", "random", "least-in-flight", "rendezvous"),
+        doc="How a group is chosen for a request.",
+    ),
+}
+
+ADMISSION_DEFAULTS = {
+    "policy": Setting(
+        default="weighted",
+        choices=("weighted", "fifo", "open"),
+        doc="Which requests go now, wait or are refused.",
+    ),
+}
+
+REPAIR_DEFAULTS = {
+    "policy": Setting(
+        default="weighted",
+        choices=("weighted", "immediate", "dissolve"),
+        doc="How groups are repaired.",
+    ),
+    "detector": Setting(
+        default="graded",
+        choices=("graded", "timeout"),
+        doc="How pause, straggler, return, death and dark domain are told apart.",
+    ),
 }
 
 STANDIN_DEFAULTS = {
@@ -167,13 +199,16 @@
     "entry": ENTRY_DEFAULTS,
     "server": SERVER_DEFAULTS,
     "peers": PEERS_DEFAULTS,
+    "routing": ROUTING_DEFAULTS,
+    "admission": ADMISSION_DEFAULTS,
+    "repair": REPAIR_DEFAULTS,
     "standin": STANDIN_DEFAULTS,
     "standin_engine": STANDIN_ENGINE_DEFAULTS,
     "standin_membership": STANDIN_MEMBERSHIP_DEFAULTS,
     "standin_weights": STANDIN_WEIGHTS_DEFAULTS,
 }
 
-ENTRY_SECTIONS = ("entry", "server", "peers")
+ENTRY_SECTIONS = ("entry", "server", "peers", "routing", "admission", "repair")
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -42,8 +42,9 @@
 class Stream:
     """One attempt: what it will say and what it has said."""
 
-    def __init__(self, *, submission: Submission) -> None:
+    def __init__(self, *, submission: Submission, load: LaggedLoad) -> None:
         self.submission = submission
+        self._load = load
         prompt = prompt_text(submission.body)
         self.blocks = prefix_blocks(submission.body.get("messages") or ())
         self.prompt_tokens = count_tokens(prompt)
@@ -75,9 +76,10 @@
 
     def _frame(self, **fields) -> Frame:
         request, attempt = self.key
-        frame = Frame(
-            request=request, attempt=attempt, sequence=len(self.frames), **fields
-        )
+        sequence = len(self.frames)
+        if sequence == 0 or fields.get("final"):
+            fields["load"] = self._load.read()[:2]
+        frame = Frame(request=request, attempt=attempt, sequence=sequence, **fields)
         self.frames.append(frame)
         return frame
 
@@ -134,7 +136,7 @@
 
     def add(self, submission: Submission) -> Stream:
         """Queue a submission; higher priorities go first."""
-        stream = Stream(submission=submission)
+        stream = Stream(submission=submission, load=self._load)
         stream.due_s = self._clock.now() + submission.deadline_ms / MS_PER_S
         self._kept[stream.key] = stream
         entry = (-submission.priority, next(self._order), stream)
