Name groups after their fabric domain too

Change: the domain is part of the name; a holder has the head of its stream confirmed every 1.5 s, since a quiet stream is confirmed each 10 s only; an entry claims a vacant lease without a fresh view, as the fold decides.

--- a/citronpin/domains.py
+++ b/citronpin/domains.py
@@ -58,7 +58,7 @@
         placement: PlacementPolicy,
         max_head_age_s: float = MAX_HEAD_AGE_S,
     ) -> None:
-        self._domain = domain
+        self.domain = domain
         self._states = states
         self._clock = clock
         self._membership = membership
@@ -82,7 +82,7 @@
     @property
     def control(self) -> ControlState:
         """Return the folded control stream."""
-        return self._states.state(control_stream(self._domain))
+        return self._states.state(control_stream(self.domain))
 
     @property
     def deployments(self) -> dict[DeploymentName, DeploymentManifest]:
@@ -96,7 +96,7 @@
             return
         self._version = view.version
         engines = [i for i in view.instances if i.kind is InstanceKind.ENGINE]
-        self._listed = {i.id: i for i in engines if i.domain == self._domain}
+        self._listed = {i.id: i for i in engines if i.domain == self.domain}
         kept = set(self._listed) | set(self.control.assigned) | set(self.control.barred)
         rows = self._rows | self._listed
         self._rows = {i: row for i, row in rows.items() if i in kept}
@@ -210,7 +210,7 @@
             capacity=capacity,
             serving={domain: self._count(domain, _stays) for domain in capacity},
         )
-        return quotas.get(self._domain, {})
+        return quotas.get(self.domain, {})
 
     def _capacity(self, domain: DomainName) -> int:
         """Return the instances that groups of a fabric domain may use.
@@ -226,7 +226,7 @@
         """Return what a repair policy sees."""
         control = self.control
         return DomainView(
-            domain=self._domain,
+            domain=self.domain,
             groups=tuple(control.groups[g] for g in sorted(control.groups)),
             instances=tuple(self._view_of(self._rows[i]) for i in sorted(self._rows)),
             deployments=tuple(self.deployments.values()),
@@ -255,7 +255,7 @@
         )
 
     def _others(self) -> list[DomainName]:
-        return sorted(domain for domain in self._live if domain != self._domain)
+        return sorted(domain for domain in self._live if domain != self.domain)
 
     def _groups(self, domain: DomainName) -> tuple[Group, ...]:
         state = self._states.state(control_stream(domain))
--- a/citronpin/fabrics.py
+++ b/citronpin/fabrics.py
@@ -38,7 +38,6 @@
 
 LATENCY_S = 0.002
 ORDER_TIMEOUT_S = 2.0
-LONG_POLL_S = 2.0
 READ_AGAIN_S = 0.1
 PEER_LAG_S = 2.0
 NO_FENCE = Fence(-1)
@@ -318,7 +317,6 @@
             clock=self.clock,
             recorder=self.recorder,
             rng=np.random.default_rng(seed),
-            long_poll_s=LONG_POLL_S,
         )
         self.silent_since_s: float | None = None
         self.control = ControlTask(
--- a/citronpin/leases.py
+++ b/citronpin/leases.py
@@ -16,6 +16,7 @@
 SUSPICION_S = 3.0  # silence of a holder before others claim its lease
 STAGGER_S = 1.0  # between the claims of successive candidates
 MAX_HEAD_AGE_S = 4.0  # a holder with an older view of the log does not act
+CONFIRM_S = 1.5  # a holder has the head confirmed this often
 STEP_DOWN_S = 300.0  # a holder that stepped down does not claim again before
 
 Alive = Callable[[], frozenset[EntryId]]
@@ -61,7 +62,6 @@
         self._rests_until_s = 0.0
         self._vacant: tuple[Fence, float] | None = None  # lease, since when
         self._known: Lease | None = None
-        self.held_since_s = 0.0
 
     @property
     def fence(self) -> Fence | None:
@@ -114,7 +114,7 @@
             return
         if self._vacant is None or self._vacant[0] != lease.fence:
             self._vacant = (lease.fence, self._clock.now())
-        if self._clock.now() - self._vacant[1] >= wait_s and self._fresh():
+        if self._clock.now() - self._vacant[1] >= wait_s:
             self._claim(lease)
 
     def _wait_s(self, lease: Lease) -> float | None:
@@ -158,8 +158,9 @@
         if lease == before:
             return
         if self._owns(lease):
-            self.held_since_s = self._clock.now()
+            self._states.confirm_within(self._stream, CONFIRM_S)
             self._note(EventKind.LEASE, "holds the lease", fence=lease.fence)
         elif before is not None and self._owns(before):
+            self._states.confirm_within(self._stream, None)
             detail = f"lost the lease to {lease.holder or 'nobody'}"
             self._note(EventKind.LEASE, detail, fence=lease.fence)
--- a/citronpin/logs.py
+++ b/citronpin/logs.py
@@ -96,6 +96,9 @@
     def follow(self, stream: StreamName) -> None:
         """Start to follow a stream; following twice is harmless."""
 
+    def confirm_within(self, stream: StreamName, seconds: float | None) -> None:
+        """Have the head of a stream confirmed more often; ``None`` ends that."""
+
     @abstractmethod
     def subscribe(self, prefix: str, callback: StateCallback) -> None:
         """Call back after each folded record of streams that start with ``prefix``."""
--- a/citronpin/repairers.py
+++ b/citronpin/repairers.py
@@ -167,7 +167,9 @@
         self._formed += 1
         return GroupForm(
             fence=fence,
-            group=GroupId(f"{deployment.name}-{fence}-{self._formed}"),
+            group=GroupId(
+                f"{deployment.name}-{self._facts.domain}-{fence}-{self._formed}"
+            ),
             deployment=deployment.name,
             members=action.members,
             model=deployment.model,
--- a/citronpin/tails.py
+++ b/citronpin/tails.py
@@ -76,7 +76,7 @@
         self._clock = clock
         self._recorder = recorder
         self._listener = listener
-        self._long_poll_s = long_poll_s
+        self.long_poll_s = long_poll_s
         self._back_off = BackOff(rng=rng)
         self._fold = fold_for(stream)
         self.state: StreamState = self._fold.empty()
@@ -131,7 +131,7 @@
         self._log.read(
             stream=self.stream,
             start=self.next,
-            wait_s=self._long_poll_s if self.current else 0.0,
+            wait_s=self.long_poll_s if self.current else 0.0,
             done=self._on_page,
         )
 
@@ -166,7 +166,7 @@
         if not self._loss_told:
             self._loss_told = True
             self._recorder.note(EventKind.ALARM, detail, stream=self.stream)
-        self._clock.call_later(self._long_poll_s, self._read)
+        self._clock.call_later(self.long_poll_s, self._read)
 
     def _set_reachable(self, reachable: bool, detail: str) -> None:
         if reachable != self._reachable:
