Form broken groups in place with back-off, whatever the policy says

Cause: the policies learned to plan a Replace that replaces nobody for a broken group whose members are back; the repairer ran it each second without back-off, and no group served after 240 s (state machine over the controllers). Ruled out: the new detector, which that test does not use. Change: such a Replace is left to the repairer's own forming in place. Before: test_everything_holds_under_faults failed. Conclusion: one place decides when a group is formed again.

--- a/citronpin/repairers.py
+++ b/citronpin/repairers.py
@@ -69,6 +69,8 @@
         self._next_s = now + PLAN_PERIOD_S
         self._slots = self._free_slots()
         plan = self._policy.plan(view=self._facts.view(), now_s=now)
+        # A group that gets no other member is formed in place, with back-off.
+        plan = [a for a in plan if not isinstance(a, Replace) or a.leaving]
         planned = {a.group for a in plan if not isinstance(a, (Form, Wait))}
         self._reform_broken(planned)
         for action in plan:
