Add non-repeatable calls: intents, grants, holders, outcomes

Cause: a call that may not be repeated must run at most once. Change: keys, shards with a holder that appends for others, typed grants, outcomes with look-up, purge; a state machine with faults at every step.

--- /dev/null
+++ b/citronpin/call_holders.py
@@ -0,0 +1,190 @@
+"""Holders of shards: append intents and outcomes for other entries.
+
+All that waits for one append goes into the next record of the shard's stream, so
+the calls of many entries share the log's append rate. Only the order in the log
+decides, so two holders at once do no harm.
+"""
+
+import logging
+
+import xxhash
+
+from citronpin.clocks import MS_PER_S, Clock
+from citronpin.errors import Outcome
+from citronpin.events import EventKind, Recorder
+from citronpin.ids import (
+    NO_OFFSET,
+    CallKey,
+    EntryId,
+    ShardNumber,
+    StreamName,
+    calls_stream,
+)
+from citronpin.logs import States
+from citronpin.meshes import Mesh
+from citronpin.messages import CallBegin, CallFinish, CallFinished, CallReply
+from citronpin.overlays import rendezvous
+from citronpin.records import CallIntent, CallOutcome, CallPurge, LeaseClaim
+from citronpin.states import Call
+
+logger = logging.getLogger(__name__)
+
+HOLDERS = 2  # the holder of a shard and its successor follow its stream
+SWEEP_S = 30.0
+PURGE_STEP_S = 60.0  # least rise of the floor that is worth a record
+MARGIN_S = 60.0  # keys this much older than the window are still known
+MAX_STORED_BYTES = 32 * 1024 * 1024  # of the bodies of one shard's outcomes
+
+
+class ShardHolder:
+    """The part of an entry that holds, or stands by for, shards of calls."""
+
+    def __init__(
+        self,
+        *,
+        entry: EntryId,
+        clock: Clock,
+        recorder: Recorder,
+        mesh: Mesh,
+        states: States,
+        shards: int,
+        window_s: float,
+    ) -> None:
+        self._entry = entry
+        self._clock = clock
+        self._recorder = recorder
+        self._mesh = mesh
+        self._states = states
+        self._shards = shards
+        self._window_s = window_s
+        mesh.subscribe(CallBegin, self._on_begin)
+        mesh.subscribe(CallFinish, self._on_finish)
+        mesh.subscribe_liveness(lambda alive: self._follow())
+        self._follow()
+        clock.call_later(SWEEP_S, self._sweep)
+
+    def holders(self, stream: StreamName) -> tuple[EntryId, ...]:
+        """Return the holder of a shard's stream and its successor."""
+        return rendezvous(stream, self._mesh.alive(), HOLDERS)
+
+    def place(self, key: CallKey) -> tuple[ShardNumber, StreamName]:
+        """Return the shard of a key and its stream."""
+        shard = ShardNumber(xxhash.xxh3_64_intdigest(key) % self._shards)
+        return shard, calls_stream(shard)
+
+    def known(self, key: CallKey) -> Call | None:
+        """Return the call of a key if this entry has read its shard."""
+        _, stream = self.place(key)
+        if not self._states.current(stream):
+            return None
+        return self._states.state(stream).calls.get(key)
+
+    def outcome_item(
+        self, stream: StreamName, owner: EntryId, finish: CallFinish
+    ) -> CallOutcome:
+        """Return the record of an outcome; a full shard stores it without body."""
+        fits = self._stored_bytes(stream) + len(finish.body) <= MAX_STORED_BYTES
+        return CallOutcome(
+            key=finish.key,
+            owner=owner,
+            outcome=finish.outcome,
+            status=finish.status,
+            content_type=finish.content_type if fits else "",
+            body=finish.body if fits else b"",
+            attempt=finish.attempt,
+            settled=finish.settled,
+        )
+
+    def _stored_bytes(self, stream: StreamName) -> int:
+        if not self._states.current(stream):
+            return 0
+        return self._states.state(stream).stored_bytes
+
+    def _streams(self) -> list[StreamName]:
+        return [calls_stream(ShardNumber(shard)) for shard in range(self._shards)]
+
+    def _follow(self) -> None:
+        for stream in self._streams():
+            if self._entry in self.holders(stream):
+                self._states.follow(stream)
+
+    def _on_begin(self, sender: EntryId, begin: CallBegin) -> None:
+        if not 0 <= begin.shard < self._shards:
+            return
+        stream = calls_stream(begin.shard)
+        known = self.known(begin.key)
+        if known is not None and known.outcome != Outcome.NOT_RUN.value:
+            self._reply(sender, stream, begin.key, begin.attempt)
+            return
+        intent = CallIntent(
+            key=begin.key,
+            digest=begin.digest,
+            owner=sender,
+            application=begin.application,
+            attempt=begin.attempt,
+        )
+
+        def done(result) -> None:
+            # Without a verdict the sender settles it by its own reading.
+            if result.is_ok():
+                self._reply(sender, stream, begin.key, begin.attempt)
+
+        self._states.propose(stream, (intent,), done)
+
+    def _reply(
+        self, sender: EntryId, stream: StreamName, key: CallKey, attempt: str
+    ) -> None:
+        call = self._states.state(stream).calls.get(key)
+        self._mesh.send(sender, reply_of(key, attempt, call))
+
+    def _on_finish(self, sender: EntryId, finish: CallFinish) -> None:
+        if not 0 <= finish.shard < self._shards:
+            return
+        stream = calls_stream(finish.shard)
+        item = self.outcome_item(stream, sender, finish)
+
+        def done(result) -> None:
+            if result.is_ok():
+                offset = self._states.state(stream).offset
+                finished = CallFinished(finish.key, finish.attempt, offset)
+                self._mesh.send(sender, finished)
+
+        self._states.propose(stream, (item,), done)
+
+    def _sweep(self) -> None:
+        self._clock.call_later(SWEEP_S, self._sweep)
+        for stream in self._streams():
+            holders = self.holders(stream)
+            if holders and holders[0] == self._entry and self._states.current(stream):
+                self._keep(stream)
+
+    def _keep(self, stream: StreamName) -> None:
+        state = self._states.state(stream)
+        if state.lease.holder != self._entry:
+            claim = LeaseClaim(supersedes=state.lease.fence)
+            self._recorder.note(EventKind.LEASE, "claims the lease", stream=stream)
+            self._states.propose(stream, (claim,))
+            return
+        age_ms = int((self._window_s + MARGIN_S) * MS_PER_S)
+        floor_ms = self._clock.wall_ms() - age_ms
+        if floor_ms >= state.floor_ms + int(PURGE_STEP_S * MS_PER_S):
+            purge = CallPurge(fence=state.lease.fence, floor_ms=floor_ms)
+            self._states.propose(stream, (purge,))
+
+
+def reply_of(key: CallKey, attempt: str, call: Call | None) -> CallReply:
+    """Return the answer to `CallBegin`; no call means that the key is too old."""
+    if call is None:
+        return CallReply(key, attempt, EntryId(""), "", "", NO_OFFSET)
+    return CallReply(
+        key=key,
+        attempt=attempt,
+        owner=call.owner,
+        owner_attempt=call.attempt,
+        digest=call.digest,
+        offset=call.offset,
+        outcome=call.outcome,
+        status=call.status,
+        content_type=call.content_type,
+        body=call.body,
+    )
--- /dev/null
+++ b/citronpin/tests/call_worlds.py
@@ -0,0 +1,198 @@
+"""Several entries' `Calls` over one log, with a service that counts effects."""
+
+from collections import Counter
+
+from result import Ok
+
+from citronpin.calls import Calls
+from citronpin.clocks import PausedClock
+from citronpin.errors import Outcome
+from citronpin.grants import Owned, Recorded
+from citronpin.ids import EntryId
+from citronpin.logs import MemoryLog
+from citronpin.services import ServiceResponse
+from citronpin.tests.meshes import FakeMesh, FakeStates, recorder_for
+
+STEP_S = 0.05
+MAX_STEPS = 80
+
+
+class ProcessClock(PausedClock):
+    """The clock of one process, which can be paused while time goes on."""
+
+    def jump(self, now_s) -> None:
+        self._now_s = now_s
+        self.run_due()
+
+
+class Process:
+    """One run of an entry."""
+
+    def __init__(self, *, name, world, calls_type) -> None:
+        self.name = EntryId(name)
+        self.clock = ProcessClock()
+        self.clock.jump(world.clock.now())
+        self.mesh = FakeMesh(entry=name, bus=world)
+        self.states = FakeStates(
+            entry=name, log=world.log, clock=self.clock, wire=world.clock
+        )
+        self.recorder = recorder_for(name, self.clock)
+        self.calls = calls_type(
+            entry=self.name,
+            clock=self.clock,
+            recorder=self.recorder,
+            mesh=self.mesh,
+            states=self.states,
+            shards=world.shards,
+            lookup=world.lookup(self),
+        )
+        self.running = True
+
+
+class Try:
+    """One request of a caller."""
+
+    def __init__(self, *, process, key, body, first, number) -> None:
+        self.process = process
+        self.key = key
+        self.body = body
+        self.first = first
+        self.number = number
+        self.grant = None
+        self.granted = None  # number of the tell that brought the grant
+        self.over = False
+
+
+class World:
+    """The log, the service, the entries and what callers were told."""
+
+    def __init__(self, *, entries=3, shards=2, calls_type=Calls) -> None:
+        self.clock = PausedClock()
+        self.log = MemoryLog(clock=self.clock)
+        self.shards = shards
+        self.calls_type = calls_type
+        self.cut_links = set()
+        self.processes = {}
+        self.tries = []
+        self.effects = Counter()  # key -> times that it ran
+        self.not_run = {}  # (key, body) -> number of the latest such tell
+        self.answers = {}  # key -> body of the recorded answer told
+        self.tells = 0
+        self.known_dead = set()
+        for number in range(entries):
+            name = EntryId(f"e{number}")
+            self.processes[name] = None
+        for name in self.processes:
+            self.start(name)
+
+    def start(self, name) -> None:
+        """Start an entry anew; its former process is gone."""
+        old = self.processes[name]
+        if old is not None:
+            old.running = False
+        self.known_dead.discard(name)
+        self.processes[name] = Process(
+            name=name, world=self, calls_type=self.calls_type
+        )
+
+    def alive(self):
+        return frozenset(self.processes) - self.known_dead
+
+    def carry(self, sender, target, message) -> bool:
+        process = self.processes[target]
+        if (sender, target) not in self.cut_links:
+
+            def deliver():
+                if process is self.processes[target]:
+                    arrive = process.mesh.arrive
+                    process.clock.call_later(0.0, lambda: arrive(sender, message))
+
+            self.clock.call_later(0.002, deliver)
+        return True
+
+    def lookup(self, process):
+        def find(application, key, done):
+            ran = self.effects[key] > 0
+            found = self.response(key) if ran else None
+            process.clock.call_later(0.01, lambda: done(Ok(found)))
+
+        return find
+
+    def response(self, key):
+        return ServiceResponse(200, {"content-type": "text/plain"}, key.encode())
+
+    def advance(self, seconds) -> None:
+        """Move time on; paused processes see it when they resume."""
+        end_s = self.clock.now() + seconds
+        step_s = max(STEP_S, seconds / MAX_STEPS)
+        while self.clock.now() < end_s:
+            self.clock.advance(min(step_s, end_s - self.clock.now()))
+            for process in self.processes.values():
+                if process.running:
+                    process.clock.advance(self.clock.now() - process.clock.now())
+                    process.states.pull()
+
+    def resume(self, process) -> None:
+        process.running = True
+        process.clock.jump(self.clock.now())
+        process.states.pull()
+
+    def call(self, process, key, body, first=False) -> Try:
+        attempt = Try(
+            process=process,
+            key=key.lower(),
+            body=body,
+            first=first,
+            number=len(self.tries),
+        )
+        self.tries.append(attempt)
+        process.calls.begin(
+            key=key,
+            digest=body,
+            application="ledger",
+            done=lambda grant: self.told(attempt, grant),
+            first=first,
+        )
+        return attempt
+
+    def told(self, attempt: Try, grant) -> None:
+        """Check what a caller is told against what has happened."""
+        assert attempt.grant is None, "a caller was answered twice"
+        self.tells += 1
+        attempt.grant = grant
+        attempt.granted = self.tells
+        if isinstance(grant, Owned):
+            assert attempt.key not in self.answers
+            return
+        attempt.over = True
+        later = self.tries[attempt.number + 1 :]
+        if attempt.first and any(other.key == attempt.key for other in later):
+            return  # The caller had given this request up.
+        self.told_outcome(attempt, grant.outcome)
+        if isinstance(grant, Recorded):
+            assert self.effects[attempt.key] == 1
+            assert self.answers.setdefault(attempt.key, grant.body) == grant.body
+
+    def told_outcome(self, attempt: Try, outcome: Outcome) -> None:
+        if outcome is Outcome.NOT_RUN and attempt.body == self.body_of(attempt.key):
+            assert self.effects[attempt.key] == 0, "told not run, but it ran"
+            self.not_run[attempt.key] = self.tells
+
+    def body_of(self, key):
+        """Return the body that owns a key, or would own it."""
+        return "body"
+
+    def effect(self, attempt: Try) -> None:
+        """The service acts on a dispatched call."""
+        key = attempt.key
+        self.effects[key] += 1
+        assert self.effects[key] == 1, "the call ran twice"
+        told = self.not_run.get(key, 0)
+        assert attempt.granted > told, "told not run, and then it ran"
+
+    def complete(self, attempt: Try) -> None:
+        """Answer the caller with what the service answered."""
+        attempt.over = True
+        answer = self.response(attempt.key)
+        attempt.grant.finish(Outcome.COMPLETE, answer)
+        assert self.answers.setdefault(attempt.key, answer.body) == answer.body
--- a/citronpin/tests/meshes.py
+++ b/citronpin/tests/meshes.py
@@ -11,6 +11,7 @@
 from citronpin.ids import EntryId, Offset, new_id
 from citronpin.links import FrameGate, Links
 from citronpin.logs import LogPage, States
+from citronpin.meshes import Mesh
 from citronpin.records import Record, decode_record, encode_record
 
 DELAY_S = 0.002
@@ -87,10 +88,45 @@
         self.network.links.pop(self.address, None)
 
 
+class FakeMesh(Mesh):
+    """Sends messages between entries by name; ``bus`` decides what arrives."""
+
+    def __init__(self, *, entry, bus) -> None:
+        self.entry = EntryId(entry)
+        self.bus = bus
+        self.callbacks = {}
+        self.liveness = []
+
+    def alive(self):
+        return self.bus.alive()
+
+    def alone(self, limit_s):
+        return False
+
+    def refresh(self):
+        """Do nothing: there are no beats here."""
+
+    set_lease_source = refresh
+
+    def send(self, entry, message):
+        return self.bus.carry(self.entry, entry, message)
+
+    def subscribe(self, message_type, callback):
+        self.callbacks.setdefault(message_type, []).append(callback)
+
+    def subscribe_liveness(self, callback):
+        self.liveness.append(callback)
+
+    def arrive(self, sender, message):
+        for callback in self.callbacks.get(type(message), ()):
+            callback(sender, message)
+
+
 class FakeStates(States):
     """Folds the streams of a `MemoryLog` at once, unless it is cut off."""
 
-    def __init__(self, *, entry, log, clock) -> None:
+    def __init__(self, *, entry, log, clock, wire=None) -> None:
+        self.wire = wire or clock  # what is under way moves on this clock
         self.entry = EntryId(entry)
         self.log = log
         self.clock = clock
@@ -98,8 +134,7 @@
         self.callbacks = []
         self.followed = set()
         self.cut = False
-        self.lose_answers = False
-        self.delay_s = 0.0
+        self.mode = "ok"  # how the log takes proposals
         self.alive = True
         self.appends = 0
 
@@ -139,30 +174,34 @@
 
     def propose(self, stream, items, done=None):
         done = done or (lambda result: None)
-        if self.cut:
-            error = LogUnavailable("The log is down.")
-            self.clock.call_later(0.0, lambda: done(Err(error)))
-            return
         self.followed.add(stream)
         record = Record(1, new_id(), self.entry, self.clock.wall_ms(), tuple(items))
-        lost = self.lose_answers
-        self.clock.call_later(
-            self.delay_s, lambda: self._append(stream, record, done, lost)
-        )
-
-    def _append(self, stream, record, done, lost):
+        mode = "down" if self.cut else self.mode
+        if mode == "down":
+            error = Err(LogUnavailable("The log is down."))
+            self.clock.call_later(0.0, lambda: done(error))
+            return
+        if mode in ("lost", "late"):
+            error = Err(TimedOut("The answer of the log was lost."))
+            told, done = done, None
+            self.clock.call_later(0.5, lambda: told(error))
+        delay_s = {"slow": 1.5, "late": 5.0}.get(mode, 0.001)
+        self.wire.call_later(delay_s, lambda: self._append(stream, record, done))
+
+    def _append(self, stream, record, done):
         self.appends += 1
         self.log.put(stream, encode_record(record))
-        if not self.alive:
-            return
-        if lost:
-            done(Err(TimedOut("The answer of the log was lost.")))
-            return
+        if done is not None:
+            self.clock.call_later(0.0, lambda: self._read_back(record, done))
+
+    def _read_back(self, record, done):
         verdicts = []
         self.callbacks.append(("", lambda s, _, v: verdicts.extend(v)))
         self.pull()
         self.callbacks.pop()
-        done(Ok([verdict for verdict in verdicts if verdict.record == record.id]))
+        found = [verdict for verdict in verdicts if verdict.record == record.id]
+        # Without them the record was folded by an earlier pull.
+        done(Ok(found))
 
     def inject(self, stream, records):
         self._fold(stream, records)
