Load the model on spares before they are needed

Cause: a cold spare joins a group after a whole load. Change: plans.Preload, emitted by WeightedRepair and done by Repairer; broken groups are formed anew by their controller alone. Conclusion: on by default.

--- a/citronpin/admissions.py
+++ b/citronpin/admissions.py
@@ -74,11 +74,18 @@
     def first_token(self, *, request: RequestId, delay_s: float, now_s: float) -> None:
         """Take the time from dispatch to the first token of a request."""
 
-    def slots(self, *, slots: int, running: int, queued: int, now_s: float) -> None:
+    def slots(
+        self,
+        *,
+        slots: float,
+        now_s: float,
+        running: int | None = None,
+        queued: int | None = None,
+    ) -> None:
         """Take the sums of the latest load reports of all serving groups.
 
         ``slots`` is what the groups batch; ``running`` and ``queued`` count the
-        requests of all entries.
+        requests of all entries; without them nothing is learned.
         """
 
 
--- a/citronpin/bench_domains.py
+++ b/citronpin/bench_domains.py
@@ -22,10 +22,12 @@
     Form,
     Health,
     InstanceView,
+    Preload,
     RepairPolicy,
     Replace,
     Wait,
 )
+from citronpin.repairs import reformable
 from citronpin.states import Group, GroupState
 
 CHECKS_S = (1.01, 2.02, 30.03)  # after the start of a silence
@@ -63,6 +65,7 @@
     group: GroupId | None = None  # by the log
     holds: GroupId | None = None  # by its engine
     model: str | None = None
+    preloading: int = -1  # boot under which a load runs
 
 
 class Totals(msgspec.Struct):
@@ -260,7 +263,10 @@
         """Let the policy plan, and do what it says."""
         self.count()
         now_s = self._clock.now()
-        for action in self._policy.plan(view=self._view(), now_s=now_s):
+        view = self._view()
+        plan = self._policy.plan(view=view, now_s=now_s)
+        self._reform(view, {getattr(action, "group", None) for action in plan})
+        for action in plan:
             if isinstance(action, Wait):
                 if "paused" in action.reason:
                     self._clock.call_later(action.until_s - now_s + 0.01, self.replan)
@@ -271,6 +277,16 @@
                 self._replace(action)
             elif isinstance(action, Dissolve):
                 self._dissolve(action.group)
+            elif isinstance(action, Preload):
+                self._preload(self._by_id[action.instance], action)
+
+    def _reform(self, view: DomainView, planned: set) -> None:
+        """Form broken groups anew whose members are all back."""
+        for group in view.groups:
+            if group.id not in planned and reformable(view, group):
+                formed = msgspec.structs.replace(group, state=GroupState.FORMING)
+                self._groups[group.id] = formed
+                self._load(formed)
 
     def _wanted(self, name) -> DeploymentManifest:
         return next(one for one in self._deployments if one.name == name)
@@ -353,6 +369,24 @@
         timer = self._clock.call_later(delay_s, lambda: self._loaded(group.id))
         self._loads[group.id] = (timer, cold)
 
+    def _preload(self, one: ModelInstance, action: Preload) -> None:
+        if one.preloading == one.boot:
+            return
+        one.preloading = boot = one.boot
+        wanted = self._wanted(action.deployment)
+        delay_s = self._store.load_s()
+        self._store.loading += 1
+        self.totals.loads += 1
+
+        def done() -> None:
+            self._store.loading -= 1
+            if one.boot == boot and one.group is None:
+                one.model = wanted.model
+                one.preloading = -1
+                self.replan()
+
+        self._clock.call_later(delay_s, done)
+
     def _stop_load(self, group: GroupId) -> None:
         timer, cold = self._loads.pop(group, (None, False))
         if timer is not None:
--- a/citronpin/orders.py
+++ b/citronpin/orders.py
@@ -13,6 +13,7 @@
 from citronpin.ids import EntryId, Fence, GroupId, InstanceId, StreamName
 from citronpin.instances import Instance
 from citronpin.leases import LeaseController
+from citronpin.manifests import DeploymentManifest
 from citronpin.readbacks import Readbacks, load_fault
 from citronpin.states import Group
 
@@ -85,7 +86,7 @@
         """Tell an instance to leave the group that it holds."""
         self._want(instance, OrderKind.RELEASE, group=group)
 
-    def load(self, instance: Instance, group: Group) -> bool:
+    def load(self, instance: Instance, group: Group | DeploymentManifest) -> bool:
         """Bring an instance to what a group loads; true once it has loaded it."""
         seen = self._readbacks.seen(instance.id)
         if seen is None:
--- a/citronpin/plans.py
+++ b/citronpin/plans.py
@@ -77,7 +77,14 @@
     reason: str
 
 
-Action = Form | Replace | Dissolve | Wait
+class Preload(msgspec.Struct, frozen=True):
+    """Load a deployment's model on a free instance, so that it can join sooner."""
+
+    instance: InstanceId
+    deployment: DeploymentName
+
+
+Action = Form | Replace | Dissolve | Wait | Preload
 
 
 class RepairPolicy(ABC):
--- a/citronpin/readbacks.py
+++ b/citronpin/readbacks.py
@@ -10,6 +10,7 @@
 from citronpin.engines import EngineClient, EngineStatus
 from citronpin.ids import GroupId, InstanceId
 from citronpin.instances import Instance
+from citronpin.manifests import DeploymentManifest
 from citronpin.plans import Detector
 from citronpin.states import Group
 
@@ -179,7 +180,7 @@
     return ""
 
 
-def load_fault(group: Group, status: EngineStatus) -> str:
+def load_fault(group: Group | DeploymentManifest, status: EngineStatus) -> str:
     """Return how a status differs from what a group is to load, or nothing."""
     if status.loading:
         return "is loading"
--- a/citronpin/repairers.py
+++ b/citronpin/repairers.py
@@ -9,7 +9,7 @@
 from citronpin.domains import DomainFacts
 from citronpin.ids import Fence, GroupId
 from citronpin.orders import Orders
-from citronpin.plans import Dissolve, Form, RepairPolicy, Replace, Wait
+from citronpin.plans import Dissolve, Form, Preload, RepairPolicy, Replace
 from citronpin.records import GroupForm, GroupReplace, InstanceBar
 from citronpin.states import Group, GroupState
 
@@ -69,13 +69,15 @@
         self._next_s = now + PLAN_PERIOD_S
         self._slots = self._free_slots()
         plan = self._policy.plan(view=self._facts.view(), now_s=now)
-        planned = {a.group for a in plan if not isinstance(a, (Form, Wait))}
+        planned = {a.group for a in plan if isinstance(a, (Replace, Dissolve))}
         self._reform_broken(planned)
         for action in plan:
             if isinstance(action, Replace):
                 self._replace(fence, action)
             elif isinstance(action, Dissolve):
                 self._dissolve(action)
+            elif isinstance(action, Preload):
+                self._preload(action)
         self._form(fence, [a for a in plan if isinstance(a, Form)])
 
     def _free_slots(self) -> int:
@@ -151,6 +153,11 @@
         elif group.state in (GroupState.FORMING, GroupState.BROKEN):
             self._move(group, GroupState.RELEASING, action.reason)
 
+    def _preload(self, action: Preload) -> None:
+        deployment = self._facts.deployments.get(action.deployment)
+        if deployment is not None and self._facts.offered(action.instance):
+            self._orders.load(self._facts.rows()[action.instance], deployment)
+
     def _form(self, fence: Fence, actions: list[Form]) -> None:
         items = []
         for action in actions:
--- a/citronpin/repairs.py
+++ b/citronpin/repairs.py
@@ -54,7 +54,7 @@
 def reformable(view: DomainView, group: Group) -> bool:
     """Return whether a broken group's members are all there again.
 
-    It is then formed anew by a `Replace` that replaces nobody.
+    Its controller then forms it anew with the same members.
     """
     if group.state is not GroupState.BROKEN:
         return False
@@ -82,8 +82,6 @@
         if group.state in (GroupState.RELEASING, GroupState.DRAINING):
             return None
         lost = lost_members(view, group)
-        if not lost and reformable(view, group):
-            return Replace(group=group.id, leaving=(), joining=())
         if not lost or len(lost) > len(free):
             return None
         joining = tuple(free.pop(0) for _ in lost)
@@ -119,7 +117,5 @@
         if group.state in (GroupState.RELEASING, GroupState.DRAINING):
             return None
         if not lost_members(view, group):
-            if reformable(view, group):
-                return Replace(group=group.id, leaving=(), joining=())
             return None
         return Dissolve(group=group.id, reason="lost a member")
--- a/citronpin/shares.py
+++ b/citronpin/shares.py
@@ -142,7 +142,9 @@
     def cancelled(self, *, request, now_s):
         self._queued.pop(request, None)
 
-    def slots(self, *, slots, running, queued, now_s):
+    def slots(self, *, slots, now_s, running=None, queued=None):
+        if running is None or queued is None:
+            return
         self._limit.report(
             slots=slots,
             load=running + queued,
--- a/citronpin/valuations.py
+++ b/citronpin/valuations.py
@@ -13,11 +13,12 @@
     Form,
     Health,
     InstanceView,
+    Preload,
     RepairPolicy,
     Replace,
     Wait,
 )
-from citronpin.repairs import free_instances, lost_members, reformable, register
+from citronpin.repairs import free_instances, lost_members, register
 from citronpin.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
@@ -70,7 +71,8 @@
     Costs are a second of downtime at the deployment's ``downtime_weight`` (times the
     factor of a critical period) for each member, and ``stranded_weight`` for each
     instance that serves in no group. No more than ``repairs_in_flight`` groups of a
-    domain load at once, those that cost the most first.
+    domain load at once, those that cost the most first. A pause is waited for during
+    ``pause_wait`` of the time that the repair would take.
     """
 
     name = "weighted"
@@ -78,19 +80,23 @@
     def __init__(
         self,
         *,
-        pause_wait_s: float = 30.0,
+        pause_wait: float = 0.15,
         straggler_wait_s: float = 120.0,
         repairs_in_flight: int = 2,
         load_s: float = 180.0,
+        warm_load_s: float = 20.0,
         replacement_s: float = 3_600.0,
         gain_margin: float = 0.25,
+        preload: bool = True,
     ) -> None:
-        self._pause_wait_s = pause_wait_s
+        self._pause_wait = pause_wait
         self._straggler_wait_s = straggler_wait_s
         self._repairs_in_flight = repairs_in_flight
         self._load_s = load_s
+        self._warm_load_s = warm_load_s
         self._replacement_s = replacement_s
         self._gain_margin = gain_margin
+        self._may_preload = preload
 
     def plan(self, *, view, now_s):
         loading = sum(group.state is GroupState.FORMING for group in view.groups)
@@ -105,6 +111,8 @@
         short = [damage for damage in damages if not self._replace(plan, damage)]
         self._break_up(plan, short, by_name)
         self._fill(plan)
+        if not damages and plan.budget > 0:
+            self._preload(plan)
         return tuple(plan.actions)
 
     def _damages(self, plan: Plan, by_name) -> list[Damage]:
@@ -130,17 +138,15 @@
             return None
         lost = lost_members(plan.view, group)
         paused = [one for one in members if one.health is Health.PAUSED]
-        over = [one for one in paused if self._waited(plan, one, self._pause_wait_s)]
+        pause_wait_s = self._pause_wait_s(plan, wanted, len(paused))
+        over = [one for one in paused if self._waited(plan, one, pause_wait_s)]
         if lost or over:
             lost = lost + [one.instance.id for one in paused]
             return Damage(group=group, wanted=wanted, lost=lost, cost=cost)
         if paused:
-            until_s = min(one.since_s for one in paused) + self._pause_wait_s
+            until_s = min(one.since_s for one in paused) + pause_wait_s
             self._wait(plan, group, until_s, "a member is paused")
             return None
-        if reformable(plan.view, group):
-            plan.actions.append(Replace(group=group.id, leaving=(), joining=()))
-            return None
         return self._slow_damage(plan, group, wanted, members, cost)
 
     def _slow_damage(self, plan, group, wanted, members, cost) -> Damage | None:
@@ -155,6 +161,12 @@
             return None
         return Damage(group=group, wanted=wanted, lost=slow, cost=cost, optional=True)
 
+    def _pause_wait_s(self, plan: Plan, wanted, count: int) -> float:
+        """Return how long to wait for paused members, by what a repair takes."""
+        warm = sum(_is_warm(one, wanted) for one in plan.free)
+        load_s = self._warm_load_s if warm >= count else self._load_s
+        return self._pause_wait * load_s
+
     def _waited(self, plan: Plan, one: InstanceView, wait_s: float) -> bool:
         return plan.now_s - one.since_s >= wait_s
 
@@ -181,12 +193,7 @@
     def _take(self, plan: Plan, count: int, wanted) -> tuple[InstanceId, ...]:
         """Take free instances, those that have the model loaded first."""
         plan.budget -= 1
-        plan.free.sort(
-            key=lambda one: (
-                one.model != wanted.model or one.version != wanted.version,
-                one.instance.id,
-            )
-        )
+        plan.free.sort(key=lambda one: (not _is_warm(one, wanted), one.instance.id))
         chosen, plan.free[:] = plan.free[:count], plan.free[count:]
         return tuple(one.instance.id for one in chosen)
 
@@ -264,6 +271,26 @@
                 members = self._take(plan, wanted.members, wanted)
                 plan.actions.append(Form(deployment=wanted.name, members=members))
 
+    def _preload(self, plan: Plan) -> None:
+        """Load a model on one spare, that of the deployment that needs it most."""
+        deployments = [one for one in plan.view.deployments if one.groups]
+        cold = [
+            one
+            for one in plan.free
+            if not any(_is_warm(one, wanted) for wanted in deployments)
+        ]
+        if not (self._may_preload and cold and deployments):
+            return
+
+        def need(wanted: DeploymentManifest) -> float:
+            quota = plan.view.quotas.get(wanted.name, 0)
+            warm = sum(_is_warm(one, wanted) for one in plan.free)
+            rate = downtime_rate(wanted, plan.view.minute_of_week)
+            return quota * wanted.members * rate / (warm + 1)
+
+        wanted = max(deployments, key=need)
+        plan.actions.append(Preload(cold[0].instance.id, wanted.name))
+
     def _trim(self, plan: Plan, name: DeploymentName, have, quota: int) -> None:
         """Dissolve surplus groups, those that do not serve first."""
         surplus = len(have) - quota
@@ -279,3 +306,8 @@
                 if getattr(action, "group", None) != group.id
             ]
             plan.actions.append(Dissolve(group=group.id, reason="over quota"))
+
+
+def _is_warm(one: InstanceView, wanted: DeploymentManifest) -> bool:
+    """Return whether an instance has the model and version loaded."""
+    return one.model == wanted.model and one.version == wanted.version
