--- a/citronpin/admissions.py
+++ b/citronpin/admissions.py
@@ -85,7 +85,7 @@
         """Take the sums of the latest load reports of all serving groups.
 
         ``slots`` is what the groups batch; ``running`` and ``queued`` count the
-        requests of all entries; without them nothing is learned.
+        requests of all entries; without them ``slots`` is the limit.
         """
 
 
--- a/citronpin/settings.py
+++ b/citronpin/settings.py
@@ -163,17 +163,93 @@
     "slots": _count("4", "Most downloads at once.", minimum=1),
 }
 
+ROUTING_DEFAULTS = {
+    "policy": Setting(
+        default="affinity",
+        choices=("affinity", "least-in-flight", "random", "rendezvous"),
+        doc="How a group is chosen for a request.",
+    ),
+    "block_s": _number("0.01", "Seconds that a cached prefix block saves.", 0, 10),
+    "load_s": _number("0.2", "Seconds that a full batch costs.", 0, 100),
+    "queue_s": _number("4", "Seconds that a queue as long as a batch costs.", 0, 1e4),
+    "load_bound": _number("1.25", "Most load of a choice to the mean load.", 1, 10),
+    "random_choices": _count("3", "Groups drawn for each request.", 1, 100),
+    "cached_choices": _count("2", "Groups taken by cache for each request.", 0, 100),
+    "own_weight": _number("9", "Weight of own requests above their mean.", 0, 1000),
+    "report_trust": _number("0.7", "Trust in load reports.", 0, 1),
+    "home_trust": _number("0.7", "Share of a prefix expected at its home.", 0, 1),
+    "home_spread": _number("2", "Homes of a prefix to its share of requests.", 0, 100),
+}
+
+ADMISSION_DEFAULTS = {
+    "policy": Setting(
+        default="weighted",
+        choices=("fifo", "open", "weighted"),
+        doc="How requests are admitted, queued and refused.",
+    ),
+    "max_wait_s": _seconds("1", "Longest expected wait in the queue."),
+    "initial_limit": _number("32", "Requests in flight at first.", 1, 1e6),
+    "target_fill": _number("1.05", "Requests to slots that are aimed at.", 0.1, 10),
+    "priority_lead": _number("4", "Most virtual time that priority gains.", 0, 1e3),
+    "retry_share": _number("0.1", "Retries to first attempts.", 0, 1),
+    "retry_reserve": _number("10", "Retries saved up at most.", 0, 1e6),
+    "hedge_percentile": _number(
+        "99", "First token time after which to hedge.", 50, 100
+    ),
+}
+
+LIMITS_DEFAULTS = {
+    "burst_s": _seconds("1", "Seconds of a limit that may be saved up."),
+    "window_s": _seconds("1", "Time between two messages on demand."),
+    "peer_timeout_s": _seconds("5", "Age at which a peer's demand is dropped."),
+    "handback_s": _seconds("30", "Time that a lost peer's part is kept aside."),
+    "floor": _number("0.1", "Part of a limit divided equally.", 0, 1),
+}
+
+REPAIR_DEFAULTS = {
+    "policy": Setting(
+        default="weighted",
+        choices=("dissolve", "immediate", "weighted"),
+        doc="How groups are repaired.",
+    ),
+    "pause_wait": _number("0.15", "Wait for a pause to a repair's time.", 0, 10),
+    "straggler_wait_s": _seconds("120", "Time before a straggler is replaced."),
+    "repairs_in_flight": _count("2", "Groups of a domain that load at once.", 1, 1000),
+    "load_s": _seconds("180", "Expected time to load a model."),
+    "warm_load_s": _seconds("20", "Expected time to join with the model loaded."),
+    "replacement_s": _seconds("3600", "Expected time to a replacement instance."),
+    "gain_margin": _number("0.25", "Gain wanted before a group is broken up.", 0, 10),
+    "preload": Setting(
+        default="yes", kind=ValueKind.SWITCH, doc="Load models on spares beforehand."
+    ),
+    "detector": Setting(
+        default="graded", choices=("graded", "timeout"), doc="How silence is judged."
+    ),
+    "paused_after_s": _seconds("1", "Silence that counts as a pause."),
+    "dead_after_s": _seconds("30", "Silence that counts as death."),
+    "dark_share": _number("0.6", "Share silent that makes a domain dark.", 0.1, 1),
+    "straggler_ratio": _number("4", "Delay to the median of a straggler.", 1, 1000),
+    "placement": Setting(
+        default="even", choices=("even",), doc="How groups are spread over domains."
+    ),
+}
+
 DEFAULTS: dict[str, dict[str, Setting]] = {
     "entry": ENTRY_DEFAULTS,
     "server": SERVER_DEFAULTS,
     "peers": PEERS_DEFAULTS,
+    "routing": ROUTING_DEFAULTS,
+    "admission": ADMISSION_DEFAULTS,
+    "limits": LIMITS_DEFAULTS,
+    "repair": REPAIR_DEFAULTS,
     "standin": STANDIN_DEFAULTS,
     "standin_engine": STANDIN_ENGINE_DEFAULTS,
     "standin_membership": STANDIN_MEMBERSHIP_DEFAULTS,
     "standin_weights": STANDIN_WEIGHTS_DEFAULTS,
 }
 
-ENTRY_SECTIONS = ("entry", "server", "peers")
+POLICY_SECTIONS = ("routing", "admission", "limits", "repair")
+ENTRY_SECTIONS = ("entry", "server", "peers", *POLICY_SECTIONS)
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/citronpin/shares.py
+++ b/citronpin/shares.py
@@ -144,6 +144,7 @@
 
     def slots(self, *, slots, now_s, running=None, queued=None):
         if running is None or queued is None:
+            self._limit.value = max(float(slots), 1.0)
             return
         self._limit.report(
             slots=slots,
