Test what answers prove and what ends a stream

Cause: changing single rules on a scratch copy left seven tests green: frames beyond the final one, a cancel from within the sink, answers other than 409 and 503, cut lines, superseded loads, repeated views.

--- a/citronpin/services.py
+++ b/citronpin/services.py
@@ -99,8 +99,6 @@
         call = HttpServiceCall(client=self._client)
 
         def finish(answer, error) -> None:
-            if call.cancelled:
-                return
             # A write can fail while the call is being made.
             self._clock.call_later(0.0, lambda: _pass_on(call, answer, error, done))
 
--- a/citronpin/tests/test_dispatches.py
+++ b/citronpin/tests/test_dispatches.py
@@ -82,9 +82,11 @@
     def __init__(self):
         self.parts = []
         self.ends = []
+        self.on_text = lambda: None
 
     def text(self, frames):
         self.parts += [frame.text for frame in frames]
+        self.on_text()
 
     def done(self, final):
         self.ends.append("done")
@@ -257,6 +259,10 @@
     case.last.send(1, final=2)
     case.clock.advance(200)
     assert case.answer.parts == ["0 "] and not case.answer.ends
+    within = Case(case.clock, deadline_s=case.clock.now() + 9)
+    within.answer.on_text = within.dispatch.cancel
+    within.last.send(0, final=1)
+    assert not within.answer.ends
 
 
 def test_a_bad_body_is_not_tried_again(case):
--- /dev/null
+++ b/citronpin/tests/test_http_engines.py
@@ -0,0 +1,89 @@
+"""Tests of the frame parser and of what an answer proves."""
+
+import pytest
+
+from citronpin.engines import Frame, FrameSink
+from citronpin.errors import (
+    BadSubmission,
+    EngineRefused,
+    Outcome,
+    ProtocolFault,
+    StaleFence,
+)
+from citronpin.http_engines import MAX_LINE_BYTES, FrameParser, refusal
+
+LINES = b"".join(
+    b'{"request":"r","attempt":0,"sequence":%d,"text":"\xc3\xa9","more":1}\n' % number
+    for number in range(3)
+)
+
+
+class Heard(FrameSink):
+    """Collects calls."""
+
+    def __init__(self):
+        self.calls = []
+        self.ends = []
+
+    def frames(self, frames):
+        self.calls.append(frames)
+
+    def ended(self, error):
+        self.ends.append(error)
+
+
+@pytest.fixture
+def heard():
+    return Heard()
+
+
+@pytest.fixture
+def parser(heard, paused_clock):
+    parser = FrameParser(address="a", sink=heard, clock=paused_clock)
+    parser.head(200, {})
+    return parser
+
+
+@pytest.mark.parametrize("cut", range(1, len(LINES), 7))
+def test_lines_are_whole_wherever_segments_end(parser, heard, cut):
+    parser.data(LINES[:cut])
+    parser.data(LINES[cut:])
+    parser.end()
+    assert sum(heard.calls, []) == [
+        Frame(request="r", attempt=0, sequence=number, text="\xe9")
+        for number in range(3)
+    ]
+    assert heard.ends == [None]
+
+
+def test_the_frames_of_a_segment_come_in_one_call(parser, heard):
+    parser.data(LINES)
+    assert [len(frames) for frames in heard.calls] == [3]
+
+
+@pytest.mark.parametrize(
+    "data", [LINES[:-1], b"{]\n", b'{"request":1}\n', b"x" * (MAX_LINE_BYTES + 1)]
+)
+def test_cut_malformed_and_overlong_lines_are_faults(parser, heard, data):
+    parser.data(data)
+    parser.end()
+    parser.data(LINES)
+    (error,) = heard.ends
+    assert isinstance(error, ProtocolFault) and len(heard.calls) < 2
+
+
+@pytest.mark.parametrize(
+    "status, kind, error, outcome",
+    [
+        (409, "stale-fence", StaleFence, Outcome.NOT_RUN),
+        (409, "wrong-group", EngineRefused, Outcome.NOT_RUN),
+        (503, "", EngineRefused, Outcome.NOT_RUN),
+        (400, "bad-submission", BadSubmission, Outcome.UNKNOWN),
+        (500, "stale-fence", ProtocolFault, Outcome.UNKNOWN),
+        (502, "", ProtocolFault, Outcome.UNKNOWN),
+    ],
+)
+def test_only_refusals_prove_that_nothing_was_run(status, kind, error, outcome):
+    found = refusal("a", status, b'{"kind":"%b"}' % kind.encode())
+    assert type(found) is error and found.outcome is outcome
+    assert refusal("a", status, b"<html>").outcome is outcome
--- a/citronpin/tests/test_memberships.py
+++ b/citronpin/tests/test_memberships.py
@@ -70,6 +70,9 @@
     wait_until(lambda: "i1" not in lists.shown())
     lists.act(lambda: lists.list.set_state("i1", "live"))
     wait_until(lambda: "i1" in lists.shown())
+    lists.act(lambda: setattr(lists.list, "_boot", "another"))
+    tag = lists.task._tag
+    wait_until(lambda: lists.task._tag != tag)
     versions = [view.version for view in lists.views]
     assert versions == sorted(set(versions))
 
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -20,6 +20,8 @@
 from citronpin.standin_batches import Batch, EngineSpeed
 from citronpin.standin_caches import PrefixCache
 from citronpin.standin_engines import EngineStandin
+from citronpin.standin_holdings import Holding
+from citronpin.standin_loaders import TimedLoader
 from citronpin.standin_reports import LaggedLoad
 from citronpin.standin_services import ServiceStandin
 from citronpin.standin_texts import answer_to
@@ -356,6 +358,19 @@
     assert bench.run(attempt=1).ends == [None]
 
 
+def test_a_load_that_was_superseded_has_no_effect(paused_clock):
+    loader = TimedLoader(clock=paused_clock, load_s=1.0)
+    held = Holding(checks_fence=True, loader=loader, on_lost=lambda: None)
+    for number, model in enumerate(("m1", "m2")):
+        fields = {"fence": 1, "ttl_ms": 9_000, "model": model, "version": "1"}
+        held.obey(Order(id=f"o{number}", kind=OrderKind.LOAD, **fields))
+        paused_clock.advance(0.5)
+    paused_clock.advance(0.2)
+    assert held.loading and held.model is None
+    paused_clock.advance(0.5)
+    assert not held.loading and held.model == "m2"
+
+
 def test_members_that_do_not_lead_refuse(bench):
     bench = bench()
     bench.order(OrderKind.FORM, 3, group="g1", members=("i0", "i1"))
--- a/citronpin/tests/test_streams.py
+++ b/citronpin/tests/test_streams.py
@@ -21,6 +21,10 @@
     texts = draw(st.lists(st.text("abc", max_size=3), max_size=12))
     own = _frames(texts)
     foreign = _frames(["X"] * 14, attempt=1) + _frames(["Y"] * 14, request="other")
+    foreign += [  # beyond the final frame
+        Frame(request="r", attempt=0, sequence=len(own) + more, text="Z")
+        for more in range(3)
+    ]
     kept = [frame for frame in own if draw(st.integers(0, 9))]
     extra = draw(st.lists(st.sampled_from(own + foreign), max_size=10))
     order = draw(st.permutations(kept + extra))
