--- a/citronpin/commands_config.py
+++ b/citronpin/commands_config.py
@@ -96,6 +96,7 @@
             print(f"citronpin publish: give one file, and a number or {CURRENT} as")
             print(f"the base.\nexample: {self.example}")
             return EXIT_USAGE
+        logging.getLogger().setLevel(logging.WARNING)
         result = read_manifests(args[0])
         if isinstance(result, Err):
             for fault in result.err_value:
