Run non-repeatable calls through owned grants

Cause: calls that must not be repeated reached servers without an intent. Change: OnceFilter begins each call and maps grants to answers, a proof that nothing was sent gives the right back, look-up calls settle unknown outcomes, policies come from one builder, one retry budget serves all dispatches, a planned stop waits for open calls. Conclusion: the filter chain is whole.

--- a/citronpin/dispatches.py
+++ b/citronpin/dispatches.py
@@ -18,6 +18,7 @@
 )
 from citronpin.events import EventKind, Recorder
 from citronpin.ids import Fence, GroupId, RequestId
+from citronpin.retries import RetryBudget
 from citronpin.streams import Reassembler
 
 logger = logging.getLogger(__name__)
@@ -61,26 +62,6 @@
         """The answer will not become whole; ``error.outcome`` says what was run."""
 
 
-class RetryBudget:
-    """Allows retries as a share of requests, over all requests of an entry."""
-
-    def __init__(self, *, share: float = 0.2, reserve: float = 10.0) -> None:
-        self._share = share
-        self._reserve = reserve
-        self._balance = reserve
-
-    def deposit(self) -> None:
-        """Count a request."""
-        self._balance = min(self._balance + self._share, self._reserve)
-
-    def withdraw(self) -> bool:
-        """Return whether a retry is allowed, and count it."""
-        if self._balance < 1.0:
-            return False
-        self._balance -= 1.0
-        return True
-
-
 class AttemptSink(FrameSink):
     """Passes one transport's frames to the dispatch while it is the current one."""
 
@@ -169,7 +150,7 @@
 
     def start(self) -> None:
         """Begin the first attempt; the sink is called after this returned."""
-        self._budget.deposit()
+        self._budget.request()
         left_s = self._deadline_s - self._clock.now()
         self._deadline_timer = self._clock.call_later(left_s, self._expire)
         self._begin(NoGroupReady("No group serves this model now."))
@@ -271,7 +252,7 @@
         self._cancel_stall_timer()
         self._drop_attempt()
         number = self._number + 1
-        if number > self._limits.retries or not self._budget.withdraw():
+        if number > self._limits.retries or not self._budget.take():
             self._fail(error)
             return
         self._begin(error)
--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -5,12 +5,11 @@
 import numpy
 from circuits import Component, handler
 
-from citronpin import affinities, shares, valuations  # noqa: F401
 from citronpin.admins import AdminPages
-from citronpin.admissions import ADMISSIONS
 from citronpin.announcements import Announcer, Booter
 from citronpin.applications import ApplicationFilter, ServiceFilter
 from citronpin.callers import CallerApi
+from citronpin.calls import Calls
 from citronpin.chats import ChatFilter
 from citronpin.clients import HttpClient
 from citronpin.clocks import Clock, ClockTask
@@ -30,22 +29,27 @@
 from citronpin.group_loads import LoadBook
 from citronpin.http_engines import HttpEngineClient
 from citronpin.http_logs import HttpLog
+from citronpin.idempotencies import OnceFilter, ServiceLookup
 from citronpin.ids import CONFIG_STREAM, DeploymentName, EntryId, GroupId, new_id
 from citronpin.limiters import DemandExchange, LimitFilter
-from citronpin.limits import SharedLimits
 from citronpin.memberships import MembershipTask
 from citronpin.metrics import Metrics
 from citronpin.peers import Peers
-from citronpin.placements import EvenPlacement
+from citronpin.policies import (
+    make_admission,
+    make_detector,
+    make_limits,
+    make_placement,
+    make_repair,
+    make_retry_budget,
+    make_router,
+)
 from citronpin.readiness import ReadinessTable
 from citronpin.relays import LogRelay
-from citronpin.repairs import REPAIRS
-from citronpin.routers import ROUTERS
 from citronpin.server_pools import ServerPool
 from citronpin.servers import Routes, ServerLimits, WebServer
 from citronpin.services import HttpServiceClient
 from citronpin.settings import Settings, split_address
-from citronpin.suspicions import DETECTORS
 from citronpin.views import add_entry_views
 from citronpin.watchers import Watcher
 
@@ -156,7 +160,7 @@
         ).register(self)
 
     def _add_control(self) -> None:
-        cfg = self.cfg.section("repair")
+        cfg = self.cfg
         self.control = ControlTask(
             entry=self.id,
             states=self.states,
@@ -166,9 +170,9 @@
             membership=lambda: self.membership.view,
             alive=self.peers.alive,
             head_age_s=self.states.head_age_s,
-            detector=DETECTORS[cfg["detector"]],
-            repair=REPAIRS[cfg["policy"]](),
-            placement=EvenPlacement(),
+            detector=lambda: make_detector(cfg=cfg),
+            repair=make_repair(cfg=cfg),
+            placement=make_placement(cfg=cfg),
         ).register(self)
 
     def _add_callers(self) -> None:
@@ -185,7 +189,7 @@
         identify = IdentifyFilter(customers=lambda: configuration.customers)
         limit = self._limit_filter()
         chats = (gate, identify, self._chat_filter(), limit, *self._generation())
-        calls = (gate, identify, self._application_filter(), limit, self._service())
+        calls = (gate, identify, self._application_filter(), limit, *self._service())
         self.api = CallerApi(
             clock=clock,
             recorder=self.recorder,
@@ -203,8 +207,8 @@
         add_entry_views(self.pages, self)
 
     def _limit_filter(self) -> LimitFilter:
-        requests = SharedLimits(entry=self.id)
-        tokens = SharedLimits(entry=self.id)
+        requests = make_limits(cfg=self.cfg, entry=self.id)
+        tokens = make_limits(cfg=self.cfg, entry=self.id)
         self.demand = DemandExchange(
             entry=self.id,
             mesh=self.peers,
@@ -223,16 +227,15 @@
     def _generation(self) -> tuple[Filter, ...]:
         data_client = HttpClient(clock=self.clock, channel="data-client").register(self)
         rng = numpy.random.default_rng()
-        routing = self.cfg.section("routing")
-        admission = ADMISSIONS[self.cfg.section("admission")["policy"]]
         admit = AdmitFilter(
             clock=self.clock,
-            make_policy=lambda: admission(rng=rng),
+            make_policy=lambda: make_admission(cfg=self.cfg, rng=rng),
             load=self._load_of,
         )
         generate = GenerateFilter(
             engine=HttpEngineClient(client=data_client, clock=self.clock),
-            router=ROUTERS[routing["policy"]](rng=rng),
+            router=make_router(cfg=self.cfg, rng=rng),
+            budget=make_retry_budget(cfg=self.cfg),
             admit=admit,
             directory=self.directory,
             usable=self.readiness.usable,
@@ -252,10 +255,27 @@
     def _application_filter(self) -> ApplicationFilter:
         return ApplicationFilter(applications=lambda: self.configuration.applications)
 
-    def _service(self) -> ServiceFilter:
+    def _service(self) -> tuple[Filter, ...]:
         client = HttpClient(clock=self.clock, channel="service-client").register(self)
         services = HttpServiceClient(client=client, clock=self.clock)
-        return ServiceFilter(client=services, pool=self.pool)
+        lookup = ServiceLookup(
+            applications=lambda: self.configuration.applications,
+            client=services,
+            pool=self.pool,
+        )
+        cfg = self.cfg.section("calls")
+        self.calls = Calls(
+            entry=self.id,
+            clock=self.clock,
+            recorder=self.recorder,
+            mesh=self.peers,
+            states=self.states,
+            shards=cfg["shards"],
+            lookup=lookup.look_up,
+            window_s=cfg["window_s"],
+        ).register(self)
+        once = OnceFilter(calls=self.calls)
+        return once, ServiceFilter(client=services, pool=self.pool)
 
     def _add_server(self, own: dict) -> None:
         self.server = WebServer(
@@ -303,7 +323,7 @@
         other entries' suspicion; its holder has ceased to act in any case.
         """
         waited_s = self.clock.now() - self._stopped_s
-        if self.server.http.open_replies:
+        if self.server.http.open_replies or self.calls.open_calls():
             return waited_s < self.cfg.section("entry")["drain_s"]
         return not self.control.handed_over() and waited_s < HANDOVER_LIMIT_S
 
--- a/citronpin/generations.py
+++ b/citronpin/generations.py
@@ -14,7 +14,7 @@
 from citronpin.chats import answer_for
 from citronpin.clocks import Clock
 from citronpin.directories import GroupDirectory
-from citronpin.dispatches import AnswerSink, Dispatch, RetryBudget, Target
+from citronpin.dispatches import AnswerSink, Dispatch, Target
 from citronpin.engines import EngineClient, EngineStatus, Frame
 from citronpin.errors import CitronpinError, Outcome
 from citronpin.events import EventKind
@@ -24,6 +24,7 @@
 from citronpin.metrics import LatencyCollector
 from citronpin.prefixes import prefix_blocks
 from citronpin.refusals import Overloaded
+from citronpin.retries import RetryBudget
 from citronpin.routers import GroupLoad, RoutePolicy, RouteRequest
 
 logger = logging.getLogger(__name__)
@@ -281,10 +282,11 @@
         usable: Callable[[GroupId], bool],
         latencies: LatencyCollector,
         loads: LoadBook,
+        budget: RetryBudget,
         clock: Clock,
     ) -> None:
         self.engine = engine
-        self.budget = RetryBudget()
+        self.budget = budget
         self.router = router
         self.admit = admit
         self.latencies = latencies
--- /dev/null
+++ b/citronpin/idempotencies.py
@@ -0,0 +1,152 @@
+"""Calls that must not be repeated: from the caller's key to a grant or an answer."""
+
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from citronpin.applications import (
+    KEY_HEADER,
+    call_digest,
+    send_service_answer,
+    service_target,
+)
+from citronpin.calls import Calls, LookupCallback
+from citronpin.errors import CitronpinError, LogUnavailable
+from citronpin.filters import Context, Filter, Proceed
+from citronpin.grants import (
+    BadKey,
+    KeyReused as KeyReusedGrant,
+    Owned,
+    Pending,
+    Recorded,
+    Refused,
+    TooOld,
+    Unknown,
+)
+from citronpin.ids import ApplicationName, CallKey
+from citronpin.manifests import ApplicationManifest
+from citronpin.refusals import (
+    CallPending,
+    KeyMissing,
+    KeyReused,
+    KeyTooOld,
+    NoServer,
+    OutcomeUnknown,
+)
+from citronpin.server_pools import ServerPool
+from citronpin.services import ServiceClient, ServiceResponse
+
+logger = logging.getLogger(__name__)
+
+FIRST_TRY_HEADER = "citronpin-first-try"
+PENDING_RETRY_S = 1.0
+LOG_RETRY_S = 2.0
+LOOKUP_TIMEOUT_S = 3.0
+OK_STATUS = 200
+MISSING_STATUS = 404
+
+
+class OnceFilter(Filter):
+    """Lets a non-repeatable call go on only when this entry owns it."""
+
+    def __init__(self, *, calls: Calls) -> None:
+        self._calls = calls
+
+    def handle(self, ctx: Context, proceed: Proceed) -> None:
+        if ctx.repeatable:
+            proceed(ctx)
+            return
+        key = ctx.req.headers.get(KEY_HEADER)
+        if not key:
+            raise KeyMissing("The call must not be repeated and carries no key.")
+        self._calls.begin(
+            key=key,
+            digest=call_digest(ctx.req.method, service_target(ctx), ctx.req.body),
+            application=ctx.application.name,
+            first=ctx.req.headers.get(FIRST_TRY_HEADER, "").lower() == "true",
+            done=lambda grant: self._granted(ctx, proceed, grant),
+        )
+
+    def _granted(self, ctx: Context, proceed: Proceed, grant) -> None:
+        if isinstance(grant, Owned):
+            ctx.grant = grant
+            proceed(ctx)
+        elif isinstance(grant, Recorded):
+            headers = {"content-type": grant.content_type or "application/json"}
+            send_service_answer(ctx, ServiceResponse(grant.status, headers, grant.body))
+        else:
+            ctx.refuse(grant_error(grant))
+
+
+def grant_error(grant) -> CitronpinError:
+    """Return the error that tells a caller why its call was not dispatched."""
+    if isinstance(grant, Pending):
+        detail = f"Another try is under way on {grant.owner}."
+        return CallPending(detail, retry_after_s=PENDING_RETRY_S)
+    if isinstance(grant, Unknown):
+        detail = f"The call was left open by {grant.owner}, at offset {grant.offset}."
+        return OutcomeUnknown(detail)
+    if isinstance(grant, KeyReusedGrant):
+        return KeyReused(grant.detail)
+    if isinstance(grant, BadKey):
+        return KeyMissing(grant.detail)
+    if isinstance(grant, TooOld):
+        return KeyTooOld(grant.detail, outcome=grant.outcome)
+    if isinstance(grant, Refused):
+        return LogUnavailable(
+            grant.detail, outcome=grant.outcome, retry_after_s=LOG_RETRY_S
+        )
+    raise TypeError(f"{grant!r} is not a grant")
+
+
+class ServiceLookup:
+    """Asks an application what became of a call, by the manifest's look-up path."""
+
+    def __init__(
+        self,
+        *,
+        applications: Callable[[], dict[ApplicationName, ApplicationManifest]],
+        client: ServiceClient,
+        pool: ServerPool,
+    ) -> None:
+        self._applications = applications
+        self._client = client
+        self._pool = pool
+
+    def look_up(
+        self, application: ApplicationName, key: CallKey, done: LookupCallback
+    ) -> None:
+        """Ask; ``done`` gets the answer, ``None`` for no trace, or an error."""
+        path = self._path(application)
+        server = self._pool.choose(application, frozenset())
+        if path is None or server is None:
+            done(Err(NoServer("There is no look-up call or no server in service.")))
+            return
+        self._client.call(
+            address=server.address,
+            method="GET",
+            target=path.replace("{key}", key),
+            headers=(),
+            body=b"",
+            timeout_s=LOOKUP_TIMEOUT_S,
+            done=lambda result: done(_read(result)),
+        )
+
+    def _path(self, application: ApplicationName) -> str | None:
+        manifest = self._applications().get(application)
+        if manifest is None:
+            return None
+        paths = [rule.lookup for rule in manifest.calls if rule.lookup]
+        return paths[0] if paths else None
+
+
+def _read(result):
+    if isinstance(result, Err):
+        return result
+    answer: ServiceResponse = result.ok_value
+    if answer.status == OK_STATUS:
+        return Ok(answer)
+    if answer.status == MISSING_STATUS:
+        return Ok(None)
+    return Err(OutcomeUnknown(f"The look-up call got status {answer.status}."))
--- a/citronpin/loads.py
+++ b/citronpin/loads.py
@@ -266,7 +266,11 @@
         body = msgspec.json.encode({"number": self.number, "key": self.key})
         return {
             "target": self._task.plan.call_path,
-            "headers": (*self._task.headers, ("Idempotency-Key", self.key)),
+            "headers": (
+                *self._task.headers,
+                ("Idempotency-Key", self.key),
+                ("Citronpin-First-Try", "true" if self.tries == 1 else "false"),
+            ),
             "body": body,
         }
 
--- a/citronpin/settings.py
+++ b/citronpin/settings.py
@@ -113,6 +113,11 @@
     ),
 }
 
+CALLS_DEFAULTS = {
+    "shards": _count("1", "Shards of non-repeatable calls; the same on all.", 1, 4096),
+    "window_s": _seconds("600", "Age at which a key is refused."),
+}
+
 STANDIN_DEFAULTS = {
     "listen": Setting(
         default=REQUIRED, kind=ValueKind.ADDRESS, doc="Address of the stand-in."
@@ -245,6 +250,7 @@
     "admission": ADMISSION_DEFAULTS,
     "limits": LIMITS_DEFAULTS,
     "repair": REPAIR_DEFAULTS,
+    "calls": CALLS_DEFAULTS,
     "standin": STANDIN_DEFAULTS,
     "standin_engine": STANDIN_ENGINE_DEFAULTS,
     "standin_membership": STANDIN_MEMBERSHIP_DEFAULTS,
@@ -252,7 +258,7 @@
 }
 
 POLICY_SECTIONS = ("routing", "admission", "limits", "repair")
-ENTRY_SECTIONS = ("entry", "server", "peers", *POLICY_SECTIONS)
+ENTRY_SECTIONS = ("entry", "server", "peers", "calls", *POLICY_SECTIONS)
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/citronpin/tests/test_dispatches.py
+++ b/citronpin/tests/test_dispatches.py
@@ -6,7 +6,6 @@
     AnswerSink,
     Dispatch,
     DispatchLimits,
-    RetryBudget,
     Target,
 )
 from citronpin.engines import Attempt, EngineClient, Frame
@@ -19,6 +18,7 @@
     StaleFence,
 )
 from citronpin.events import Recorder
+from citronpin.retries import RetryBudget
 
 GROUPS = ("g1", "g2", "g3")
 LIMITS = DispatchLimits(first_frame_timeout_s=20.0, stall_timeout_s=5.0)
--- a/citronpin/views.py
+++ b/citronpin/views.py
@@ -74,6 +74,7 @@
     """Return the limits of customers and the requests in flight."""
     return {
         "in_flight": entry.api.in_flight,
+        "open_calls": entry.calls.open_calls,
         "open_connections": entry.server.http.open_connections,
         "http": entry.server.http.counters,
         "customers": {
