--- a/citronpin/applications.py
+++ b/citronpin/applications.py
@@ -148,6 +148,8 @@
         error = result.err_value
         not_run = error.outcome is Outcome.NOT_RUN
         self._maybe_run = self._maybe_run or not not_run
+        if not_run and self._ctx.grant is not None:
+            self._ctx.grant.retract()
         if not_run or self._ctx.repeatable:
             self._try(error)
         else:
