Demonstrate the whole system on loopback

Change: make demo starts stand-ins and three entries, publishes both manifests, drafts a rota, posts a swap twice, kills a member, drains an instance and stops an entry under load; it ends with a table and a time line. Before: none.

--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -10,6 +10,7 @@
 COMMAND_MODULES = (
     "commands_benches",
     "commands_config",
+    "commands_demo",
     "commands_entries",
     "commands_standins",
 )
