--- a/citronpin/domains.py
+++ b/citronpin/domains.py
@@ -59,6 +59,7 @@
         max_head_age_s: float = MAX_HEAD_AGE_S,
     ) -> None:
         self.domain = domain
+        self._stream = control_stream(domain)
         self._states = states
         self._clock = clock
         self._membership = membership
@@ -82,7 +83,7 @@
     @property
     def control(self) -> ControlState:
         """Return the folded control stream."""
-        return self._states.state(control_stream(self.domain))
+        return self._states.state(self._stream)
 
     @property
     def deployments(self) -> dict[DeploymentName, DeploymentManifest]:
--- a/citronpin/fabrics.py
+++ b/citronpin/fabrics.py
@@ -26,11 +26,21 @@
 )
 from citronpin.events import Recorder
 from citronpin.followers import Followers
-from citronpin.ids import CONFIG_STREAM, EntryId, Fence, InstanceId
-from citronpin.instances import Instance, MembershipView
+from citronpin.ids import (
+    CONFIG_STREAM,
+    DomainName,
+    EntryId,
+    FailureDomainName,
+    Fence,
+    InstanceId,
+    RecordId,
+    new_id,
+)
+from citronpin.instances import Instance, InstanceKind, InstanceState, MembershipView
 from citronpin.logs import LogClient, MemoryLog
 from citronpin.placements import EvenPlacement
 from citronpin.plans import Detector, RepairPolicy
+from citronpin.records import FORMAT_VERSION, Record, encode_record
 from citronpin.repairs import ImmediateRepair
 from citronpin.suspicions import TimeoutDetector
 
@@ -43,6 +53,23 @@
 NO_FENCE = Fence(-1)
 
 
+def engine_row(
+    domain: DomainName, number: int, *, checks_fence: bool = True
+) -> Instance:
+    """Return the row of an engine, whose address is its id."""
+    name = InstanceId(f"{domain}{number}")
+    return Instance(
+        id=name,
+        address=name,
+        kind=InstanceKind.ENGINE,
+        state=InstanceState.LIVE,
+        failure_domain=FailureDomainName("f"),
+        domain=domain,
+        accelerators=8,
+        checks_fence=checks_fence,
+    )
+
+
 class EntryClock(Clock):
     """The clock of one entry in a fabric; a paused entry runs no timer."""
 
@@ -392,6 +419,17 @@
         self.entries[name].clock.paused = False
         self.entries[name].silent_since_s = None
 
+    def publish(self, item, author: str = "pipeline") -> None:
+        """Append an item to the configuration stream, as a pipeline does."""
+        record = Record(
+            format=FORMAT_VERSION,
+            id=RecordId(new_id()),
+            author=EntryId(author),
+            wall_ms=self.clock.wall_ms(),
+            items=(item,),
+        )
+        self.log.put(CONFIG_STREAM, encode_record(record))
+
     def alive(self) -> frozenset[EntryId]:
         """Return the entries that peers hold for alive."""
         now = self.clock.now()
--- a/citronpin/groups.py
+++ b/citronpin/groups.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import msgspec
+
 from citronpin.clocks import Clock
 from citronpin.controllers import PERIOD_S, Controller, register
 from citronpin.domains import DomainFacts, Fitness
@@ -55,6 +57,14 @@
     )
 
 
+class Condition(msgspec.Struct, frozen=True):
+    """What a look at the members of a serving group has found."""
+
+    fault: str = ""
+    leaving: str = ""  # a member that is leaving
+    whole: bool = False  # whether every member was read back
+
+
 @register
 class GroupController(Controller):
     """Holds the groups of a fabric domain to what the manifests want."""
@@ -148,10 +158,14 @@
 
     def _hand_over_dark(self) -> bool:
         """Leave a domain that fell silent to an entry that may still reach it."""
-        if not self._readbacks.heard_any():
+        if not self._readbacks.heard_any() or not self._readbacks.silent():
             return False
         assigned = self._facts.control.assigned
-        dark = any(self._facts.fitness(m) is Fitness.DARK for m in assigned)
+        dark = any(
+            self._facts.fitness(m) is Fitness.DARK
+            for m in self._readbacks.silent()
+            if m in assigned
+        )
         return dark and self._lease.step_down("no engine of the domain answers")
 
     def _move(self, group: Group, state: GroupState, reason: str = "") -> bool:
@@ -192,33 +206,33 @@
 
     def _serving(self, group: Group) -> None:
         self._poll(group, SERVING_POLL_S)
-        fault = self._serving_fault(group)
-        if fault:
-            self._move(group, GroupState.BROKEN, fault)
-            return
-        if all(not self._readbacks.difference(group, m) for m in group.members):
-            self._readbacks.keep_boots(group)
-        leaving = [
-            m for m in group.members if self._facts.fitness(m) is Fitness.LEAVING
-        ]
-        if group.deployment not in self._facts.deployments:
+        found = self._inspect(group)
+        if found.fault:
+            self._move(group, GroupState.BROKEN, found.fault)
+        elif group.deployment not in self._facts.deployments:
             reason = DrainPurpose.DISSOLVE.reason("its deployment was removed")
             self._move(group, GroupState.DRAINING, reason)
-        elif leaving:
-            reason = DrainPurpose.REPAIR.reason(f"{leaving[0]} is leaving")
+        elif found.leaving:
+            reason = DrainPurpose.REPAIR.reason(f"{found.leaving} is leaving")
             self._move(group, GroupState.DRAINING, reason)
+        elif found.whole:
+            self._readbacks.keep_boots(group)
 
-    def _serving_fault(self, group: Group) -> str:
+    def _inspect(self, group: Group) -> Condition:
+        whole, leaving = True, ""
         for member in group.members:
             fitness = self._facts.fitness(member)
             if fitness in (Fitness.MISSING, Fitness.DARK):
-                return f"{member} is {fitness.value}"
+                return Condition(fault=f"{member} is {fitness.value}")
+            if fitness is Fitness.LEAVING:
+                leaving = member
             if self._readbacks.seen(member) is None:
+                whole = False
                 continue
             difference = self._readbacks.difference(group, member)
             if difference:
-                return f"{member} {difference}"
-        return ""
+                return Condition(fault=f"{member} {difference}")
+        return Condition(leaving=leaving, whole=whole)
 
     def _broken(self, group: Group) -> None:
         self._poll(group, SILENT_POLL_S)
--- a/citronpin/readbacks.py
+++ b/citronpin/readbacks.py
@@ -63,6 +63,10 @@
         """Return the latest status of an instance."""
         return self._seen.get(instance)
 
+    def silent(self) -> frozenset[InstanceId]:
+        """Return the instances that did not answer the latest probe."""
+        return frozenset(self._silent)
+
     def heard_any(self) -> bool:
         """Return whether any instance has answered."""
         return bool(self._seen)
--- a/citronpin/tests/test_controls.py
+++ b/citronpin/tests/test_controls.py
@@ -17,7 +17,7 @@
 from citronpin.drains import Drains
 from citronpin.folds import ConfigFold, ControlFold
 from citronpin.formations import Formations
-from citronpin.groups import GroupController
+from citronpin.groups import Condition, GroupController
 from citronpin.ids import CONFIG_STREAM, control_stream
 from citronpin.instances import InstanceState
 from citronpin.readbacks import Readbacks
@@ -185,7 +185,7 @@
 
 
 def keep_faulty(patch):
-    patch.setattr(GroupController, "_serving_fault", lambda self, group: "")
+    patch.setattr(GroupController, "_inspect", lambda self, group: Condition())
 
 
 def ignore_bases(patch):
--- a/citronpin/tests/worlds.py
+++ b/citronpin/tests/worlds.py
@@ -4,18 +4,11 @@
 
 from citronpin.drains import DrainPurpose
 from citronpin.events import EventKind
-from citronpin.fabrics import Fabric, Job
+from citronpin.fabrics import Fabric, Job, engine_row
 from citronpin.folds import fold_for, scope_base
-from citronpin.ids import CONFIG_STREAM, EntryId, control_stream
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.records import (
-    ConfigChange,
-    GroupMove,
-    Record,
-    ScopeChange,
-    decode_record,
-    encode_record,
-)
+from citronpin.ids import CONFIG_STREAM, control_stream
+from citronpin.instances import InstanceState
+from citronpin.records import ConfigChange, GroupMove, ScopeChange, decode_record
 from citronpin.states import GroupState
 from citronpin.tests.builders import change, deployment
 
@@ -27,24 +20,10 @@
 LEASE_S = 2.5  # watchers' leases on readiness end this long after a drain began
 
 
-def row(domain, number, checks_fence=True):
-    name = f"{domain}{number}"
-    return Instance(
-        id=name,
-        address=name,
-        kind=InstanceKind.ENGINE,
-        state=InstanceState.LIVE,
-        failure_domain="f",
-        domain=domain,
-        accelerators=8,
-        checks_fence=checks_fence,
-    )
-
-
 def rows(sizes):
     """Return rows of engines, every third of which ignores fences."""
     return [
-        row(domain, number, number % 3 != 2)
+        engine_row(domain, number, checks_fence=number % 3 != 2)
         for domain, size in sizes.items()
         for number in range(size)
     ]
@@ -150,23 +129,13 @@
             base -= 1
         else:
             self.wanted = manifest.version
-        self._append(change(manifest, base=base))
+        self.fabric.publish(change(manifest, base=base))
 
     def publish_removal(self):
         """Remove the deployment."""
         base = scope_base(self.truth[CONFIG_STREAM], SCOPE)
         self.version += 1
-        self._append(ConfigChange(changes=(ScopeChange(SCOPE, base, None),)))
-
-    def _append(self, item):
-        record = Record(
-            format=1,
-            id=f"publish-{self.version}",
-            author=EntryId("pipeline"),
-            wall_ms=0,
-            items=(item,),
-        )
-        self.fabric.log.put(CONFIG_STREAM, encode_record(record))
+        self.fabric.publish(ConfigChange(changes=(ScopeChange(SCOPE, base, None),)))
 
     def list(self, name, state=None):
         """Show an instance as live or leaving, or not at all."""
