--- a/citronpin/tests/worlds.py
+++ b/citronpin/tests/worlds.py
@@ -17,6 +17,7 @@
 CHUNK_S = 0.5
 MISSING_BOUND_S = 20.0
 STREAM_S = 6.0
+SETTLE_S = 10.0  # until what was seen of ended faults is acted on
 LEASE_S = 2.5  # watchers' leases on readiness end this long after a drain began
 
 
@@ -278,6 +279,7 @@
     def check_live(self, limit_s=240.0):
         """Check that all wanted groups serve in the end, at the last version."""
         self.heal()
+        self.advance(SETTLE_S)
         self._await_all_serving(limit_s)
 
     def check_rollout(self, limit_s=90.0):
