Split the fabric; take reports of watchers

Change: engines in memory have a module of their own; a report on a group makes its holder ask the members at once.

--- a/citronpin/bench_controls.py
+++ b/citronpin/bench_controls.py
@@ -5,9 +5,10 @@
 import time
 
 from citronpin.benches import Bench, Figure, register
-from citronpin.fabrics import Fabric, engine_row
+from citronpin.fabrics import Fabric
 from citronpin.ids import CONFIG_STREAM, DeploymentName, DomainName, control_stream
 from citronpin.manifests import DeploymentManifest
+from citronpin.memory_engines import engine_row
 from citronpin.records import ConfigChange, ScopeChange
 from citronpin.states import Group, GroupState
 
--- a/citronpin/controls.py
+++ b/citronpin/controls.py
@@ -11,7 +11,7 @@
 from citronpin.engines import EngineClient
 from citronpin.events import Recorder
 from citronpin.groups import GroupController
-from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, control_stream
+from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, GroupId, control_stream
 from citronpin.instances import InstanceKind
 from citronpin.leases import MAX_HEAD_AGE_S, Alive, LeaseController
 from citronpin.logs import States
@@ -180,6 +180,13 @@
         for domain in self.domains.values():
             domain.close()
 
+    def report(self, group: GroupId) -> None:
+        """Look at a group at once, since its watchers report it as faulty."""
+        for control in self.domains.values():
+            known = control.facts.control.groups.get(group)
+            if known is not None:
+                control.groups.report(known)
+
     def _on_config(self, stream, state, verdicts) -> None:
         if stream == CONFIG_STREAM and any(v.accepted for v in verdicts):
             for domain in self.domains.values():
--- a/citronpin/fabrics.py
+++ b/citronpin/fabrics.py
@@ -1,43 +1,20 @@
-"""Engines in memory and entries on clocks of their own, for benches and tests."""
+"""Entries on clocks of their own around a log and engines in memory."""
 
 import logging
 from collections.abc import Callable
 
-import msgspec
 import numpy as np
 from result import Err, Ok
 
-from citronpin.clocks import MS_PER_S, Clock, PausedClock
+from citronpin.clocks import Clock, PausedClock
 from citronpin.controls import ControlTask
-from citronpin.engines import (
-    Attempt,
-    EngineClient,
-    EngineStatus,
-    FrameSink,
-    Order,
-    OrderKind,
-)
-from citronpin.errors import (
-    CitronpinError,
-    ConnectionFailed,
-    LogUnavailable,
-    StaleFence,
-    TimedOut,
-)
+from citronpin.errors import LogUnavailable, TimedOut
 from citronpin.events import Recorder
 from citronpin.followers import Followers
-from citronpin.ids import (
-    CONFIG_STREAM,
-    DomainName,
-    EntryId,
-    FailureDomainName,
-    Fence,
-    InstanceId,
-    RecordId,
-    new_id,
-)
-from citronpin.instances import Instance, InstanceKind, InstanceState, MembershipView
+from citronpin.ids import CONFIG_STREAM, EntryId, RecordId, new_id
+from citronpin.instances import Instance, MembershipView
 from citronpin.logs import LogClient, MemoryLog
+from citronpin.memory_engines import LATENCY_S, MemoryEngine, MemoryEngines
 from citronpin.placements import EvenPlacement
 from citronpin.plans import Detector, RepairPolicy
 from citronpin.records import FORMAT_VERSION, Record, encode_record
@@ -46,28 +23,8 @@
 
 logger = logging.getLogger(__name__)
 
-LATENCY_S = 0.002
-ORDER_TIMEOUT_S = 2.0
 READ_AGAIN_S = 0.1
 PEER_LAG_S = 2.0
-NO_FENCE = Fence(-1)
-
-
-def engine_row(
-    domain: DomainName, number: int, *, checks_fence: bool = True
-) -> Instance:
-    """Return the row of an engine, whose address is its id."""
-    name = InstanceId(f"{domain}{number}")
-    return Instance(
-        id=name,
-        address=name,
-        kind=InstanceKind.ENGINE,
-        state=InstanceState.LIVE,
-        failure_domain=FailureDomainName("f"),
-        domain=domain,
-        accelerators=8,
-        checks_fence=checks_fence,
-    )
 
 
 class EntryClock(Clock):
@@ -85,191 +42,6 @@
         return self._shared.wall_ms()
 
 
-class Job(msgspec.Struct):
-    """A stream that an engine generates until a clock time."""
-
-    end_s: float
-    on_cut: Callable[[str], None]
-
-
-class MemoryEngine:
-    """A model engine: what it holds, and the orders that it obeys.
-
-    It forgets everything but its id when it restarts. ``checks_fence`` of its
-    row says whether it refuses orders with an older fencing number.
-    """
-
-    def __init__(self, *, row: Instance, clock: Clock, load_s: float) -> None:
-        self.row = row
-        self.up = True
-        self.order_delay_s = 0.0
-        self.lose_answers = False
-        self._clock = clock
-        self._load_s = load_s
-        self._held: list[Callable[[], None]] | None = None
-        self._boots = 0
-        self.jobs: list[Job] = []
-        self.restart()
-
-    @property
-    def paused(self) -> bool:
-        """Return whether the engine holds what it is asked."""
-        return self._held is not None
-
-    def pause(self) -> None:
-        """Hold every request from now on."""
-        if self._held is None:
-            self._held = []
-
-    def go_on(self) -> None:
-        """Work on the requests that were held."""
-        held, self._held = self._held or [], None
-        for action in held:
-            action()
-
-    def restart(self) -> None:
-        """Come back without group, model and streams."""
-        self._boots += 1
-        self._held = None
-        self.cut("restart")
-        self.up = True
-        self.highest_fence = NO_FENCE
-        self.status_ = EngineStatus(
-            instance=self.row.id, boot=f"{self.row.id}/{self._boots}"
-        )
-
-    def die(self) -> None:
-        """Stop to answer until restarted or revived."""
-        self.up = False
-        self._held = None
-
-    def run(self, action: Callable[[], None]) -> None:
-        """Run ``action`` now, or when the pause ends."""
-        if self._held is not None:
-            self._held.append(action)
-        elif self.up:
-            action()
-
-    def status(self) -> EngineStatus:
-        """Return what the engine reports."""
-        now = self._clock.now()
-        self.jobs = [job for job in self.jobs if job.end_s > now]
-        return msgspec.structs.replace(self.status_, running=len(self.jobs))
-
-    def cut(self, cause: str) -> None:
-        """End every stream before its time."""
-        self.status_ = getattr(self, "status_", None)
-        now = self._clock.now()
-        jobs, self.jobs = self.jobs, []
-        for job in jobs:
-            if job.end_s > now:
-                job.on_cut(cause)
-
-    def obey(self, order: Order, due_s: float) -> CitronpinError | None:
-        """Carry an order out, or say why not."""
-        if self._clock.now() > due_s:
-            return StaleFence("The order has expired.")
-        if self.row.checks_fence and order.fence < self.highest_fence:
-            return StaleFence(f"Fence {self.highest_fence} was seen.")
-        self.highest_fence = max(self.highest_fence, order.fence)
-        if order.kind is OrderKind.RELEASE:
-            self._change(group=None, fence=NO_FENCE, members=())
-        elif order.kind is OrderKind.LOAD:
-            self._load(order)
-        else:
-            self._change(group=order.group, fence=order.fence, members=order.members)
-        return None
-
-    def _load(self, order: Order) -> None:
-        if self.status_.loading:
-            return
-        self.cut("load")
-        boot = self.status_.boot
-        self.status_ = msgspec.structs.replace(self.status_, loading=True)
-
-        def loaded() -> None:
-            if self.status_.boot == boot:
-                self.status_ = msgspec.structs.replace(
-                    self.status_,
-                    loading=False,
-                    model=order.model,
-                    version=order.version,
-                    adapters=order.adapters,
-                )
-
-        self._clock.call_later(self._load_s, loaded)
-
-    def _change(self, *, group, fence, members) -> None:
-        if (self.status_.group, self.status_.members) != (group, members):
-            self.cut("order")
-        self.status_ = msgspec.structs.replace(
-            self.status_, group=group, fence=fence, members=members
-        )
-
-
-class MemoryEngines(EngineClient):
-    """The engines of a fabric as one entry reaches them."""
-
-    def __init__(
-        self,
-        *,
-        engines: dict[InstanceId, MemoryEngine],
-        shared: PausedClock,
-        clock: Clock,
-    ) -> None:
-        self._engines = engines
-        self._shared = shared
-        self._clock = clock
-        self.cut_off = False
-        self.calls = 0
-
-    def submit(self, *, address, submission, sink: FrameSink) -> Attempt:
-        raise ConnectionFailed("Engines in memory generate nothing.")
-
-    def cache_events(self, *, address, since, done) -> None:
-        self._clock.call_later(0.0, lambda: done(Ok([])))
-
-    def order(self, *, address, order, done) -> None:
-        engine = self._engines.get(address)
-        delay_s = engine.order_delay_s if engine else 0.0
-
-        def act(answer) -> None:
-            due_s = self._shared.now() + order.ttl_ms / MS_PER_S
-            engine.run(lambda: obey(answer, due_s))
-
-        def obey(answer, due_s) -> None:
-            refusal = engine.obey(order, due_s)
-            if not engine.lose_answers:
-                answer(Err(refusal) if refusal else Ok(engine.status()))
-
-        self._call(engine, act, done, ORDER_TIMEOUT_S, delay_s)
-
-    def status(self, *, address, done, timeout_s=1.0) -> None:
-        engine = self._engines.get(address)
-
-        def act(answer) -> None:
-            engine.run(lambda: answer(Ok(engine.status())))
-
-        self._call(engine, act, done, timeout_s, 0.0)
-
-    def _call(self, engine, act, done, timeout_s: float, delay_s: float) -> None:
-        self.calls += 1
-        answered = False
-
-        def answer(result) -> None:
-            nonlocal answered
-            if not answered:
-                answered = True
-                timeout.cancel()
-                self._clock.call_later(0.0, lambda: done(result))
-
-        failure = Err(TimedOut("The engine does not answer."))
-        timeout = self._shared.call_later(timeout_s, lambda: answer(failure))
-        if engine is None or self.cut_off:
-            return
-        self._shared.call_later(LATENCY_S + delay_s, lambda: act(answer))
-
-
 class LogLink(LogClient):
     """The log in memory as one entry reaches it, with faults."""
 
--- a/citronpin/tests/test_groups.py
+++ b/citronpin/tests/test_groups.py
@@ -4,11 +4,11 @@
 
 from citronpin.drains import drain_deadline_s
 from citronpin.events import EventKind
-from citronpin.fabrics import Job
 from citronpin.ids import CONFIG_STREAM, control_stream
 from citronpin.instances import InstanceState
 from citronpin.leases import MAX_HEAD_AGE_S, rank
 from citronpin.manifests import Customer, CustomersManifest
+from citronpin.memory_engines import Job
 from citronpin.orders import ORDER_TTL_S
 from citronpin.plans import Detector, Health, Wait
 from citronpin.records import GroupMove, LeaseClaim
@@ -138,6 +138,15 @@
     assert "holds other" in " ".join(moves(world, group.id))
 
 
+def test_report_of_a_watcher_is_faster_than_the_poll(world):
+    group = world.groups_of()[0]
+    world.engine(group.members[1]).restart()
+    for entry in world.entries.values():
+        entry.control.report(group.id)
+    world.fabric.advance(0.2)
+    assert world.truth[STREAM].groups[group.id].state is GroupState.BROKEN
+
+
 def test_leaving_instance_drains_its_group_and_is_replaced(world):
     group = world.groups_of()[0]
     lead = world.engine(group.members[0])
--- a/citronpin/tests/worlds.py
+++ b/citronpin/tests/worlds.py
@@ -4,10 +4,11 @@
 
 from citronpin.drains import DrainPurpose
 from citronpin.events import EventKind
-from citronpin.fabrics import Fabric, Job, engine_row
+from citronpin.fabrics import Fabric
 from citronpin.folds import fold_for, scope_base
 from citronpin.ids import CONFIG_STREAM, control_stream
 from citronpin.instances import InstanceState
+from citronpin.memory_engines import Job, engine_row
 from citronpin.records import ConfigChange, GroupMove, ScopeChange, decode_record
 from citronpin.states import GroupState
 from citronpin.tests.builders import change, deployment
