--- a/citronpin/orders.py
+++ b/citronpin/orders.py
@@ -21,6 +21,7 @@
 ORDER_TTL_S = 3.0
 ORDER_TRANSIT_S = 2.0  # longest time from the clock check to the engine's receipt
 RETRY_S = 0.5
+LOAD_AGAIN_S = 10.0  # before a load that was taken and failed is ordered again
 MAX_LOADS = 4  # instances of a fabric domain that load at the same time
 
 
@@ -30,6 +31,7 @@
     order: Order
     sent_s: float
     in_flight: bool = True
+    taken: bool = False
     settled: bool = False  # answered or refused, so it cannot take effect later
 
 
@@ -132,7 +134,7 @@
         if known is not None and known.in_flight:
             return
         again = known is not None and _same(known.order, kind, fence, fields)
-        if again and self._clock.now() - known.sent_s < RETRY_S:
+        if again and self._clock.now() - known.sent_s < _pause_s(known):
             return
         if not again and not self.quiet(instance.id):
             return
@@ -173,7 +175,7 @@
         if self._errands.get(instance.id) is not errand:
             return
         if isinstance(result, Ok):
-            errand.settled = True
+            errand.settled = errand.taken = True
             self._take(instance, result.ok_value, errand.sent_s)
         elif isinstance(result, Err):
             errand.settled = result.err_value.outcome is Outcome.NOT_RUN
@@ -196,6 +198,12 @@
         return age_s > self._ttl_s + ORDER_TRANSIT_S
 
 
+def _pause_s(errand: _Errand) -> float:
+    """Return how long to wait before the same order is given again."""
+    failed_load = errand.taken and errand.order.kind is OrderKind.LOAD
+    return LOAD_AGAIN_S if failed_load else RETRY_S
+
+
 def _same(order: Order, kind: OrderKind, fence: Fence, fields: dict) -> bool:
     if (order.kind, order.fence) != (kind, fence):
         return False
--- a/citronpin/tests/test_groups.py
+++ b/citronpin/tests/test_groups.py
@@ -211,6 +211,17 @@
     world.advance(120.0)
 
 
+def test_load_that_fails_is_not_ordered_all_the_time(world):
+    orders = holder_of(world).control.domains["a"].orders
+    for engine in world.fabric.engines.values():
+        engine._load = lambda order: None
+    world.publish()
+    world.advance(14.0)
+    before = orders.sent
+    world.advance(30.0)
+    assert before < orders.sent <= before + 2 * 3
+
+
 @pytest.mark.parametrize(
     "groups, share, floor", [(60, 0.8, 48), (3, 0.8, 2), (1, 1.0, 0), (10, 0.0, 0)]
 )
