--- /dev/null
+++ b/citronpin/tests/test_admissions.py
@@ -0,0 +1,155 @@
+"""Tests of admission, shares, retry budgets and hedging."""
+
+from collections import Counter
+
+import numpy
+import pytest
+
+from citronpin.admissions import (
+    ADMISSIONS,
+    AdmissionRequest,
+    Admit,
+    FifoAdmission,
+    Queue,
+    Refuse,
+)
+from citronpin.bench_admission import due_shares
+from citronpin.retries import HedgePolicy, RetryBudget
+from citronpin.shares import WeightedAdmission
+
+
+def request(number, customer="c", deadline_s=60.0, share=1.0, priority=0):
+    return AdmissionRequest(
+        request=str(number),
+        customer=customer,
+        deployment="d",
+        deadline_s=deadline_s,
+        share=share,
+        priority=priority,
+    )
+
+
+@pytest.fixture
+def weighted():
+    return WeightedAdmission(
+        rng=numpy.random.default_rng(1), initial_limit=4, max_wait_s=20.0
+    )
+
+
+def fill(policy, count=4):
+    for number in range(count):
+        req = request(f"first{number}", "filler")
+        assert policy.offer(req=req, now_s=0.0) == Admit()
+
+
+@pytest.mark.parametrize("name", ["fifo", "weighted"])
+def test_queued_requests_go_once_and_cancelled_ones_never(name):
+    policy = (
+        FifoAdmission(in_flight=2, queued=3)
+        if name == "fifo"
+        else ADMISSIONS[name](
+            rng=numpy.random.default_rng(1), initial_limit=2, max_wait_s=20.0
+        )
+    )
+    fill(policy, 2)
+    for number in range(3):
+        assert isinstance(policy.offer(req=request(number), now_s=0.0), Queue)
+    policy.cancelled(request="1", now_s=0.1)
+    assert policy.take_ready(now_s=0.1) == []
+    for number in range(2):
+        policy.ended(request=f"first{number}", now_s=1.0)
+    assert policy.take_ready(now_s=1.0) == ["0", "2"]
+    assert policy.take_ready(now_s=1.0) == [] and policy.expired(now_s=1.0) == []
+
+
+def test_fifo_refuses_beyond_its_queue_and_gives_late_ones_up():
+    policy = FifoAdmission(in_flight=1, queued=1)
+    fill(policy, 1)
+    assert isinstance(policy.offer(req=request(1, deadline_s=5.0), now_s=0.0), Queue)
+    refusal = policy.offer(req=request(2), now_s=0.0)
+    assert isinstance(refusal, Refuse) and refusal.retry_after_s > 0
+    assert [name for name, _ in policy.expired(now_s=5.0)] == ["1"]
+
+
+def test_weighted_refuses_at_once_what_cannot_start_in_time(weighted):
+    fill(weighted)
+    refusal = weighted.offer(req=request(1, deadline_s=3.0), now_s=0.0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.retry_after_s > 0
+    assert isinstance(weighted.offer(req=request(2), now_s=0.0), Queue)
+
+
+def test_weighted_gives_up_before_the_deadline_not_at_it(weighted):
+    fill(weighted)
+    weighted.offer(req=request(1, deadline_s=10.0), now_s=0.0)
+    assert weighted.expired(now_s=6.0) == []
+    ((name, answer),) = weighted.expired(now_s=7.5)
+    assert name == "1" and answer.retry_after_s > 0
+    assert weighted.take_ready(now_s=8.0) == []
+
+
+def test_shares_are_kept_and_what_is_unused_is_borrowed(weighted):
+    fill(weighted)
+    offers = [("a", 3.0, n) for n in range(12)] + [("b", 1.0, n) for n in range(9)]
+    for name, share, number in offers:
+        req = request(f"{name}{number}", name, share=share)
+        assert isinstance(weighted.offer(req=req, now_s=0.0), Queue)
+    order = []
+    for number in range(4):
+        weighted.ended(request=f"first{number}", now_s=2.0)
+    while ready := weighted.take_ready(now_s=2.0):
+        order += ready
+        for name in ready:
+            weighted.ended(request=name, now_s=4.0)
+    assert len(order) == 21
+    early = Counter(name[0] for name in order[:12])
+    assert early["a"] in (8, 9, 10)
+    assert set(order[16:]) <= {f"b{number}" for number in range(12)}
+
+
+def test_priority_goes_first_within_and_across_customers(weighted):
+    fill(weighted)
+    weighted.offer(req=request("a1", "a"), now_s=0.0)
+    weighted.offer(req=request("a2", "a", priority=2), now_s=0.0)
+    weighted.offer(req=request("b1", "b", priority=1), now_s=0.0)
+    weighted.ended(request="first0", now_s=1.0)
+    weighted.ended(request="first1", now_s=1.0)
+    assert set(weighted.take_ready(now_s=1.0)) == {"a2", "b1"}
+
+
+def test_limit_is_learned_from_load_reports(weighted):
+    fill(weighted)
+    weighted.offer(req=request(1), now_s=0.0)
+    weighted.slots(slots=100, running=50, queued=0, now_s=1.0)
+    assert weighted.limit > 4
+    grown = weighted.limit
+    weighted.slots(slots=100, running=100, queued=80, now_s=2.0)
+    assert 0.7 * grown - 1e-9 <= weighted.limit < grown
+    for _ in range(100):
+        weighted.slots(slots=100, running=100, queued=80, now_s=3.0)
+    assert weighted.limit == 1.0
+    weighted.slots(slots=32.0, now_s=4.0)
+    assert weighted.limit == 32.0
+
+
+def test_retry_budget_bounds_retries_to_a_share_of_requests():
+    budget = RetryBudget(share=0.1, reserve=3.0)
+    assert [budget.take() for _ in range(4)] == [True, True, True, False]
+    for _ in range(100):
+        budget.request()
+    assert [budget.take() for _ in range(4)] == [True, True, True, False]
+
+
+def test_hedges_only_what_may_be_repeated_and_within_the_budget():
+    hedge = HedgePolicy(budget=RetryBudget(reserve=1.0), percentile=95.0)
+    assert hedge.plan(repeatable=True) is None
+    for number in range(100):
+        hedge.observed(delay_s=number / 100)
+    assert hedge.plan(repeatable=False) is None
+    assert hedge.plan(repeatable=True).after_s == pytest.approx(0.94, abs=0.01)
+    assert hedge.due() and not hedge.due()
+
+
+def test_due_shares_are_weighted_max_min():
+    assert due_shares(demand=[10, 1, 10], shares=[1, 1, 2], capacity=10) == [3, 1, 6]
+    assert due_shares(demand=[1, 2], shares=[1, 1], capacity=10) == [1, 2]
