--- a/citronpin/settings.py
+++ b/citronpin/settings.py
@@ -108,6 +108,9 @@
         default="", kind=ValueKind.ADDRESSES, doc="Entries to contact at boot."
     ),
     "key": Setting(default=REQUIRED, doc="Secret that authenticates entries."),
+    "advertise": Setting(
+        default="", doc="Address that other entries use, if it is not listen."
+    ),
 }
 
 STANDIN_DEFAULTS = {
