Run the weighted policies in the real controllers, and mend what that showed

Cause: a group with a silent member was drained for 24 s before its repair, and spares formed another group meanwhile (new test, test_policies). Change: Repairer breaks a group whose member does not answer instead of draining it; WeightedRepair counts groups that drain for a reload or repair as there. Conclusion: in-place repair also keeps the second spare free.

--- a/citronpin/repairers.py
+++ b/citronpin/repairers.py
@@ -9,7 +9,7 @@
 from citronpin.domains import DomainFacts
 from citronpin.ids import Fence, GroupId
 from citronpin.orders import Orders
-from citronpin.plans import Dissolve, Form, Preload, RepairPolicy, Replace
+from citronpin.plans import Dissolve, Form, Health, Preload, RepairPolicy, Replace
 from citronpin.records import GroupForm, GroupReplace, InstanceBar
 from citronpin.states import Group, GroupState
 
@@ -20,6 +20,7 @@
 REFORM_BACKOFF_S = 1.0  # doubles with each formation of the same members
 REFORM_BACKOFF_MAX_S = 30.0
 REFORM_FORGET_S = 120.0
+SILENT = frozenset({Health.PAUSED, Health.DEAD, Health.DARK})
 
 
 class _Reform(msgspec.Struct, frozen=True):
@@ -122,14 +123,23 @@
         if group is None or not self._joinable(action.joining):
             return
         if group.state is GroupState.SERVING:
-            reason = f"repair: {action.leaving[0]} is to be replaced"
-            self._move(group, GroupState.DRAINING, reason)
+            self._take_out(group, action)
         elif group.state is GroupState.FORMING:
             self._move(group, GroupState.BROKEN, "a member is to be replaced")
         elif group.state is GroupState.BROKEN and self._slots > 0:
             if self._propose(group.id, *self._replacement(fence, group, action)):
                 self._slots -= 1
 
+    def _take_out(self, group: Group, action: Replace) -> None:
+        """Drain a serving group, or break it if a member cannot end its streams."""
+        silent = [m for m in action.leaving if self._facts.health(m) in SILENT]
+        if silent:
+            reason = f"{silent[0]} does not answer"
+            self._move(group, GroupState.BROKEN, reason)
+            return
+        reason = f"repair: {action.leaving[0]} is to be replaced"
+        self._move(group, GroupState.DRAINING, reason)
+
     def _replacement(self, fence: Fence, group: Group, action: Replace) -> list:
         barred = self._facts.control.barred
         bars = [
--- /dev/null
+++ b/citronpin/tests/test_policies.py
@@ -0,0 +1,74 @@
+"""Tests of the weighted policies inside the real controllers."""
+
+import pytest
+
+from citronpin.ids import control_stream
+from citronpin.states import GroupState
+from citronpin.suspicions import GradedDetector
+from citronpin.tests.worlds import World
+from citronpin.valuations import WeightedRepair
+
+STREAM = control_stream("a")
+
+
+@pytest.fixture
+def world():
+    """Return three groups of two that serve, and two free engines."""
+    world = World({"a": 8}, detector=GradedDetector, repair=WeightedRepair())
+    world.advance(30.0)
+    assert len(world.groups_of(GroupState.SERVING)) == 3
+    return world
+
+
+def free_names(world):
+    assigned = world.truth[STREAM].assigned
+    return [name for name in world.rows if name not in assigned]
+
+
+def test_spares_have_the_model_before_they_are_needed(world):
+    spares = free_names(world)
+    assert len(spares) == 2
+    statuses = [world.engine(name).status() for name in spares]
+    assert {(seen.model, seen.group) for seen in statuses} == {("m", None)}
+
+
+def test_a_dead_member_is_replaced_by_a_spare(world):
+    before = world.groups_of(GroupState.SERVING)
+    member = before[0].members[0]
+    spares = set(free_names(world))
+    world.engine(member).die()
+    world.advance(60.0)
+    after = {group.id: group for group in world.groups_of(GroupState.SERVING)}
+    assert len(after) == 3
+    assert member not in after[before[0].id].members
+    assert set(after[before[0].id].members) & spares
+    assert world.faults == []
+
+
+def test_a_short_pause_replaces_nobody(world):
+    before = {group.id: group.members for group in world.groups_of()}
+    member = world.groups_of()[0].members[0]
+    world.engine(member).pause()
+    world.advance(2.0)
+    world.engine(member).go_on()
+    world.advance(20.0)
+    serving = world.groups_of(GroupState.SERVING)
+    assert {group.id: group.members for group in serving} == before
+    assert world.faults == []
+
+
+def test_a_dark_domain_comes_back_with_its_groups(world):
+    before = {group.id: group.members for group in world.groups_of()}
+    for name in world.rows:
+        world.engine(name).die()
+    world.advance(60.0)
+    records = world.records
+    world.advance(60.0)
+    assert world.records - records < 20
+    assert {group.id: group.members for group in world.groups_of()} == before
+    for name in world.rows:
+        world.engine(name).up = True
+    world.advance(60.0)
+    serving = world.groups_of(GroupState.SERVING)
+    assert {group.id: group.members for group in serving} == before
+    assert world.faults == []
--- a/citronpin/tests/test_repairs.py
+++ b/citronpin/tests/test_repairs.py
@@ -312,3 +312,14 @@
     figures = run.run()
     assert len(checked) > 100 and all(checked)
     assert figures["group downtime"] > figures["bound downtime"]
+
+
+def test_a_group_that_drains_for_a_reload_is_not_formed_twice():
+    draining = msgspec.structs.replace(
+        PAIR[0], state=GroupState.DRAINING, reason="reload: version 2"
+    )
+    plan = WeightedRepair().plan(view=view((draining, PAIR[1]), size=9), now_s=0.0)
+    assert plan == ()
+    ending = msgspec.structs.replace(draining, reason="dissolve: over quota")
+    plan = WeightedRepair().plan(view=view((ending, PAIR[1]), size=9), now_s=0.0)
+    assert [type(action) for action in plan] == [Form]
--- a/citronpin/valuations.py
+++ b/citronpin/valuations.py
@@ -25,6 +25,7 @@
 
 MINUTES_PER_WEEK = 7 * 24 * 60
 ENDING = frozenset({GroupState.RELEASING, GroupState.DRAINING})
+DISSOLVING = "dissolve:"  # begins the reason of a drain that ends a group
 RECHECK_S = 10.0
 
 
@@ -199,9 +200,7 @@
 
     def _break_up(self, plan: Plan, short: list[Damage], by_name) -> None:
         """Dissolve groups whose members are worth more in the groups of ``short``."""
-        coming = sum(
-            len(group.members) for group in plan.view.groups if group.state in ENDING
-        )
+        coming = sum(len(group.members) for group in plan.view.groups if _ends(group))
         for damage in short:
             if damage.group.id in plan.taken:
                 continue
@@ -261,7 +260,7 @@
             have = [
                 group
                 for group in view.groups
-                if group.deployment == wanted.name and group.state not in ENDING
+                if group.deployment == wanted.name and not _ends(group)
             ]
             quota = view.quotas.get(wanted.name, 0)
             self._trim(plan, wanted.name, have, quota)
@@ -297,7 +296,8 @@
         if surplus <= 0:
             return
         have = sorted(
-            have, key=lambda group: (group.state is GroupState.SERVING, group.id)
+            (group for group in have if group.state not in ENDING),
+            key=lambda group: (group.state is GroupState.SERVING, group.id),
         )
         for group in have[:surplus]:
             plan.actions = [
@@ -308,6 +308,13 @@
             plan.actions.append(Dissolve(group=group.id, reason="over quota"))
 
 
+def _ends(group: Group) -> bool:
+    """Return whether a group is being given up, rather than repaired or reloaded."""
+    if group.state is GroupState.RELEASING:
+        return True
+    return group.state is GroupState.DRAINING and group.reason.startswith(DISSOLVING)
+
+
 def _is_warm(one: InstanceView, wanted: DeploymentManifest) -> bool:
     """Return whether an instance has the model and version loaded."""
     return one.model == wanted.model and one.version == wanted.version
