Take an instance that answers for well, whatever the list has lost

Cause: the graded detector called unlisted instances leaving, so a faulty list took groups down (seen by running the controllers' tests under it). Change: only a row that says so makes an instance leave. Conclusion: the list alone never takes a group down.

--- a/citronpin/suspicions.py
+++ b/citronpin/suspicions.py
@@ -95,7 +95,8 @@
 
     An instance is silent when it missed a probe and was not heard for
     ``paused_after_s``. Silence counts as a pause, after ``dead_after_s`` as death, at
-    once when the membership list has dropped the instance. When at least
+    once when the membership list has dropped the instance; one that answers is well
+    whatever the list has lost. When at least
     ``dark_share`` of the listed instances are silent, all silent ones are dark.
     """
 
@@ -193,7 +194,7 @@
             if now_s - seen.returned_s < self._returned_hold_s:
                 return Health.RETURNED
             seen.returned_s = None
-        if seen.leaving or not seen.listed:
+        if seen.leaving:
             return Health.LEAVING
         slow_s = seen.slow_since_s
         if slow_s is not None and now_s - slow_s >= self._straggler_after_s:
--- a/citronpin/tests/test_repairs.py
+++ b/citronpin/tests/test_repairs.py
@@ -244,6 +244,8 @@
     graded.listed(instances=rows, now_s=2.0)
     assert judge(graded, 0, 2.0) is Health.DEAD
     assert judge(graded, 9, 2.0) is Health.LEAVING
+    graded.listed(instances=(), now_s=3.0)
+    assert judge(graded, 5, 3.0) is Health.HEALTHY
 
 
 def test_a_dark_domain_is_told_from_single_deaths(graded):
