Measure folds, boots and group commit; bound the writers

Cause: a wait below the clock's resolution kept the pacer turning for ever on the paused clock; every pipeline run left a writer in the state, so the checkpoint of 120 scopes after 1,600 changes had 257 KB. Change: a least wait; a shorter window and shorter writer ids; benchmark boots.

--- a/citronpin/appenders.py
+++ b/citronpin/appenders.py
@@ -36,6 +36,7 @@
 MAX_QUEUED = 4_096
 APPENDS_PER_S = 30.0
 GIVE_UP_S = 10.0
+MIN_WAIT_S = 0.001
 BACK_OFF_MIN_S = 0.05
 BACK_OFF_MAX_S = 2.0
 
@@ -59,7 +60,8 @@
         if self._tokens >= 1.0:
             self._tokens -= 1.0
             return 0.0
-        return (1.0 - self._tokens) / self._rate
+        # A wait below the clock's resolution would never let the time pass.
+        return max((1.0 - self._tokens) / self._rate, MIN_WAIT_S)
 
 
 class BackOff:
--- a/citronpin/followers.py
+++ b/citronpin/followers.py
@@ -10,7 +10,7 @@
 from citronpin.appenders import APPENDS_PER_S, GIVE_UP_S, Appender, Pacer
 from citronpin.clocks import Clock, TimerHandle
 from citronpin.events import Recorder
-from citronpin.ids import EntryId, Offset, StreamName, WriterId, new_id
+from citronpin.ids import EntryId, Offset, StreamName, new_writer
 from citronpin.logs import LogClient, LogPage, ProposeCallback, StateCallback, States
 from citronpin.records import Record
 from citronpin.states import StreamState, Verdict
@@ -47,7 +47,7 @@
         self._pacer = Pacer(clock=clock, appends_per_s=appends_per_s)
         self._give_up_s = give_up_s
         self._long_poll_s = long_poll_s
-        self._writer = WriterId(new_id())
+        self._writer = new_writer()
         self._tails: dict[StreamName, Tail] = {}
         self._appenders: dict[StreamName, Appender] = {}
         self._subscribers: list[tuple[str, StateCallback]] = []
--- a/citronpin/ids.py
+++ b/citronpin/ids.py
@@ -47,3 +47,8 @@
 def new_id() -> str:
     """Return a fresh UUIDv7, whose first 48 bits are its time in milliseconds."""
     return str(uuid_utils.uuid7())
+
+
+def new_writer() -> WriterId:
+    """Return a short random id for one run of a process."""
+    return WriterId(new_id()[19:].replace("-", ""))
--- a/citronpin/rules.py
+++ b/citronpin/rules.py
@@ -17,8 +17,8 @@
 
 logger = logging.getLogger(__name__)
 
-WRITER_WINDOW = 65_536  # records after its base within which a record counts
-WRITER_SWEEP = 1_024  # records between removals of writers that fell silent
+WRITER_WINDOW = 4_096  # records after its base within which a record counts
+WRITER_SWEEP = 256  # records between removals of writers that fell silent
 
 
 class Rejected(Exception):
--- a/citronpin/states.py
+++ b/citronpin/states.py
@@ -105,7 +105,7 @@
     body: bytes = b""
 
 
-class Progress(msgspec.Struct, frozen=True):
+class Progress(msgspec.Struct, frozen=True, array_like=True):
     """The latest record of one writer on a stream."""
 
     sequence: int
--- /dev/null
+++ b/citronpin/tests/test_bench_boots.py
@@ -0,0 +1,16 @@
+"""Test of the benchmark of the state on the log."""
+
+from citronpin.benches import run_bench
+
+NODE_BYTES_PER_S = 2_000  # what a node may spend for control
+
+
+def test_the_quick_run_keeps_the_bytes_and_the_appends_within_bounds():
+    results = run_bench("boots", seed=1, quick=True)
+    assert results.value("config stream, all") < NODE_BYTES_PER_S / 4
+    assert results.value("appends/group commit/share 30/s") <= 33.0
+    read = {
+        kind: results.value(f"boot, read/from {kind}/200 changes")
+        for kind in ("records", "checkpoint")
+    }
+    assert read["checkpoint"] < read["records"]
--- a/citronpin/tests/test_followers.py
+++ b/citronpin/tests/test_followers.py
@@ -79,6 +79,19 @@
     assert len(results) == 101 and log.log.head(CONTROL) == 1
 
 
+def test_proposals_stay_within_the_share_of_the_append_rate(entries, log, paused_clock):
+    (one,) = entries("entry-1", appends_per_s=20.0)
+    results = []
+    for number in range(1_000):
+        items = (change(deployment(f"d-{number}")),)
+        wait_s = (number * number % 997) / 100.0
+        paused_clock.call_later(
+            wait_s, lambda i=items: one.propose(CONFIG_STREAM, i, results.append)
+        )
+    paused_clock.advance(12.0)
+    assert len(results) == 1_000 and log.calls <= 20.0 * 12.0 + 5.0
+
+
 @pytest.mark.parametrize("fault", ["lose", "hold"])
 def test_a_lost_answer_is_settled_without_a_second_effect(
     entries, log, paused_clock, fault
