Describe agreement, configuration, manifests and log outages

Cause: what was weighed stood nowhere, and operators had no page. Change: two design pages, two operator pages and the manifest reference, which a test compares with the fields.

--- a/citronpin/tests/test_manifests.py
+++ b/citronpin/tests/test_manifests.py
@@ -1,9 +1,14 @@
 """Tests of manifest files and of the checks of manifests."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
-from citronpin.manifest_files import check_data, read_manifests
+from citronpin.manifest_files import KINDS, check_data, read_manifests
+from citronpin.manifests import CallRule, CriticalPeriod, Customer
+
+REFERENCE = Path(__file__).parents[2] / "docs" / "MANIFESTS.md"
 
 GOOD = """
 remove = ["deployment/old"]
@@ -101,3 +106,10 @@
 @pytest.mark.parametrize("data", [[], {}, {"manifests": 3}, {"remove": "x"}])
 def test_data_of_another_shape_is_refused(data):
     assert check_data(data).is_err()
+
+
+def test_the_reference_names_every_field():
+    text = REFERENCE.read_text(encoding="utf-8")
+    parts = (*KINDS.values(), CallRule, CriticalPeriod, Customer)
+    names = {f.name for part in parts for f in msgspec.structs.fields(part)}
+    assert not [name for name in names if f"`{name}`" not in text]
