--- a/citronpin/admissions.py
+++ b/citronpin/admissions.py
@@ -8,6 +8,7 @@
 from collections import deque
 
 import msgspec
+from numpy.random import Generator
 
 from citronpin.ids import CustomerName, DeploymentName, RequestId
 
@@ -74,11 +75,18 @@
     def first_token(self, *, request: RequestId, delay_s: float, now_s: float) -> None:
         """Take the time from dispatch to the first token of a request."""
 
-    def slots(self, *, slots: int, running: int, queued: int, now_s: float) -> None:
+    def slots(
+        self,
+        *,
+        slots: float,
+        now_s: float,
+        running: int | None = None,
+        queued: int | None = None,
+    ) -> None:
         """Take the sums of the latest load reports of all serving groups.
 
         ``slots`` is what the groups batch; ``running`` and ``queued`` count the
-        requests of all entries.
+        requests of all entries; without them ``slots`` is the limit.
         """
 
 
@@ -98,7 +106,13 @@
     name = "fifo"
     RETRY_AFTER_S = 1.0
 
-    def __init__(self, *, in_flight: int = 64, queued: int = 256) -> None:
+    def __init__(
+        self,
+        *,
+        in_flight: int = 64,
+        queued: int = 256,
+        rng: Generator | None = None,
+    ) -> None:
         self._most_in_flight = in_flight
         self._most_queued = queued
         self._running: set[RequestId] = set()
@@ -141,6 +155,9 @@
 
     name = "open"
 
+    def __init__(self, *, rng: Generator | None = None) -> None:
+        """Take the generator that other policies need; nothing is drawn."""
+
     def offer(self, *, req, now_s):
         return Admit()
 
--- a/citronpin/shares.py
+++ b/citronpin/shares.py
@@ -77,7 +77,7 @@
         rng: Generator,
         max_wait_s: float = 1.0,
         initial_limit: float = 32.0,
-        target_fill: float = 1.0,
+        target_fill: float = 1.05,
         service_s: float = 2.0,
         service_margin: float = 1.5,
         priority_lead: float = 4.0,
@@ -142,7 +142,10 @@
     def cancelled(self, *, request, now_s):
         self._queued.pop(request, None)
 
-    def slots(self, *, slots, running, queued, now_s):
+    def slots(self, *, slots, now_s, running=None, queued=None):
+        if running is None or queued is None:
+            self._limit.value = max(float(slots), 1.0)
+            return
         self._limit.report(
             slots=slots,
             load=running + queued,
--- a/citronpin/standin_batches.py
+++ b/citronpin/standin_batches.py
@@ -2,17 +2,20 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
-from citronpin.clocks import Clock, TimerHandle
+from citronpin.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.engines import Frame, Submission, prompt_text
 from citronpin.prefixes import prefix_blocks
 from citronpin.standin_caches import PrefixCache
+from citronpin.standin_reports import LaggedLoad
 from citronpin.standin_texts import answer_after, count_tokens
 
 MIN_STEP_S = 0.001
+HALT_POLL_S = 0.01
 
 
 class EngineSpeed(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,8 +42,9 @@
 class Stream:
     """One attempt: what it will say and what it has said."""
 
-    def __init__(self, *, submission: Submission) -> None:
+    def __init__(self, *, submission: Submission, load: LaggedLoad) -> None:
         self.submission = submission
+        self._load = load
         prompt = prompt_text(submission.body)
         self.blocks = prefix_blocks(submission.body.get("messages") or ())
         self.prompt_tokens = count_tokens(prompt)
@@ -50,6 +54,7 @@
         self.said = 0
         self.credit = 0.0
         self.ready_s = 0.0
+        self.due_s = 0.0
         self.detached_s = 0.0
         self.ended = False
         self.outlet: Outlet | None = None
@@ -71,9 +76,10 @@
 
     def _frame(self, **fields) -> Frame:
         request, attempt = self.key
-        frame = Frame(
-            request=request, attempt=attempt, sequence=len(self.frames), **fields
-        )
+        sequence = len(self.frames)
+        if sequence == 0 or fields.get("final"):
+            fields["load"] = self._load.read()[:2]
+        frame = Frame(request=request, attempt=attempt, sequence=sequence, **fields)
         self.frames.append(frame)
         return frame
 
@@ -92,10 +98,20 @@
 class Batch:
     """Runs the streams of one engine."""
 
-    def __init__(self, *, clock: Clock, speed: EngineSpeed, cache: PrefixCache) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        speed: EngineSpeed,
+        cache: PrefixCache,
+        load: LaggedLoad,
+        halted: Callable[[], bool],
+    ) -> None:
         self._clock = clock
         self._speed = speed
         self._cache = cache
+        self._load = load
+        self._halted = halted
         self._order = itertools.count()
         self._queue: list[tuple[int, int, Stream]] = []
         self._running: list[Stream] = []
@@ -105,14 +121,9 @@
         self.straggle = 1.0
 
     @property
-    def running(self) -> int:
-        """Return how many streams are being generated."""
-        return len(self._running)
-
-    @property
-    def queued(self) -> int:
-        """Return how many submissions wait."""
-        return len(self._queue)
+    def streams(self) -> list[Stream]:
+        """Return the kept attempts."""
+        return list(self._kept.values())
 
     @property
     def full(self) -> bool:
@@ -125,7 +136,8 @@
 
     def add(self, submission: Submission) -> Stream:
         """Queue a submission; higher priorities go first."""
-        stream = Stream(submission=submission)
+        stream = Stream(submission=submission, load=self._load)
+        stream.due_s = self._clock.now() + submission.deadline_ms / MS_PER_S
         self._kept[stream.key] = stream
         entry = (-submission.priority, next(self._order), stream)
         heapq.heappush(self._queue, entry)
@@ -155,6 +167,7 @@
         self._kept.clear()
         self._running.clear()
         self._queue.clear()
+        self._load.note(0, 0)
         return streams
 
     def token_s(self) -> float:
@@ -166,12 +179,22 @@
     def _admit(self) -> None:
         while self._queue and len(self._running) < self._speed.batch:
             stream = heapq.heappop(self._queue)[2]
+            if stream.due_s < self._clock.now():
+                self._give_up(stream)
+                continue
             self._prefill(stream)
             self._running.append(stream)
+        self._load.note(len(self._running), len(self._queue))
         if self._running and self._timer is None:
             self._stepped_s = self._clock.now()
             self._schedule()
 
+    def _give_up(self, stream: Stream) -> None:
+        """Cut a stream whose deadline passed while it waited."""
+        self._kept.pop(stream.key, None)
+        if stream.outlet is not None:
+            stream.outlet.abort()
+
     def _prefill(self, stream: Stream) -> None:
         hit = self._cache.hit(stream.blocks)
         if stream.blocks:
@@ -188,6 +211,10 @@
 
     def _step(self) -> None:
         now = self._clock.now()
+        if self._halted():
+            self._stepped_s = now
+            self._timer = self._clock.call_later(HALT_POLL_S, self._step)
+            return
         share = (now - self._stepped_s) / self.token_s()
         self._stepped_s = now
         for stream in list(self._running):
