--- a/citronpin/demos.py
+++ b/citronpin/demos.py
@@ -256,6 +256,35 @@
         )
 
     def _list(self, instance, state: str) -> None:
+        membership = self._system.membership
+        self._system.call("membership", lambda: membership.set_state(instance, state))
+
+    def _usable_anywhere(self, group) -> bool:
+        return any(entry.usable(group) for entry in self._system.entries.values())
+
+    def _judge_certificate(self, box: list[Answer]) -> None:
+        messages = [{"role": "user", "content": ASSAY_PROMPT}]
+        body = {"messages": messages, "max_tokens": CERTIFICATE_TOKENS}
+        wanted = answer_to(body).text
+        answer = box[0] if box else Answer(0, "none", "", False)
+        truthful = answer.text == wanted if answer.whole else answer.outcome != ""
+        self._note(
+            "a broken answer is whole in the end or says that it is not",
+            f"{answer.outcome}, {len(answer.text)} of {len(wanted)} characters",
+            bool(box) and truthful and wanted.startswith(answer.text),
+        )
+
+    def _drain_instance(self) -> None:
+        self._say("Draining an instance of a serving group ...")
+        group = self._groups("rota")[0]
+        leaving = group.members[-1]
+        box: list[Answer] = []
+        caller = threading.Thread(
+            target=lambda: box.append(
+                self._chat(self._entry(1), "rota", ROTA_KEY, ROTA_PROMPT, 80)
+            )
+        )
+        caller.start()
         self._list(leaving, InstanceState.LEAVING.value)
         freed = wait_for(lambda: not self._assigned(leaving), REPAIR_LIMIT_S)
         caller.join(ANSWER_TIMEOUT_S)
