Write scenarios over whole systems, with relays for partitions

Cause: each line of what fails is to be proved by a scenario. Change: eleven Gherkin scenarios; Embedded puts relays before an entry's log and peer address, freezes loops and cuts entries off.

--- a/citronpin/commands_entries.py
+++ b/citronpin/commands_entries.py
@@ -182,7 +182,7 @@
         return EXIT_FAILED if summary["violations"] else 0
 
 
-def _expected_text(messages: list[dict], max_tokens: int) -> str:
+def expected_text(messages: list[dict], max_tokens: int) -> str:
     """Return what an engine stand-in answers."""
     return answer_to({"messages": messages, "max_tokens": max_tokens}).text
 
@@ -198,7 +198,7 @@
         plan=plan,
         clock=SystemClock(),
         faults=faults,
-        expected_text=_expected_text if check_text else None,
+        expected_text=expected_text if check_text else None,
     )
     task.on_finished(task.stop)
     task.clock.call_later(0.0, task.begin)
--- a/citronpin/embedded.py
+++ b/citronpin/embedded.py
@@ -32,6 +32,7 @@
 from citronpin.standin_engines import EngineStandin
 from citronpin.standin_logs import LogStandin
 from citronpin.standin_memberships import MembershipStandin
+from citronpin.standin_relays import RelayStandin
 from citronpin.standin_services import ServiceStandin
 from citronpin.standins import Standin
 
@@ -105,12 +106,15 @@
         services: tuple[ServiceSpec, ...] = (),
         speed: EngineSpeed | None = None,
         load_s: float = 0.1,
+        relayed: bool = False,
     ) -> None:
         self._failure_domains = failure_domains
         self._engine_specs = engines
         self._service_specs = services
         self._speed = speed or EngineSpeed()
         self._load_s = load_s
+        self._relayed = relayed
+        self._links: dict[str, list[str]] = {}  # entry -> its relays
         self._runners: dict[str, Runner] = {}
         self.log: LogStandin | None = None
         self.membership: MembershipStandin | None = None
@@ -200,17 +204,52 @@
                 "membership": self.membership.address,
                 "drain_s": "20",
             },
-            "peers": {"listen": f"{LOOPBACK}:0", "key": PEER_KEY},
+            "peers": {
+                "listen": f"{LOOPBACK}:0",
+                "key": PEER_KEY,
+                "seeds": ", ".join(self._peer_addresses()),
+            },
         }
+        inward = self._add_relays(name, given) if self._relayed else None
         result = check_settings(given)
         if isinstance(result, Err):
             raise result.err_value[0]
         clock = SystemClock()
         entry = Entry(cfg=result.ok_value, clock=clock)
+        if inward is not None:
+            inward.target = _host_port(entry.peers.bound_address)
         self.entries[name] = entry
         self._run(name, entry, clock)
         return entry
 
+    def _peer_addresses(self) -> list[str]:
+        return [_host_port(entry.peers.address) for entry in self.entries.values()]
+
+    def _add_relays(self, name: str, given: dict) -> RelayStandin:
+        """Put relays before an entry's log and its own peer address."""
+        outward = self._add_relay(f"{name}.log", given["entry"]["log"])
+        inward = self._add_relay(f"{name}.peers", "")
+        self._links[name] = [f"{name}.log", f"{name}.peers"]
+        given["entry"]["log"] = outward.address
+        given["peers"]["advertise"] = inward.address
+        return inward
+
+    def _add_relay(self, name: str, target: str) -> RelayStandin:
+        clock = SystemClock()
+        relay = RelayStandin(target=target, clock=clock)
+        self._run(name, relay, clock)
+        return relay
+
+    def set_cut(self, name: str, cut: bool) -> None:
+        """Cut an entry off from the log and from what its peers send, or mend it."""
+        for link in self._links[name]:
+            relay = self._runners[link].root
+            self.call(link, lambda relay=relay: relay.set_cut(cut))
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stop the loop of a part for a time, as a paused process stops."""
+        self._runners[name].post(lambda: time.sleep(seconds))
+
     def runner(self, name: str) -> Runner:
         """Return the loop of a part by its name or id."""
         return self._runners[name]
@@ -263,6 +302,11 @@
             self._runners.pop(name).stop()
 
 
+def _host_port(address: str) -> str:
+    """Return ``IP:PORT`` of ``tcp://IP:PORT``."""
+    return address.removeprefix("tcp://")
+
+
 def wait_for(condition: Callable[[], bool], limit_s: float) -> bool:
     """Return whether a condition became true within a time."""
     end_s = time.monotonic() + limit_s
--- a/citronpin/peers.py
+++ b/citronpin/peers.py
@@ -120,6 +120,11 @@
         """Return the address that other entries connect to."""
         return self._advertise or self._links.address
 
+    @property
+    def bound_address(self) -> str:
+        """Return the address that the links listen on."""
+        return self._links.address
+
     @property
     def counters(self) -> LinkCounters:
         """Return the counts of messages and bytes since the start."""
--- /dev/null
+++ b/citronpin/tests/test_scenarios.py
@@ -0,0 +1,324 @@
+"""Steps of the scenarios, over whole systems on loopback."""
+
+import time
+
+import msgspec
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from citronpin.clocks import SystemClock
+from citronpin.commands_entries import expected_text
+from citronpin.embedded import Embedded, EngineSpec, ServiceSpec, wait_for
+from citronpin.loads import LoadPlan, LoadTask, check_effects
+from citronpin.manifest_files import ManifestFile, read_manifests
+from citronpin.runners import Runner
+from citronpin.standin_batches import EngineSpeed
+from citronpin.standin_memberships import ABSENT
+from citronpin.tests.conftest import SAMPLES
+
+scenarios("scenarios/failures.feature")
+
+SITES = ("sapporo", "hakodate", "asahikawa")
+BOOT_LIMIT_S = 40.0
+LOAD_S = 7.0
+END_LIMIT_S = 100.0
+ENGINES = tuple(
+    EngineSpec(id=f"{letter}{n}", domain=f"fabric-{letter}", failure_domain=site)
+    for letter, site in (("s", "sapporo"), ("h", "hakodate"))
+    for n in range(6)
+)
+SERVICES = tuple(
+    ServiceSpec(id=f"rota-{n}", application="rota", failure_domain=SITES[n])
+    for n in range(2)
+)
+
+
+class Run:
+    """A system under load and what the steps remember."""
+
+    def __init__(self, *, system: Embedded) -> None:
+        self.system = system
+        self.load: LoadTask | None = None
+        self.runner: Runner | None = None
+        self.finished = False
+        self.group = None
+        self.entry = ""
+        self.verdicts = []
+
+    def entries(self):
+        return list(self.system.entries.values())
+
+    def usable(self, deployment="rota"):
+        """Return the serving groups that every entry may dispatch to."""
+        first, *rest = self.entries()
+        return [
+            group
+            for group in first.directory.serving(deployment)
+            if all(entry.usable(group.id) for entry in (first, *rest))
+        ]
+
+    def start_load(self):
+        plan = LoadPlan(
+            entries=self.system.addresses(),
+            key="odori-demo-key",
+            model="rota",
+            duration_s=LOAD_S,
+            chats_per_s=6.0,
+            calls_per_s=6.0,
+            max_tokens=20,
+            seed=5,
+        )
+        clock = SystemClock()
+        self.load = LoadTask(plan=plan, clock=clock, expected_text=expected_text)
+        self.load.on_finished(lambda: setattr(self, "finished", True))
+        self.runner = Runner(root=self.load, clock=clock)
+        self.runner.start()
+        self.runner.post(self.load.begin)
+
+    def take_member(self):
+        """Choose a member of a serving rota group, its lead."""
+        assert wait_for(lambda: self.usable(), BOOT_LIMIT_S)
+        self.group = self.usable()[0]
+        return self.group.members[0]
+
+    def in_force(self, entries):
+        offset = max(verdict.offset for verdict in self.verdicts)
+        return all(entry.configuration.offset >= offset for entry in entries)
+
+
+@pytest.fixture
+def run():
+    system = Embedded(
+        failure_domains=SITES,
+        engines=ENGINES,
+        services=SERVICES,
+        speed=EngineSpeed(tokens_per_s=40.0),
+        relayed=True,
+    )
+    system.start()
+    run = Run(system=system)
+    try:
+        yield run
+    finally:
+        if run.runner is not None:
+            run.runner.stop()
+        system.stop()
+
+
+def _change(share: float, name: str = "kanekura") -> ManifestFile:
+    file = read_manifests(SAMPLES / f"{name}.toml").ok_value
+    customers = [m for m in file.manifests if hasattr(m, "customers")]
+    first, *rest = customers[0].customers
+    changed = msgspec.structs.replace(first, share=share)
+    manifest = msgspec.structs.replace(customers[0], customers=(changed, *rest))
+    return msgspec.structs.replace(file, manifests=(manifest,))
+
+
+@given("a system of three entries with both manifests in force")
+def _(run):
+    for name in ("kanekura", "moulin"):
+        file = read_manifests(SAMPLES / f"{name}.toml").ok_value
+        assert run.system.publish(file).accepted
+    assert wait_for(lambda: len(run.usable()) == 2, BOOT_LIMIT_S)
+
+
+@given("callers who send chats and swaps")
+def _(run):
+    run.start_load()
+    assert wait_for(lambda: run.load.sent > 4, BOOT_LIMIT_S)
+
+
+@when("a member of a rota group dies")
+def _(run):
+    member = run.take_member()
+    run.system.kill(member)
+    membership = run.system.membership
+    run.system.call("membership", lambda: membership.set_state(member, ABSENT))
+
+
+@when(parsers.parse("a member of a rota group pauses for {seconds:g} seconds"))
+def _(run, seconds):
+    run.system.freeze(run.take_member(), seconds)
+
+
+@when("a member of a rota group restarts")
+def _(run):
+    member = run.take_member()
+    run.system.call(member, run.system.engines[member].restart)
+
+
+@when("a member of a rota group straggles")
+def _(run):
+    run.system.faults(run.take_member(), straggle=8.0)
+
+
+@when(parsers.parse("the fabric domain {domain} goes dark"))
+def _(run, domain):
+    for spec in ENGINES:
+        if spec.domain == domain:
+            run.system.faults(spec.id, down=True)
+
+
+@when("an entry is cut off")
+def _(run):
+    run.entry = next(iter(run.system.entries))
+    run.system.set_cut(run.entry, True)
+
+
+@when("the cut is mended")
+def _(run):
+    run.system.set_cut(run.entry, False)
+
+
+@when("a change is published")
+def _(run):
+    run.verdicts = [run.system.publish(_change(2.0))]
+    assert run.verdicts[0].accepted
+
+
+@when("the log goes down")
+def _(run):
+    run.system.faults("log", down=True)
+
+
+@when(parsers.parse("the log comes back after {seconds:g} seconds"))
+def _(run, seconds):
+    time.sleep(seconds)
+    run.system.faults("log", down=False)
+
+
+@when(parsers.parse("the log loses its answers for {seconds:g} seconds"))
+def _(run, seconds):
+    run.system.faults("log", lose_answers=True)
+    time.sleep(seconds)
+    run.system.faults("log", lose_answers=False)
+
+
+def _holder(run, domain):
+    """Return the name and id of the entry that holds a fabric domain's lease."""
+    entry = run.entries()[0]
+    holder = entry.states.state(f"control.{domain}").lease.holder
+    names = [n for n, e in run.system.entries.items() if e.id == holder]
+    return (names[0] if names else ""), holder
+
+
+@when(parsers.parse("the holder of {domain} is paused for {seconds:g} seconds"))
+def _(run, domain, seconds):
+    run.entry, run.holder = _holder(run, domain)
+    assert run.entry
+    run.system.freeze(run.entry, seconds)
+
+
+@when("two changes are made from the same base")
+def _(run):
+    base = run.entries()[0].configuration.offset
+    run.verdicts = [run.system.publish(_change(s), base=base) for s in (2.0, 4.0)]
+
+
+@when("every entry is replaced one after another")
+def _(run):
+    for number, name in enumerate(list(run.system.entries)):
+        fresh = run.system.add_entry(f"fresh-{number}", SITES[number])
+        assert wait_for(lambda: fresh.gate.refusal() is None, BOOT_LIMIT_S)
+        assert wait_for(lambda: _routes(fresh), BOOT_LIMIT_S)
+        runner = run.system.runner(name)
+        run.load.plan = msgspec.structs.replace(
+            run.load.plan,
+            entries=tuple(
+                e.server.address for n, e in run.system.entries.items() if n != name
+            ),
+        )
+        run.system.drain(name)
+        assert wait_for(lambda: not runner.running, END_LIMIT_S)
+        run.system.entries.pop(name)
+
+
+def _routes(entry):
+    return any(entry.usable(g.id) for g in entry.directory.serving("rota"))
+
+
+@then(parsers.parse("its group gets nothing more within {seconds:g} seconds"))
+def _(run, seconds):
+    entries = run.entries()
+    assert wait_for(lambda: _withheld(entries, run.group), seconds)
+
+
+def _withheld(entries, group):
+    """Return whether no entry may dispatch to a group as it was."""
+    return not any(
+        entry.usable(group.id) and entry.directory.group(group.id) == group
+        for entry in entries
+    )
+
+
+@then(parsers.parse("no group of {domain} gets anything within {seconds:g} seconds"))
+def _(run, domain, seconds):
+    def usable():
+        return [
+            group
+            for entry in run.entries()
+            for group in entry.directory.groups()
+            if entry.usable(group.id)
+            and any(s.id in group.members for s in ENGINES if s.domain == domain)
+        ]
+
+    assert wait_for(lambda: not usable(), seconds)
+
+
+@then(parsers.parse("{count:d} rota groups serve within {seconds:g} seconds"))
+def _(run, count, seconds):
+    assert wait_for(lambda: len(run.usable()) >= count, seconds)
+
+
+@then(parsers.parse("that entry stops serving within {seconds:g} seconds"))
+def _(run, seconds):
+    gate = run.system.entries[run.entry].gate
+    assert wait_for(lambda: gate.refusal() is not None, seconds)
+
+
+@then(parsers.parse("the other entries have it in force within {seconds:g} seconds"))
+def _(run, seconds):
+    others = [e for n, e in run.system.entries.items() if n != run.entry]
+    assert wait_for(lambda: run.in_force(others), seconds)
+
+
+@then(parsers.parse("every entry has it in force within {seconds:g} seconds"))
+def _(run, seconds):
+    assert wait_for(lambda: run.in_force(run.entries()), seconds)
+
+
+@then(
+    parsers.parse(
+        "another entry holds the lease of {domain} within {seconds:g} seconds"
+    )
+)
+def _(run, domain, seconds):
+    others = [e for n, e in run.system.entries.items() if n != run.entry]
+
+    def moved():
+        lease = others[0].states.state(f"control.{domain}").lease
+        return lease.holder not in ("", run.holder)
+
+    assert wait_for(moved, seconds)
+
+
+@then("one is accepted and the other is rejected with a reason")
+def _(run):
+    first, second = run.verdicts
+    assert first.accepted and not second.accepted
+    assert "made from" in second.reason
+
+
+@then("no request was cut off")
+def _(run):
+    assert wait_for(lambda: run.finished, END_LIMIT_S)
+    assert set(run.load.tally.outcomes) == {"complete"}, run.load.tally.summary()
+
+
+@then("every caller was told the truth")
+def _(run):
+    assert wait_for(lambda: run.finished, END_LIMIT_S), run.load.tally.summary()
+    tally = run.load.tally
+    assert tally.violations == []
+    assert check_effects(run.load.calls, run.system.effects()) == []
+    assert tally.outcomes["complete"] > 0, tally.summary()
