Let stand-in processes serve more than 1,024 connections

Cause: the default poller of the event loop is select, which fails for descriptors from 1,024 on; a request beyond was never answered.

Change: a stand-in process registers an epoll poller first.

Before: the new test fails. After: it passes with 1,100 connections.

Conclusion: whatever holds that many connections needs this poller at its root.

--- a/citronpin/commands_standins.py
+++ b/citronpin/commands_standins.py
@@ -5,6 +5,7 @@
 
 from absl import flags
 from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
 
 from citronpin import (  # noqa: F401
     standin_engines,
@@ -64,5 +65,7 @@
 
 def run_standin(standin: Standin) -> None:
     """Run a stand-in as the root of an event loop until a signal stops it."""
+    # The default poller, select, cannot watch descriptors from 1,024 on.
+    EPoll().register(standin)
     StopOnSignal().register(standin)
     standin.run()
--- a/citronpin/tests/test_commands_standins.py
+++ b/citronpin/tests/test_commands_standins.py
@@ -1,6 +1,7 @@
 """Tests of the stand-ins as processes."""
 
 import json
+import resource
 import signal
 import socket
 import subprocess
@@ -59,6 +60,27 @@
             process.communicate()
 
 
+def test_more_connections_than_select_can_watch(tmp_path):
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(limits[0], 2_048), limits[1]))
+    port = _free_port()
+    path = tmp_path / "service.ini"
+    path.write_text(f"[standin]\nlisten = 127.0.0.1:{port}\n")
+    process = _start("service", path)
+    idle = []
+    try:
+        wait_until(lambda: _fetch(port, "/effects") is not None)
+        for _ in range(1_100):
+            idle.append(socket.create_connection(("127.0.0.1", port), timeout=10))
+        assert _fetch(port, "/effects") == {}
+    finally:
+        for conn in idle:
+            conn.close()
+        process.kill()
+        process.communicate()
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 @pytest.mark.parametrize(
     "text, fault",
     [
