Poll with epoll everywhere

Cause: seven scenarios failed one after another: 'the log could not be read in time'. Ruled out: the log stand-in and the cuts, since each scenario passes alone. The default poller is select, which fails for descriptors from 1,024 on; eleven systems in one process use up more. Change: entries, relays, clients and links register EPoll. Before: 7 of 11 scenarios failed in one process. Conclusion: an entry with 1,000 open streams would have failed the same way.

--- a/citronpin/clients.py
+++ b/citronpin/clients.py
@@ -13,7 +13,7 @@
 
 import h11
 from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller, Poller
+from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
 from citronpin.clocks import Clock, TimerHandle
@@ -140,7 +140,7 @@
         """Return the poller of the root, which gets one if it has none."""
         if self._poller is None:
             found = findcmp(self.root, BasePoller)
-            self._poller = found if found is not None else Poller().register(self)
+            self._poller = found if found is not None else EPoll().register(self)
         return self._poller
 
     def request(
--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -4,6 +4,7 @@
 
 import numpy
 from circuits import Component, handler
+from circuits.core.pollers import EPoll
 
 from citronpin.admins import AdminPages
 from citronpin.announcements import Announcer, Booter
@@ -66,6 +67,8 @@
 
     def __init__(self, *, cfg: Settings, clock: Clock) -> None:
         super().__init__()
+        # The default poller fails for descriptors from 1,024 on.
+        EPoll().register(self)
         self.cfg = cfg
         self.clock = clock
         own = cfg.section("entry")
--- a/citronpin/links.py
+++ b/citronpin/links.py
@@ -8,7 +8,7 @@
 import msgspec
 import pynng
 from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller, Poller
+from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
 from citronpin.clocks import Clock
@@ -156,7 +156,7 @@
     def _on_registered(self, component, manager=None) -> None:
         if self._poller is None:
             found = findcmp(self.root, BasePoller)
-            self._poller = found if found is not None else Poller().register(self)
+            self._poller = found if found is not None else EPoll().register(self)
         if self._receive is not None:
             self._watch()
 
--- a/citronpin/standin_relays.py
+++ b/citronpin/standin_relays.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
 from circuits.net.sockets import TCPServer
 
 from citronpin.clocks import Clock, ClockTask
@@ -42,6 +43,7 @@
         self.cut = False
         self._pairs: dict[socket.socket, Pair] = {}
         self._held: list[socket.socket] = []
+        EPoll().register(self)
         ClockTask(clock=clock).register(self)
         self._server = TCPServer(("127.0.0.1", 0), channel=self.channel).register(self)
 
