--- a/citronpin/memory_engines.py
+++ b/citronpin/memory_engines.py
@@ -116,7 +116,6 @@
 
     def cut(self, cause: str) -> None:
         """End every stream before its time."""
-        self.status_ = getattr(self, "status_", None)
         now = self._clock.now()
         jobs, self.jobs = self.jobs, []
         for job in jobs:
