--- a/citronpin/tests/call_worlds.py
+++ b/citronpin/tests/call_worlds.py
@@ -75,6 +75,7 @@
         self.processes = {}
         self.tries = []
         self.effects = Counter()  # key -> times that it ran
+        self.ran = {}  # key -> body of the request that ran
         self.not_run = {}  # (key, body) -> number of the latest such tell
         self.answers = {}  # key -> body of the recorded answer told
         self.tells = 0
@@ -174,20 +175,18 @@
             assert self.answers.setdefault(attempt.key, grant.body) == grant.body
 
     def told_outcome(self, attempt: Try, outcome: Outcome) -> None:
-        if outcome is Outcome.NOT_RUN and attempt.body == self.body_of(attempt.key):
-            assert self.effects[attempt.key] == 0, "told not run, but it ran"
-            self.not_run[attempt.key] = self.tells
-
-    def body_of(self, key):
-        """Return the body that owns a key, or would own it."""
-        return "body"
+        if outcome is Outcome.NOT_RUN:
+            ran = self.ran.get(attempt.key)
+            assert ran != attempt.body, "told not run, but it ran"
+            self.not_run[attempt.key, attempt.body] = self.tells
 
     def effect(self, attempt: Try) -> None:
         """The service acts on a dispatched call."""
         key = attempt.key
         self.effects[key] += 1
         assert self.effects[key] == 1, "the call ran twice"
-        told = self.not_run.get(key, 0)
+        self.ran[key] = attempt.body
+        told = self.not_run.get((key, attempt.body), 0)
         assert attempt.granted > told, "told not run, and then it ran"
 
     def complete(self, attempt: Try) -> None:
--- a/citronpin/watchers.py
+++ b/citronpin/watchers.py
@@ -28,7 +28,8 @@
 WATCHERS = 2  # of each group
 READY_DELAY_S = 0.02  # gathers groups that become ready together
 NUMBER_MASK = (1 << 30) - 1  # keeps set numbers short
-PHASES = 1000
+SLOTS = 10  # into which the probes of an interval are gathered
+MIN_WAIT_S = 0.02
 PULSE_S = 0.2
 PULSE_LATE_S = 0.35  # a later pulse means that this process was paused
 RENEW_OWN_S = 0.25
@@ -167,7 +168,7 @@
         known.members = members
         if known.timer is not None:
             known.timer.cancel()
-        known.timer = self._clock.call_later(0.0, lambda: self._probe(known, True))
+        known.timer = self._clock.call_later(0.0, lambda: self._probe(known))
         self._changed(group.id)
 
     def _unwatch(self, group: GroupId) -> None:
@@ -176,17 +177,21 @@
             watch.timer.cancel()
             self._changed(group)
 
-    def _probe(self, watch: _Watch, first: bool = False) -> None:
-        phase = 1.0
-        if first:
-            # Spreads the probes of many groups over the interval.
-            phase = xxhash.xxh32_intdigest(watch.group.id) % PHASES / PHASES
+    def _probe(self, watch: _Watch) -> None:
         watch.timer = self._clock.call_later(
-            max(phase * self._probe_s, 0.01), lambda: self._probe(watch)
+            self._wait_s(watch.group.id), lambda: self._probe(watch)
         )
         for instance, member in watch.members.items():
             self._probe_member(watch, instance, member)
 
+    def _wait_s(self, group: GroupId) -> float:
+        """Return the time to a group's next slot; a slot is one turn of the loop."""
+        slot = xxhash.xxh32_intdigest(group) % SLOTS
+        passed_s = self._clock.now() - slot * self._probe_s / SLOTS
+        wait_s = self._probe_s - passed_s % self._probe_s
+        # A slot that is due at this moment was just served.
+        return wait_s if wait_s > MIN_WAIT_S else wait_s + self._probe_s
+
     def _probe_member(self, watch: _Watch, instance: InstanceId, member) -> None:
         address = self._address_of(instance)
         if address is None:
