--- a/citronpin/admissions.py
+++ b/citronpin/admissions.py
@@ -8,6 +8,7 @@
 from collections import deque
 
 import msgspec
+from numpy.random import Generator
 
 from citronpin.ids import CustomerName, DeploymentName, RequestId
 
@@ -74,8 +75,19 @@
     def first_token(self, *, request: RequestId, delay_s: float, now_s: float) -> None:
         """Take the time from dispatch to the first token of a request."""
 
-    def slots(self, *, slots: float, now_s: float) -> None:
-        """Take the streams that all serving groups batch, over all entries."""
+    def slots(
+        self,
+        *,
+        slots: float,
+        now_s: float,
+        running: int | None = None,
+        queued: int | None = None,
+    ) -> None:
+        """Take the sums of the latest load reports of all serving groups.
+
+        ``slots`` is what the groups batch; ``running`` and ``queued`` count the
+        requests of all entries; without them ``slots`` is the limit.
+        """
 
 
 ADMISSIONS: dict[str, type[AdmissionPolicy]] = {}
@@ -94,7 +106,13 @@
     name = "fifo"
     RETRY_AFTER_S = 1.0
 
-    def __init__(self, *, in_flight: int = 64, queued: int = 256) -> None:
+    def __init__(
+        self,
+        *,
+        in_flight: int = 64,
+        queued: int = 256,
+        rng: Generator | None = None,
+    ) -> None:
         self._most_in_flight = in_flight
         self._most_queued = queued
         self._running: set[RequestId] = set()
@@ -129,3 +147,28 @@
 
     def cancelled(self, *, request, now_s):
         self._queue = deque(req for req in self._queue if req.request != request)
+
+
+@register
+class OpenAdmission(AdmissionPolicy):
+    """Admits every request at once."""
+
+    name = "open"
+
+    def __init__(self, *, rng: Generator | None = None) -> None:
+        """Take the generator that other policies need; nothing is drawn."""
+
+    def offer(self, *, req, now_s):
+        return Admit()
+
+    def ended(self, *, request, now_s):
+        """Nothing is kept."""
+
+    def take_ready(self, *, now_s):
+        return []
+
+    def expired(self, *, now_s):
+        return []
+
+    def cancelled(self, *, request, now_s):
+        """Nothing is kept."""
--- a/citronpin/tails.py
+++ b/citronpin/tails.py
@@ -76,13 +76,14 @@
         self._clock = clock
         self._recorder = recorder
         self._listener = listener
-        self._long_poll_s = long_poll_s
+        self.long_poll_s = long_poll_s
         self._back_off = BackOff(rng=rng)
         self._fold = fold_for(stream)
         self.state: StreamState = self._fold.empty()
         self._kept: deque[tuple[Offset, bytes]] = deque()
         self._kept_bytes = 0
         self._head_s = -math.inf
+        self._asked_s = clock.now()
         self._reachable = True
         self._gap_told: Offset | None = None
         self._loss_told = False
@@ -126,10 +127,11 @@
         return self._clock.now() - self._head_s
 
     def _read(self) -> None:
+        self._asked_s = self._clock.now()
         self._log.read(
             stream=self.stream,
             start=self.next,
-            wait_s=self._long_poll_s if self.current else 0.0,
+            wait_s=self.long_poll_s if self.current else 0.0,
             done=self._on_page,
         )
 
@@ -148,7 +150,8 @@
             self._on_lost(page)
             return
         self._take(page.records)
-        self.confirm_head(page.head)
+        # The head may be as old as the question: the answer can have waited.
+        self.confirm_head(page.head, self._clock.now() - self._asked_s)
         self._read()
 
     def _on_trimmed(self, page: LogPage) -> None:
@@ -163,7 +166,7 @@
         if not self._loss_told:
             self._loss_told = True
             self._recorder.note(EventKind.ALARM, detail, stream=self.stream)
-        self._clock.call_later(self._long_poll_s, self._read)
+        self._clock.call_later(self.long_poll_s, self._read)
 
     def _set_reachable(self, reachable: bool, detail: str) -> None:
         if reachable != self._reachable:
