Let a booting entry stand where a current peer does; write checkpoints

Cause: with the log down an entry that had taken a peer's state never became current, and no entry wrote checkpoints. Change: a sound state of a peer confirms its own end as the head, of unknown age; the entry runs a checkpointer. Conclusion: an entry boots from peers while the log is down; leases stay unused until the log confirms the head.

--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -11,6 +11,7 @@
 from citronpin.callers import CallerApi
 from citronpin.calls import Calls
 from citronpin.chats import ChatFilter
+from citronpin.checkpointers import Checkpointer
 from citronpin.clients import HttpClient
 from citronpin.clocks import Clock, ClockTask
 from citronpin.configurations import Configuration
@@ -95,6 +96,13 @@
         self.states = Followers(
             log=log, entry=self.id, clock=clock, recorder=recorder
         ).register(self)
+        self.checkpointer = Checkpointer(
+            followers=self.states,
+            log=log,
+            entry=self.id,
+            clock=clock,
+            recorder=recorder,
+        ).register(self)
         self.configuration = Configuration(states=self.states, recorder=recorder)
         self.directory = GroupDirectory(states=self.states)
         self.pool = ServerPool(clock=clock, failure_domain=own["failure_domain"])
--- a/citronpin/tails.py
+++ b/citronpin/tails.py
@@ -307,17 +307,24 @@
         return encode_snapshot(self.stream, self.state)
 
     def restore(self, payload: bytes) -> bool:
-        """Take a state from outside if it is sound and ahead of the own one."""
+        """Take the state of a peer if it is sound and ahead of the own one.
+
+        Only a peer that is current gives its state, so the own fold then stands
+        where the head is as far as that peer knows; how old that knowledge is
+        stays open, and the age of the head with it.
+        """
         result = decode_snapshot(self.stream, payload)
         if isinstance(result, Err):
             self._recorder.note(
                 EventKind.ALARM, str(result.err_value), stream=self.stream
             )
             return False
-        if result.ok_value.offset <= self.state.offset:
-            return False
-        self._jump(result.ok_value, "a peer's state")
-        return True
+        state = result.ok_value
+        ahead = state.offset > self.state.offset
+        if ahead:
+            self._jump(state, "a peer's state")
+        self.confirm_head(Offset(state.offset + 1), math.inf)
+        return ahead
 
     def _jump(self, state: StreamState, source: str) -> None:
         self.state = state
