Count control traffic and measure it over processes

Change: HTTP clients count requests and bytes, admin pages show process and traffic, tools start many engines in one process and sample all entries. A watcher's probes serve control and load too; streams leave a group that misses a member at once.

--- a/citronpin/clients.py
+++ b/citronpin/clients.py
@@ -12,6 +12,7 @@
 from collections import deque
 
 import h11
+import msgspec
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
@@ -124,6 +125,14 @@
         self.connect_timer: TimerHandle | None = None
 
 
+class ClientCounters(msgspec.Struct):
+    """What a client has sent and received since its start."""
+
+    requests: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
 class HttpClient(BaseComponent):
     """Owns the connections to back ends and platform services."""
 
@@ -132,6 +141,7 @@
     def __init__(self, *, clock: Clock, channel: str = channel) -> None:
         super().__init__(channel=channel)
         self._clock = clock
+        self.counters = ClientCounters()
         self._poller: BasePoller | None = None
         self._conns: dict[socket.socket, Connection] = {}
         self._idle: dict[str, deque[Connection]] = {}
@@ -155,6 +165,7 @@
         timeout_s: float | None = 10.0,
     ) -> Exchange:
         """Send a request to ``IP:PORT``; the sink is told all that follows."""
+        self.counters.requests += 1
         fields = [("Host", address), *headers]
         if body or method in ("POST", "PUT", "PATCH"):
             fields.append(("Content-Length", str(len(body))))
@@ -250,6 +261,7 @@
                 self._lose(conn, str(exc))
                 return
             conn.sent_bytes += sent
+            self.counters.bytes_sent += sent
             rest = conn.out[0][sent:]
             if rest:
                 conn.out[0] = rest
@@ -297,6 +309,7 @@
         except OSError as exc:
             self._lose(conn, str(exc))
             return
+        self.counters.bytes_received += len(data)
         if conn.exchange is None:
             self._close(conn)
             return
--- a/citronpin/controls.py
+++ b/citronpin/controls.py
@@ -8,7 +8,7 @@
 from citronpin.clocks import Clock
 from citronpin.controllers import Controller
 from citronpin.domains import DomainFacts, Membership
-from citronpin.engines import EngineClient
+from citronpin.engines import EngineClient, EngineStatus
 from citronpin.events import Recorder
 from citronpin.groups import GroupController
 from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, GroupId, control_stream
@@ -180,6 +180,12 @@
         for domain in self.domains.values():
             domain.close()
 
+    def take(self, domain: DomainName, status: EngineStatus, asked_s: float) -> None:
+        """Take what a watcher of this entry was told by an engine."""
+        control = self.domains.get(domain)
+        if control is not None:
+            control.readbacks.take(status, asked_s)
+
     def report(self, group: GroupId) -> None:
         """Look at a group at once, since its watchers report it as faulty."""
         for control in self.domains.values():
--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -18,6 +18,7 @@
 from citronpin.configurations import Configuration
 from citronpin.controls import ControlTask
 from citronpin.directories import GroupDirectory
+from citronpin.engines import EngineStatus
 from citronpin.events import EventKind, Recorder
 from citronpin.filters import Filter, FilterChain, GateFilter, IdentifyFilter
 from citronpin.followers import Followers
@@ -186,6 +187,20 @@
             placement=make_placement(cfg=cfg),
         ).register(self)
 
+        self.readiness.subscribe_missing(self.control.report)
+        self.watcher.pass_on(self._take_status)
+
+    def _take_status(self, status: EngineStatus, asked_s: float) -> None:
+        """Use a watcher's probe for control and for the load of groups too."""
+        row = self.directory.instance(status.instance)
+        if row is not None:
+            self.control.take(row.domain, status, asked_s)
+        if status.group is not None and self._leads(status):
+            self.loads.take(status.group, status.running, status.queued)
+
+    def _leads(self, status: EngineStatus) -> bool:
+        return bool(status.members) and status.members[0] == status.instance
+
     def _add_callers(self) -> None:
         clock, configuration = self.clock, self.configuration
         self.gate = ServingGate(
@@ -254,6 +269,7 @@
             loads=self.loads,
             clock=self.clock,
         )
+        self.readiness.subscribe_missing(generate.leave_group)
         return admit, generate
 
     def _load_of(self, deployment: DeploymentName) -> DeploymentLoad:
--- a/citronpin/generations.py
+++ b/citronpin/generations.py
@@ -191,6 +191,11 @@
         """Send the first attempt."""
         self._dispatch.start()
 
+    def leave_group(self, group: GroupId) -> None:
+        """Go on elsewhere if the request runs on ``group``."""
+        if self._group == group:
+            self._dispatch.leave_group("a member is missing")
+
     def _pick(self, excluded: frozenset[GroupId]) -> Target | None:
         self._leave_group(failed=True)
         now_s = self._ctx.clock.now()
@@ -292,12 +297,21 @@
         self.latencies = latencies
         self._directory = directory
         self.usable = usable
+        self._open: dict[RequestId, Generation] = {}
         self._loads = loads
         self._clock = clock
         directory.on_gone(self._forget)
 
     def handle(self, ctx: Context, proceed: Proceed) -> None:
-        Generation(task=self, ctx=ctx).start()
+        generation = Generation(task=self, ctx=ctx)
+        self._open[ctx.id] = generation
+        ctx.on_end(lambda ending: self._open.pop(ctx.id, None))
+        generation.start()
+
+    def leave_group(self, group: GroupId) -> None:
+        """Take the streams off a group that misses a member."""
+        for generation in list(self._open.values()):
+            generation.leave_group(group)
 
     def _forget(self, group: GroupId) -> None:
         self.router.gone(group=group)
--- a/citronpin/readiness.py
+++ b/citronpin/readiness.py
@@ -6,6 +6,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -62,10 +63,15 @@
         self._first_s = clock.now()
         self._sets: dict[EntryId, _WatcherSet] = {}
         self._streams: dict[GroupId, StreamName] = {}
+        self._on_missing: list[Callable[[GroupId], None]] = []
         states.subscribe("control.", self._on_state)
         mesh.subscribe(Beat, self._on_beat)
         mesh.subscribe(ReadinessChange, self.take)
 
+    def subscribe_missing(self, callback: Callable[[GroupId], None]) -> None:
+        """Call back when a watcher reports that a group misses a member."""
+        self._on_missing.append(callback)
+
     def usable(self, group: GroupId) -> bool:
         """Return whether work may be sent now; ask right before the first byte."""
         return self.lease_until(group) > self._clock.now()
@@ -116,6 +122,8 @@
             held.missing[item.group] = item
             held.leased.discard(item.group)
             self._note(watcher, item)
+            for callback in self._on_missing:
+                callback(item.group)
         if change.base == 0:
             self._replace(held, change)
         elif change.base == held.number:
--- a/citronpin/views.py
+++ b/citronpin/views.py
@@ -19,6 +19,7 @@
         "peers": lambda: peers_view(entry),
         "limits": lambda: limits_view(entry),
         "process": lambda: process_view(entry),
+        "traffic": lambda: traffic_view(entry),
     }
     for name, view in views.items():
         pages.add_view(name, view)
@@ -97,3 +98,12 @@
         "memory_bytes": usage.ru_maxrss * BYTES_PER_KB,
         "events": len(entry.recorder.since(0)),
     }
+
+
+def traffic_view(entry) -> dict:
+    """Return what was sent and received for control since the start."""
+    return {
+        "peers": entry.peers.counters,
+        "log_and_engines": entry.client.counters,
+        "probes": entry.watcher.probes,
+    }
--- a/citronpin/watchers.py
+++ b/citronpin/watchers.py
@@ -109,6 +109,7 @@
         self._address_of = address_of
         self._table = table
         self._detector = detector
+        self._on_status: Callable[[EngineStatus, float], None] | None = None
         self._probe_s = probe_s
         self._timeout_s = timeout_s
         self._watchers = watchers
@@ -127,6 +128,10 @@
         mesh.set_lease_source(self._lease)
         clock.call_later(PULSE_S, self._pulse)
 
+    def pass_on(self, callback: Callable[[EngineStatus, float], None]) -> None:
+        """Pass each answer on with the clock time at which it was asked for."""
+        self._on_status = callback
+
     def watched(self) -> tuple[GroupId, ...]:
         """Return the groups that this entry watches."""
         return tuple(sorted(self._watches))
@@ -226,6 +231,8 @@
             self._found(watch, instance, member, result.unwrap_err().detail)
             return
         status = result.unwrap()
+        if self._on_status is not None:
+            self._on_status(status, sent_s)
         if self._detector is not None:
             self._detector.heard(
                 instance=instance,
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -59,6 +59,33 @@
         self.addresses[name] = address
         return address
 
+    def start_engines(
+        self, count: int, domains: int, tokens_per_s: float, batch: int
+    ) -> list[dict]:
+        """Start one process with many engines and return their rows."""
+        output = self._folder / "engines.json"
+        options = {
+            "count": count,
+            "domains": domains,
+            "tokens-per-s": tokens_per_s,
+            "batch": batch,
+            "output": output,
+        }
+        command = [sys.executable, str(Path(__file__).parent / "engines.py")]
+        for option, value in options.items():
+            command += [f"--{option}", str(value)]
+        log = open(self._folder / "engines.log", "wb")
+        self.processes["engines"] = subprocess.Popen(
+            command,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            env=os.environ | {"PYTHONPATH": os.getcwd()},
+        )
+        wait_until(lambda: output.exists() and output.read_text().endswith("]"))
+        rows = json.loads(output.read_text())
+        self.addresses |= {row["id"]: row["address"] for row in rows}
+        return rows
+
     def stop(self, name: str, signal_number: int = signal.SIGTERM) -> int:
         """End one process and return its exit code."""
         process = self.processes.pop(name)
@@ -94,10 +121,7 @@
 ) -> None:
     """Start stand-ins and entries; engines are divided among fabric domains."""
     log = cluster.start("log", ("standin", "log"), {"standin": {}})
-    rows = [
-        _start_engine(cluster, number, domains, tokens_per_s, batch)
-        for number in range(engines)
-    ]
+    rows = cluster.start_engines(engines, domains, tokens_per_s, batch)
     rows += [_start_service(cluster, number) for number in range(services)]
     path = cluster._folder / "instances.json"
     path.write_text(json.dumps(rows))
@@ -110,29 +134,6 @@
         start_entry(cluster, f"entry-{number}", log, membership, f"site-{number % 3}")
 
 
-def _start_engine(cluster, number, domains, tokens_per_s, batch) -> dict:
-    name = f"engine-{number}"
-    domain = f"fabric-{number % domains}"
-    settings = {
-        "domain": domain,
-        "tokens_per_s": str(tokens_per_s),
-        "batch": str(batch),
-        "load_s": "0.2",
-    }
-    address = cluster.start(
-        name, ("standin", "engine"), {"standin": {}, "standin_engine": settings}
-    )
-    return {
-        "id": name,
-        "address": address,
-        "kind": "engine",
-        "state": "live",
-        "failure_domain": "site-0",
-        "domain": domain,
-        "accelerators": 8,
-    }
-
-
 def _start_service(cluster, number) -> dict:
     name = f"rota-{number}"
     address = cluster.start(name, ("standin", "service"), {"standin": {}})
--- /dev/null
+++ b/tools/engines.py
@@ -0,0 +1,76 @@
+"""Runs many engine stand-ins in one process and writes their rows as JSON."""
+
+import argparse
+import json
+import sys
+
+import msgspec
+from circuits import Component, handler
+from circuits.core.pollers import EPoll
+
+from citronpin.clocks import ClockTask, SystemClock
+from citronpin.instances import Instance, InstanceKind, InstanceState
+from citronpin.standin_batches import EngineSpeed
+from citronpin.standin_engines import EngineStandin
+
+LOOPBACK = "127.0.0.1"
+
+
+class Engines(Component):
+    """Root of the stand-ins; ends on a signal."""
+
+    def __init__(self, *, clock) -> None:
+        super().__init__()
+        EPoll().register(self)
+        ClockTask(clock=clock).register(self)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, number, frame) -> None:
+        event.stop()
+        self.stop()
+
+
+def main() -> int:
+    """Start the stand-ins, write their rows and serve until a signal."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, required=True)
+    parser.add_argument("--domains", type=int, default=1)
+    parser.add_argument("--tokens-per-s", type=float, default=50.0)
+    parser.add_argument("--batch", type=int, default=64)
+    parser.add_argument("--output", required=True)
+    args = parser.parse_args()
+    clock = SystemClock()
+    root = Engines(clock=clock)
+    speed = EngineSpeed(tokens_per_s=args.tokens_per_s, batch=args.batch)
+    rows = [_start(root, clock, number, args, speed) for number in range(args.count)]
+    with open(args.output, "w", encoding="utf-8") as target:
+        json.dump(rows, target)
+    root.run()
+    return 0
+
+
+def _start(root, clock, number, args, speed) -> dict:
+    row = Instance(
+        id=f"engine-{number}",
+        address="",
+        kind=InstanceKind.ENGINE,
+        state=InstanceState.LIVE,
+        failure_domain=f"site-{number % args.domains % 3}",
+        domain=f"fabric-{number % args.domains}",
+        accelerators=8,
+    )
+    engine = EngineStandin(
+        name=row.id,
+        bind=(LOOPBACK, 0),
+        clock=clock,
+        instance=row,
+        speed=speed,
+        load_s=0.2,
+    )
+    engine.register(root)
+    engine.instance = msgspec.structs.replace(row, address=engine.address)
+    return msgspec.to_builtins(engine.instance)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/measure_nodes.py
@@ -0,0 +1,58 @@
+"""Measures what control costs an entry: processor, memory, messages and bytes.
+
+Run under `tools/clusters.py`, which passes the description of a running system.
+"""
+
+import argparse
+import json
+import os
+import sys
+import time
+
+from clusters import ENVIRONMENT_KEY, get_json
+
+
+def sample(entry: str) -> dict:
+    """Return the counters of one entry as plain numbers."""
+    process = get_json(entry, "/admin/process")
+    traffic = get_json(entry, "/admin/traffic")
+    client, peers = traffic["log_and_engines"], traffic["peers"]
+    return {
+        "cpu_s": process["cpu_s"],
+        "memory_bytes": process["memory_bytes"],
+        "probes": traffic["probes"],
+        "http_requests": client["requests"],
+        "http_bytes": client["bytes_sent"] + client["bytes_received"],
+        "peer_messages": peers["sent_messages"] + peers["received_messages"],
+        "peer_bytes": peers["sent_bytes"] + peers["received_bytes"],
+    }
+
+
+def main() -> int:
+    """Sample twice and print the rates of the mean and of the worst entry."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--settle", type=float, default=5.0)
+    args = parser.parse_args()
+    entries = json.loads(os.environ[ENVIRONMENT_KEY])["entries"]
+    time.sleep(args.settle)
+    begun_s = time.monotonic()
+    before = [sample(entry) for entry in entries]
+    time.sleep(args.seconds)
+    after = [sample(entry) for entry in entries]
+    spent_s = time.monotonic() - begun_s
+    rates = []
+    for old, new in zip(before, after):
+        rate = {key: (new[key] - old[key]) / spent_s for key in new}
+        rate["memory_mb"] = new["memory_bytes"] / 1e6
+        del rate["memory_bytes"]
+        rates.append(rate)
+    for key in rates[0]:
+        values = [rate[key] for rate in rates]
+        mean = sum(values) / len(values)
+        print(f"{key:16s} mean {mean:10.4f}  worst {max(values):10.4f}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
