--- a/citronpin/tests/test_dispatches.py
+++ b/citronpin/tests/test_dispatches.py
@@ -2,12 +2,7 @@
 
 import pytest
 
-from citronpin.dispatches import (
-    AnswerSink,
-    Dispatch,
-    DispatchLimits,
-    Target,
-)
+from citronpin.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
 from citronpin.engines import Attempt, EngineClient, Frame
 from citronpin.errors import (
     BadSubmission,
