--- a/citronpin/appenders.py
+++ b/citronpin/appenders.py
@@ -20,7 +20,12 @@
 from citronpin.errors import CitronpinError, LogUnavailable, Outcome, TimedOut
 from citronpin.ids import EntryId, Offset, RecordId, StreamName, WriterId, new_id
 from citronpin.logs import LogClient, ProposeCallback
-from citronpin.records import FORMAT_VERSION, MAX_RECORD_BYTES, Record, encode_record
+from citronpin.records import (
+    FORMAT_VERSION,
+    MAX_RECORD_BYTES,
+    Record,
+    encode_record,
+)
 from citronpin.states import StreamState, Verdict
 
 logger = logging.getLogger(__name__)
--- a/citronpin/commands_standins.py
+++ b/citronpin/commands_standins.py
@@ -6,9 +6,9 @@
 from absl import flags
 from circuits import BaseComponent, handler
 
-from citronpin import standin_logs  # noqa: F401
-from citronpin import (
+from citronpin import (  # noqa: F401
     standin_engines,
+    standin_logs,
     standin_memberships,
     standin_services,
     standin_weights,
--- a/citronpin/generations.py
+++ b/citronpin/generations.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from citronpin.admissions import AdmissionPolicy, AdmissionRequest, Admit, Refuse
+from citronpin.admissions import (
+    AdmissionPolicy,
+    AdmissionRequest,
+    Admit,
+    Refuse,
+)
 from citronpin.chats import answer_for
 from citronpin.clocks import Clock
 from citronpin.directories import GroupDirectory
--- a/citronpin/standin_engines.py
+++ b/citronpin/standin_engines.py
@@ -15,7 +15,13 @@
     STATUS_PATH,
     SUBMISSIONS_PATH,
 )
-from citronpin.ids import DomainName, FailureDomainName, GroupId, InstanceId, RegionName
+from citronpin.ids import (
+    DomainName,
+    FailureDomainName,
+    GroupId,
+    InstanceId,
+    RegionName,
+)
 from citronpin.instances import Instance, InstanceKind, InstanceState
 from citronpin.servers import HttpRequest, Reply, Routes, send_problem
 from citronpin.settings import Settings, split_address
--- a/citronpin/tests/fold_machines.py
+++ b/citronpin/tests/fold_machines.py
@@ -5,7 +5,12 @@
 
 import msgspec
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
 
 from citronpin import folds, records
 from citronpin.ids import NO_OFFSET
--- a/citronpin/tests/test_dispatches.py
+++ b/citronpin/tests/test_dispatches.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from citronpin.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
+from citronpin.dispatches import (
+    AnswerSink,
+    Dispatch,
+    DispatchLimits,
+    Target,
+)
 from citronpin.engines import Attempt, EngineClient, Frame
 from citronpin.errors import (
     BadSubmission,
--- a/citronpin/tests/test_followers.py
+++ b/citronpin/tests/test_followers.py
@@ -9,7 +9,12 @@
 from citronpin.errors import Outcome
 from citronpin.events import EventKind
 from citronpin.http_logs import HttpLog
-from citronpin.ids import CONFIG_STREAM, EntryId, RecordId, StreamName
+from citronpin.ids import (
+    CONFIG_STREAM,
+    EntryId,
+    RecordId,
+    StreamName,
+)
 from citronpin.logs import MemoryLog
 from citronpin.records import (
     MAX_RECORD_BYTES,
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -8,7 +8,12 @@
 from citronpin.clients import HttpClient
 from citronpin.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
 from citronpin.engines import FrameSink, Order, OrderKind, Submission
-from citronpin.errors import ConnectionFailed, ConnectionLost, EngineRefused, StaleFence
+from citronpin.errors import (
+    ConnectionFailed,
+    ConnectionLost,
+    EngineRefused,
+    StaleFence,
+)
 from citronpin.events import Recorder
 from citronpin.http_engines import HttpEngineClient
 from citronpin.instances import Instance, InstanceKind, InstanceState
