--- a/citronpin/controls.py
+++ b/citronpin/controls.py
@@ -8,10 +8,10 @@
 from citronpin.clocks import Clock
 from citronpin.controllers import Controller
 from citronpin.domains import DomainFacts, Membership
-from citronpin.engines import EngineClient
+from citronpin.engines import EngineClient, EngineStatus
 from citronpin.events import Recorder
 from citronpin.groups import GroupController
-from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, control_stream
+from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, GroupId, control_stream
 from citronpin.instances import InstanceKind
 from citronpin.leases import MAX_HEAD_AGE_S, Alive, LeaseController
 from citronpin.logs import States
@@ -180,6 +180,19 @@
         for domain in self.domains.values():
             domain.close()
 
+    def take(self, domain: DomainName, status: EngineStatus, asked_s: float) -> None:
+        """Take what a watcher of this entry was told by an engine."""
+        control = self.domains.get(domain)
+        if control is not None:
+            control.readbacks.take(status, asked_s)
+
+    def report(self, group: GroupId) -> None:
+        """Look at a group at once, since its watchers report it as faulty."""
+        for control in self.domains.values():
+            known = control.facts.control.groups.get(group)
+            if known is not None:
+                control.groups.report(known)
+
     def _on_config(self, stream, state, verdicts) -> None:
         if stream == CONFIG_STREAM and any(v.accepted for v in verdicts):
             for domain in self.domains.values():
--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -4,6 +4,7 @@
 
 import numpy
 from circuits import Component, handler
+from circuits.core.pollers import EPoll
 
 from citronpin.admins import AdminPages
 from citronpin.announcements import Announcer, Booter
@@ -11,11 +12,13 @@
 from citronpin.callers import CallerApi
 from citronpin.calls import Calls
 from citronpin.chats import ChatFilter
+from citronpin.checkpointers import Checkpointer
 from citronpin.clients import HttpClient
 from citronpin.clocks import Clock, ClockTask
 from citronpin.configurations import Configuration
 from citronpin.controls import ControlTask
 from citronpin.directories import GroupDirectory
+from citronpin.engines import EngineStatus
 from citronpin.events import EventKind, Recorder
 from citronpin.filters import Filter, FilterChain, GateFilter, IdentifyFilter
 from citronpin.followers import Followers
@@ -66,6 +69,8 @@
 
     def __init__(self, *, cfg: Settings, clock: Clock) -> None:
         super().__init__()
+        # The default poller fails for descriptors from 1,024 on.
+        EPoll().register(self)
         self.cfg = cfg
         self.clock = clock
         own = cfg.section("entry")
@@ -95,6 +100,13 @@
         self.states = Followers(
             log=log, entry=self.id, clock=clock, recorder=recorder
         ).register(self)
+        self.checkpointer = Checkpointer(
+            followers=self.states,
+            log=log,
+            entry=self.id,
+            clock=clock,
+            recorder=recorder,
+        ).register(self)
         self.configuration = Configuration(states=self.states, recorder=recorder)
         self.directory = GroupDirectory(states=self.states)
         self.pool = ServerPool(clock=clock, failure_domain=own["failure_domain"])
@@ -175,6 +187,20 @@
             placement=make_placement(cfg=cfg),
         ).register(self)
 
+        self.readiness.subscribe_missing(self.control.report)
+        self.watcher.pass_on(self._take_status)
+
+    def _take_status(self, status: EngineStatus, asked_s: float) -> None:
+        """Use a watcher's probe for control and for the load of groups too."""
+        row = self.directory.instance(status.instance)
+        if row is not None:
+            self.control.take(row.domain, status, asked_s)
+        if status.group is not None and self._leads(status):
+            self.loads.take(status.group, status.running, status.queued)
+
+    def _leads(self, status: EngineStatus) -> bool:
+        return bool(status.members) and status.members[0] == status.instance
+
     def _add_callers(self) -> None:
         clock, configuration = self.clock, self.configuration
         self.gate = ServingGate(
@@ -243,6 +269,7 @@
             loads=self.loads,
             clock=self.clock,
         )
+        self.readiness.subscribe_missing(generate.leave_group)
         return admit, generate
 
     def _load_of(self, deployment: DeploymentName) -> DeploymentLoad:
