--- a/citronpin/bench_domains.py
+++ b/citronpin/bench_domains.py
@@ -30,7 +30,7 @@
 from citronpin.repairs import reformable
 from citronpin.states import Group, GroupState
 
-CHECKS_S = (1.01, 2.02, 30.03)  # after the start of a silence
+CHECKS_S = (1.01, 2.02, 10.03)  # after the start of a silence
 RETURN_HOLD_S = 5.01
 LEAVE_NOTICE_S = 120.0
 RETURN_SPREAD_S = 60.0  # a domain's instances come back one after another
--- a/citronpin/settings.py
+++ b/citronpin/settings.py
@@ -231,10 +231,10 @@
         default="yes", kind=ValueKind.SWITCH, doc="Load models on spares beforehand."
     ),
     "detector": Setting(
-        default="graded", choices=("graded", "timeout"), doc="How silence is judged."
+        default="timeout", choices=("graded", "timeout"), doc="How silence is judged."
     ),
     "paused_after_s": _seconds("1", "Silence that counts as a pause."),
-    "dead_after_s": _seconds("30", "Silence that counts as death."),
+    "dead_after_s": _seconds("10", "Silence that counts as death."),
     "dark_share": _number("0.6", "Share silent that makes a domain dark.", 0.1, 1),
     "straggler_ratio": _number("4", "Delay to the median of a straggler.", 1, 1000),
     "placement": Setting(
--- a/citronpin/suspicions.py
+++ b/citronpin/suspicions.py
@@ -109,7 +109,7 @@
         self,
         *,
         paused_after_s: float = 1.0,
-        dead_after_s: float = 30.0,
+        dead_after_s: float = 10.0,
         dark_share: float = 0.6,
         straggler_ratio: float = 4.0,
         straggler_after_s: float = 5.0,
--- a/citronpin/tests/test_repairs.py
+++ b/citronpin/tests/test_repairs.py
@@ -229,10 +229,11 @@
     graded.missed(instance="i0", now_s=0.5)
     assert judge(graded, 0, 0.6) is Health.HEALTHY
     assert graded.health(instance="i0", now_s=1.5) == (Health.PAUSED, 1.5)
-    listen(graded, [0], 20.0)
-    assert judge(graded, 0, 20.0) is Health.HEALTHY
+    assert judge(graded, 0, 9.9) is Health.PAUSED
+    listen(graded, [0], 9.95)
+    assert judge(graded, 0, 9.95) is Health.HEALTHY
     graded.missed(instance="i0", now_s=21.0)
-    assert judge(graded, 0, 51.0) is Health.DEAD
+    assert judge(graded, 0, 22.0) is Health.DEAD
     listen(graded, [0], 60.0, boot="2")
     assert judge(graded, 0, 60.0) is Health.RETURNED
     assert judge(graded, 0, 66.0) is Health.HEALTHY
