--- a/citronpin/tests/test_folds.py
+++ b/citronpin/tests/test_folds.py
@@ -50,9 +50,7 @@
 @pytest.mark.parametrize("machine", MACHINES)
 def test_invariants_hold_in_a_soak(machine):
     machine = seed(int(os.environ.get("CITRONPIN_SOAK_SEED") or 0))(machine)
-    long = settings(
-        QUICK, derandomize=False, max_examples=500, stateful_step_count=100
-    )
+    long = settings(QUICK, derandomize=False, max_examples=500, stateful_step_count=100)
     run_state_machine_as_test(machine, settings=long)
 
 
--- a/tools/measure_peers.py
+++ b/tools/measure_peers.py
@@ -90,9 +90,7 @@
             result[key] = (value - before[key]) / seconds
         result["lapses"] = lapses
         result["alive"] = len(peers.alive())
-        result["memory_mib"] = (
-            resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB
-        )
+        result["memory_mib"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB
         root.stop()
 
     threading.Thread(target=measure, daemon=True).start()
