--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: test lint unit demo binary soak
+.PHONY: test lint unit demo binary soak settings-page
 
 test: lint unit
 
@@ -31,3 +31,6 @@
 
 soak: $(STAMP)
 	CITRONPIN_SOAK_SEED=$(SEED) $(RUN) -m pytest -m soak
+
+settings-page: $(STAMP)
+	$(RUN) -m citronpin.references > docs/SETTINGS.md
--- /dev/null
+++ b/citronpin/tests/test_settings.py
@@ -0,0 +1,63 @@
+"""Tests of reading and checking settings, and of their reference."""
+
+from pathlib import Path
+
+import pytest
+
+import citronpin
+from citronpin.references import settings_page
+from citronpin.settings import check_settings, read_settings
+
+PAGE = Path(citronpin.__file__).parent.parent / "docs" / "SETTINGS.md"
+GOOD = {
+    "entry": {
+        "name": "entry-1",
+        "listen": "127.0.0.1:8080",
+        "failure_domain": "sapporo",
+        "log": "127.0.0.1:7070",
+        "membership": "127.0.0.1:7071",
+    },
+    "peers": {"listen": "127.0.0.1:9090", "key": "secret"},
+}
+
+
+def _with(section: str, **values) -> dict:
+    return GOOD | {section: GOOD.get(section, {}) | values}
+
+
+def test_defaults_fill_what_is_not_given():
+    cfg = check_settings(GOOD).ok_value
+    assert cfg.section("entry")["drain_s"] == 60.0
+    assert cfg.section("peers")["seeds"] == ()
+    assert cfg.section("routing")["policy"] == "affinity"
+
+
+@pytest.mark.parametrize(
+    "section, values, words",
+    [
+        ("entry", {"listen": "localhost:80"}, ["listen", "cannot read"]),
+        ("entry", {"drain_s": "0"}, ["drain_s", "below"]),
+        ("entry", {"log_level": "LOUD"}, ["log_level", "not one of"]),
+        ("routing", {"policy": "best"}, ["policy", "not one of"]),
+        ("calls", {"shards": "many"}, ["shards", "cannot read"]),
+        ("server", {"bodies": "3"}, ["bodies", "no such key"]),
+        ("servers", {"a": "3"}, ["servers", "not a section"]),
+    ],
+)
+def test_each_fault_names_section_key_and_remedy(section, values, words):
+    faults = check_settings(_with(section, **values)).err_value
+    assert len(faults) == 1
+    assert all(word in str(faults[0]) for word in [section, *words])
+    assert faults[0].remedy
+
+
+def test_all_faults_come_in_one_go(tmp_path):
+    path = tmp_path / "entry.ini"
+    path.write_text("[entry]\nname = a\nlisten = 1\n[peers]\nkey = k\nseeds = x\n")
+    found = " ".join(str(fault) for fault in read_settings(path).err_value)
+    for key in ("listen", "failure_domain", "log", "membership", "seeds"):
+        assert f"] {key}:" in found
+
+
+def test_the_reference_is_made_from_the_defaults():
+    assert PAGE.read_text(encoding="utf-8") == settings_page()
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -118,6 +118,7 @@
     services: int = 1,
     tokens_per_s: float = 50.0,
     batch: int = 64,
+    admission: str = "weighted",
 ) -> None:
     """Start stand-ins and entries; engines are divided among fabric domains."""
     log = cluster.start("log", ("standin", "log"), {"standin": {}})
@@ -131,7 +132,8 @@
         {"standin": {}, "standin_membership": {"instances": str(path)}},
     )
     for number in range(entries):
-        start_entry(cluster, f"entry-{number}", log, membership, f"site-{number % 3}")
+        name, site = f"entry-{number}", f"site-{number % 3}"
+        start_entry(cluster, name, log, membership, site, admission)
 
 
 def _start_service(cluster, number) -> dict:
@@ -148,7 +150,12 @@
 
 
 def start_entry(
-    cluster: Cluster, name: str, log: str, membership: str, failure_domain: str
+    cluster: Cluster,
+    name: str,
+    log: str,
+    membership: str,
+    failure_domain: str,
+    admission: str = "weighted",
 ) -> str:
     """Start one entry that knows the peer addresses of those before it."""
     peer_address = f"{LOOPBACK}:{free_port()}"
@@ -161,7 +168,12 @@
         "log_level": "WARNING",
     }
     peers = {"listen": peer_address, "key": "loopback", "seeds": ", ".join(seeds)}
-    return cluster.start(name, ("entry",), {"entry": entry, "peers": peers})
+    sections = {
+        "entry": entry,
+        "peers": peers,
+        "admission": {"policy": admission},
+    }
+    return cluster.start(name, ("entry",), sections)
 
 
 def get_json(address: str, target: str):
@@ -206,6 +218,8 @@
     parser.add_argument("--engines", type=int, default=3)
     parser.add_argument("--domains", type=int, default=1)
     parser.add_argument("--tokens-per-s", type=float, default=50.0)
+    parser.add_argument("--batch", type=int, default=64)
+    parser.add_argument("--admission", default="weighted")
     parser.add_argument("--groups", type=int, default=1, help="groups to wait for")
     parser.add_argument("--manifest", action="append", default=[])
     parser.add_argument("command", nargs=argparse.REMAINDER)
@@ -225,6 +239,8 @@
         engines=args.engines,
         domains=args.domains,
         tokens_per_s=args.tokens_per_s,
+        batch=args.batch,
+        admission=args.admission,
     )
     entries = describe(cluster)["entries"]
     wait_until(lambda: all(get_json(entry, "/readyz") for entry in entries))
