Run blocking loops in threads of their own

Cause: loops that ran in the main thread replaced the signal handlers of the process, so that a test run no longer ended on SIGTERM; a hung run could not be stopped that way. Change: fetches, pipelines and loads run in a thread until they stop themselves, and close their descriptors. Before: SIGTERM without effect after the first fetch. After: a test compares handlers and descriptors before and after three loops; both are as they were.

--- a/citronpin/commands_entries.py
+++ b/citronpin/commands_entries.py
@@ -14,6 +14,7 @@
 from citronpin.fetches import Fetch, fetch_all
 from citronpin.loads import Fault, LoadPlan, LoadTask, check_effects
 from citronpin.loggings import set_up_logging
+from citronpin.runners import run_to_end
 from citronpin.settings import read_settings
 from citronpin.standin_texts import answer_to
 from citronpin.timelines import from_jsonl, merge_events, to_jsonl, to_page
@@ -202,7 +203,7 @@
     )
     task.on_finished(task.stop)
     task.clock.call_later(0.0, task.begin)
-    task.run()
+    run_to_end(task, task.clock)
     counted: dict[str, int] = {}
     for answer in fetch_all([Fetch(address, "/effects") for address in effects]):
         for key, count in answer.json().items():
--- a/citronpin/embedded.py
+++ b/citronpin/embedded.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from citronpin.clients import HttpClient
-from citronpin.clocks import ClockTask, SystemClock
+from citronpin.clocks import Clock, ClockTask, SystemClock
 from citronpin.entries import Entry
 from citronpin.events import Recorder
 from citronpin.followers import Followers
@@ -26,7 +26,7 @@
 from citronpin.instances import Instance, InstanceKind, InstanceState
 from citronpin.manifest_files import ManifestFile
 from citronpin.publishers import Published, Publisher
-from citronpin.runners import Runner
+from citronpin.runners import Runner, run_to_end
 from citronpin.settings import check_settings
 from citronpin.standin_batches import EngineSpeed
 from citronpin.standin_engines import EngineStandin
@@ -66,10 +66,11 @@
 class Pipeline(Component):
     """A build pipeline that publishes one file and stops."""
 
-    def __init__(self, *, log: str, file: ManifestFile, base: Offset | None) -> None:
+    def __init__(
+        self, *, log: str, file: ManifestFile, base: Offset | None, clock: Clock
+    ) -> None:
         super().__init__()
         self.result = None
-        clock = SystemClock()
         author = EntryId(f"pipeline-{new_id()}")
         ClockTask(clock=clock).register(self)
         client = HttpClient(clock=clock).register(self)
@@ -273,8 +274,9 @@
 
     def publish(self, file: ManifestFile, base: Offset | None = None) -> Published:
         """Publish a file as a pipeline would and return the verdict."""
-        pipeline = Pipeline(log=self.log.address, file=file, base=base)
-        pipeline.run()
+        clock = SystemClock()
+        pipeline = Pipeline(log=self.log.address, file=file, base=base, clock=clock)
+        run_to_end(pipeline, clock)
         if isinstance(pipeline.result, Err):
             raise pipeline.result.err_value
         return pipeline.result.ok_value
--- a/citronpin/fetches.py
+++ b/citronpin/fetches.py
@@ -6,6 +6,7 @@
 from citronpin.clients import HttpClient, WholeSink
 from citronpin.clocks import Clock, ClockTask, SystemClock
 from citronpin.errors import CitronpinError, ProtocolFault
+from citronpin.runners import run_to_end
 
 FETCH_TIMEOUT_S = 5.0
 
@@ -78,6 +79,7 @@
     """Send requests together and return the answers in the same order."""
     if not fetches:
         return []
-    task = FetchTask(fetches=fetches, clock=SystemClock())
-    task.run()
+    clock = SystemClock()
+    task = FetchTask(fetches=fetches, clock=clock)
+    run_to_end(task, clock)
     return [task.answers[number] for number in range(len(fetches))]
--- a/citronpin/runners.py
+++ b/citronpin/runners.py
@@ -66,6 +66,11 @@
         if self._thread is not None:
             self._thread.join(CALL_LIMIT_S)
 
+    def wait(self) -> None:
+        """Wait until the loop has ended by itself."""
+        if self._thread is not None:
+            self._thread.join()
+
     def close(self) -> None:
         """Stop the loop and close the descriptors of its poller.
 
@@ -82,3 +87,16 @@
     def running(self) -> bool:
         """Return whether the loop runs."""
         return self._thread is not None and self._thread.is_alive()
+
+
+def run_to_end(root: Component, clock: Clock) -> None:
+    """Run a loop in a thread until its root stops itself.
+
+    A loop in the main thread would replace the signal handlers of the process.
+    """
+    runner = Runner(root=root, clock=clock)
+    runner.start()
+    try:
+        runner.wait()
+    finally:
+        runner.close()
--- /dev/null
+++ b/citronpin/tests/test_runners.py
@@ -0,0 +1,45 @@
+"""Tests of loops that run in threads."""
+
+import os
+import signal
+
+from circuits import Component
+
+from citronpin.clocks import ClockTask, SystemClock
+from citronpin.runners import Runner, run_to_end
+
+
+class Root(Component):
+    """A root that can stop itself."""
+
+    def __init__(self, *, clock) -> None:
+        super().__init__()
+        ClockTask(clock=clock).register(self)
+
+
+def test_a_loop_leaves_signal_handlers_and_descriptors_as_they_were():
+    before = (signal.getsignal(signal.SIGTERM), len(os.listdir("/proc/self/fd")))
+    for _ in range(3):
+        clock = SystemClock()
+        root = Root(clock=clock)
+        clock.call_later(0.0, root.stop)
+        run_to_end(root, clock)
+    after = (signal.getsignal(signal.SIGTERM), len(os.listdir("/proc/self/fd")))
+    assert after == before
+
+
+def test_calls_run_in_the_loop_and_errors_come_back():
+    clock = SystemClock()
+    runner = Runner(root=Root(clock=clock), clock=clock)
+    runner.start()
+    try:
+        assert runner.call(lambda: 7) == 7
+        try:
+            runner.call(lambda: 1 / 0)
+        except ZeroDivisionError:
+            pass
+        else:
+            raise AssertionError("the error did not come back")
+    finally:
+        runner.close()
+    assert not runner.running
