End slow readers, and prove that a caller who leaves is cancelled

Cause: stall_timeout_s was a setting that nothing read. Change: a caller that takes no byte for that time is cut off and counted; tests for slow senders, slow readers, an overflowing buffer, a caller who leaves, metrics and every admin view. Before: a reader that stopped held its answer's buffer for ever. After: cut off.

--- a/citronpin/servers.py
+++ b/citronpin/servers.py
@@ -174,10 +174,23 @@
 class Conn:
     """Parser and progress of one connection."""
 
-    __slots__ = ("parser", "head", "parts", "size", "since_s", "res", "reply", "left")
+    __slots__ = (
+        "parser",
+        "head",
+        "parts",
+        "size",
+        "since_s",
+        "res",
+        "reply",
+        "left",
+        "unsent_bytes",
+        "taken_s",
+    )
 
     def __init__(self, *, now_s: float, limits: ServerLimits) -> None:
         self.left = False
+        self.unsent_bytes = 0
+        self.taken_s = now_s  # when the caller last took a byte
         self.since_s = now_s
         self.renew(limits, b"")
 
@@ -510,6 +523,7 @@
         now = self._clock.now()
         for sock, conn in list(self._conns.items()):
             self._end_slow(sock, conn, now - conn.since_s)
+            self._end_stalled(sock, conn, now)
         self._sweep_timer = self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _end_slow(self, sock, conn: Conn, age_s: float) -> None:
@@ -521,6 +535,15 @@
         elif conn.res is None and age_s > self._limits.idle_timeout_s:
             self.fire(close(sock))
 
+    def _end_stalled(self, sock, conn: Conn, now_s: float) -> None:
+        unsent_bytes = self.buffered_bytes(sock)
+        if not unsent_bytes or unsent_bytes < conn.unsent_bytes:
+            conn.taken_s = now_s
+        conn.unsent_bytes = unsent_bytes
+        if now_s - conn.taken_s > self._limits.stall_timeout_s:
+            self._count("slow_readers")
+            self.drop(sock)
+
 
 class WebServer(BaseComponent):
     """A listening server; ``bind`` is ``(IP, port)``, port 0 takes a free one."""
--- a/citronpin/standin_engines.py
+++ b/citronpin/standin_engines.py
@@ -108,6 +108,11 @@
             self.faults.restart = False
             self.restart()
 
+    @property
+    def streams(self) -> int:
+        """Return the number of attempts that have not ended."""
+        return sum(not stream.ended for stream in self._batch.streams)
+
     def restart(self) -> None:
         """Come back under a new boot id, without group, model and cache."""
         self._holding.close()
--- a/citronpin/tests/test_embedded.py
+++ b/citronpin/tests/test_embedded.py
@@ -5,6 +5,7 @@
 
 from citronpin.commands_entries import run_load
 from citronpin.embedded import Embedded, EngineSpec, wait_for
+from citronpin.fetches import Fetch, fetch_all
 from citronpin.loads import LoadPlan
 from citronpin.manifest_files import read_manifests
 from citronpin.standin_batches import EngineSpeed
@@ -114,3 +115,24 @@
     summary = run_load(plan, (), [], check_text=True)
     assert summary["violations"] == []
     assert summary["outcomes"] == {"complete": summary["sent"]}
+
+
+def test_a_caller_who_leaves_has_its_stream_cancelled(system, client):
+    stream = client.chat.completions.create(
+        model="rota", messages=MESSAGES, stream=True, max_tokens=5_000
+    )
+    next(iter(stream))
+    engines = system.engines.values()
+    assert wait_for(lambda: any(engine.streams for engine in engines), 5.0)
+    stream.response.close()
+    assert wait_for(lambda: not any(engine.streams for engine in engines), 5.0)
+
+
+def test_metrics_and_views_answer(system):
+    address = system.addresses()[0]
+    views = fetch_all([Fetch(address, "/admin")])[0].json()
+    for answer in fetch_all([Fetch(address, f"/admin/{view}") for view in views]):
+        assert answer.status == 200, answer.fetch.target
+    text = fetch_all([Fetch(address, "/metrics")])[0].body.decode()
+    assert 'citronpin_first_token_seconds{customer="odori-tower"' in text
+    assert 'outcome="complete"' in text
--- a/citronpin/tests/test_servers.py
+++ b/citronpin/tests/test_servers.py
@@ -5,8 +5,13 @@
 import pytest
 
 from citronpin.servers import Routes, ServerLimits, WebServer
+from citronpin.tests.conftest import wait_until
 
 LIMITS = ServerLimits(body_bytes=64, header_bytes=1024)
+HASTY = ServerLimits(
+    request_timeout_s=0.5, stall_timeout_s=0.5, write_buffer_bytes=256 * 1024
+)
+LARGE_BYTES = 64 * 1024
 
 
 def _routes(clock):
@@ -21,6 +26,23 @@
         clock.call_later(0.0, reply.finish)
 
     routes.add("GET", "/count", count)
+
+    def flood(req, reply):
+        reply.start(200, "text/plain")
+
+        def more():
+            if not reply.ended:
+                reply.push(b"x" * LARGE_BYTES)
+                clock.call_later(0.01, more)
+
+        more()
+
+    routes.add("GET", "/flood", flood)
+
+    def fill(req, reply):
+        reply.whole(200, b"x" * LARGE_BYTES * 64)
+
+    routes.add("GET", "/fill", fill)
     return routes
 
 
@@ -100,3 +122,31 @@
 def test_unknown_paths_are_problem_details(server):
     got = exchange(server, b"GET /nothing HTTP/1.0\r\nHost: a\r\n\r\n")
     assert got.startswith(b"HTTP/1.0 404") and b"application/problem+json" in got
+
+
+@pytest.fixture
+def hasty(loops):
+    _, server = loops(
+        lambda clock: WebServer(
+            bind=("127.0.0.1", 0), target=_routes(clock), clock=clock, limits=HASTY
+        )
+    )
+    return server
+
+
+@pytest.mark.parametrize(
+    "sent, counter",
+    [
+        (b"GET /echo/a HT", "slow_senders"),
+        (b"GET /flood HTTP/1.1\r\nHost: a\r\n\r\n", "write_overflows"),
+        (b"GET /fill HTTP/1.1\r\nHost: a\r\n\r\n", "slow_readers"),
+    ],
+)
+def test_slow_callers_are_cut_off_and_counted(hasty, sent, counter):
+    conn = socket.socket()
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    conn.connect((hasty.host, hasty.port))
+    with conn:
+        conn.sendall(sent)
+        wait_until(lambda: hasty.http.counters.get(counter))
+        wait_until(lambda: hasty.http.open_connections == 0)
