--- a/citronpin/manifests.py
+++ b/citronpin/manifests.py
@@ -24,6 +24,7 @@
 MINUTES_PER_WEEK = 7 * 24 * 60
 MAX_GROUPS = 10_000
 MAX_MEMBERS = 1_024
+MAX_SLOTS = 100_000
 MAX_TIMEOUT_S = 86_400.0
 MAX_PRIORITY = 1_000
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
@@ -150,6 +151,7 @@
     yield from _names("domains", manifest.domains)
     yield from _within("groups", manifest.groups, 0, MAX_GROUPS)
     yield from _within("members", manifest.members, 1, MAX_MEMBERS)
+    yield from _within("slots", manifest.slots, 1, MAX_SLOTS)
     yield from _within("spares", manifest.spares, 0, MAX_GROUPS)
     yield from _within("min_serving", manifest.min_serving, 0.0, 1.0)
     yield from _within("downtime_weight", manifest.downtime_weight, 0.0, 1e6)
