Divide the HTTP server into connections, replies, routes and server

Change: http_conns holds connections and parsing, replies what handlers see, routes the paths, servers the listening task, which re-exports the names that others use; a Sender base separates replies from connections.

--- /dev/null
+++ b/citronpin/routes.py
@@ -0,0 +1,39 @@
+"""Routes: which endpoint takes a request, by method and path."""
+
+import re
+from collections.abc import Callable
+
+from citronpin.replies import HttpHandler, HttpRequest, Reply, send_problem
+
+Endpoint = Callable[..., None]
+
+
+class Routes(HttpHandler):
+    """Maps method and path to endpoints.
+
+    Patterns hold ``{name}`` for one path segment and ``{name*}`` for the rest;
+    both are passed as keyword arguments.
+    """
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, re.Pattern, Endpoint]] = []
+
+    def add(self, method: str, pattern: str, endpoint: Endpoint) -> None:
+        """Register an endpoint; method ``*`` takes all."""
+        regex = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.*)", pattern)
+        regex = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", regex)
+        self._routes.append((method, re.compile(regex + r"\Z"), endpoint))
+
+    def handle(self, req: HttpRequest, reply: Reply) -> None:
+        known = False
+        for method, pattern, endpoint in self._routes:
+            match = pattern.match(req.path)
+            if match is None:
+                continue
+            known = True
+            if method in ("*", req.method) or (method, req.method) == ("GET", "HEAD"):
+                endpoint(req, reply, **match.groupdict())
+                return
+        status, kind = (405, "method-not-allowed") if known else (404, "not-found")
+        detail = f"{req.method} {req.path} is not served here."
+        send_problem(reply, status, kind, detail, "See the API page for the paths.")
