Leave the list of entries also when the announcement was still on its way

Cause: ten entries replaced one after another under load: 25 of 322 requests were refused with no-group-ready. Entries that were stopped within 2 s of their boot stayed on the list, and each new entry took them for living watchers at first. Ruled out: the leases of a leaving watcher, since the remaining watcher covers. Change: an entry that leaves proposes so again once its announcement is folded, and a planned stop waits for that, 3 s at most.

--- a/citronpin/announcements.py
+++ b/citronpin/announcements.py
@@ -56,7 +56,18 @@
     def leave(self) -> None:
         """Take this entry off the list, for a planned stop."""
         self._leaving = True
-        if self._entry in self._configuration.state.entries:
+        self._take_off()
+
+    @property
+    def gone(self) -> bool:
+        """Return whether the list is known to be without this entry."""
+        listed = self._entry in self._configuration.state.entries
+        return self._leaving and not listed and not self._proposing
+
+    def _take_off(self) -> None:
+        """Propose to leave, also when an announcement was still on its way."""
+        listed = self._entry in self._configuration.state.entries
+        if self._leaving and listed and not self._proposing:
             self._note(self._entry, leaving=True)
 
     def close(self) -> None:
@@ -68,6 +79,7 @@
         known = self._configuration.state.entries
         addresses = {entry: row.peer_address for entry, row in known.items()}
         self._peers.set_peers(addresses, self._seeds)
+        self._take_off()
 
     def _check(self) -> None:
         self._timer = self._clock.call_later(CHECK_S, self._check)
@@ -103,6 +115,7 @@
 
     def _noted(self, result) -> None:
         self._proposing = False
+        self._take_off()
 
 
 class Booter:
--- a/citronpin/entries.py
+++ b/citronpin/entries.py
@@ -352,13 +352,14 @@
     def _busy(self) -> bool:
         """Return whether a planned stop still has to wait.
 
-        A lease that cannot be handed over, since the log is down, is left to the
-        other entries' suspicion; its holder has ceased to act in any case.
+        What the log does not take, since it is down, is left to the other entries'
+        suspicion: a lease, whose holder has ceased to act, and the place in the list.
         """
         waited_s = self.clock.now() - self._stopped_s
         if self.server.http.open_replies or self.calls.open_calls():
             return waited_s < self.cfg.section("entry")["drain_s"]
-        return not self.control.handed_over() and waited_s < HANDOVER_LIMIT_S
+        done = self.control.handed_over() and self.announcer.gone
+        return not done and waited_s < HANDOVER_LIMIT_S
 
     def _wait_until_drained(self) -> None:
         if self._busy():
--- /dev/null
+++ b/citronpin/tests/test_announcements.py
@@ -0,0 +1,89 @@
+"""Tests of the list of entries in the log."""
+
+from types import SimpleNamespace
+
+from citronpin.announcements import CHECK_S, REMOVE_AFTER_S, Announcer
+from citronpin.folds import ConfigFold
+from citronpin.records import Record
+
+
+class Log:
+    """Folds what is proposed, at once or when it is released."""
+
+    def __init__(self):
+        self.fold = ConfigFold()
+        self.state = self.fold.empty()
+        self.booted = True
+        self.held = []
+        self.holds = False
+        self._callbacks = []
+
+    def subscribe(self, prefix, callback):
+        self._callbacks.append(callback)
+
+    def propose(self, stream, items, done):
+        self.held.append((items, done))
+        if not self.holds:
+            self.release()
+
+    def release(self):
+        while self.held:
+            items, done = self.held.pop(0)
+            offset = self.state.offset + 1
+            record = Record(1, f"r{offset}", "author", 0, items)
+            self.state, verdicts = self.fold.apply(self.state, offset, record)
+            for callback in self._callbacks:
+                callback("config", self.state, verdicts)
+            done(verdicts)
+
+
+def _announcer(log, clock, entry, alive):
+    peers = SimpleNamespace(
+        address=f"tcp://{entry}",
+        alive=lambda: frozenset(alive),
+        set_peers=lambda addresses, seeds: None,
+    )
+    announcer = Announcer(
+        entry=entry,
+        failure_domain="a",
+        states=log,
+        configuration=log,
+        peers=peers,
+        seeds=(),
+        clock=clock,
+    )
+    announcer.start()
+    return announcer
+
+
+def test_an_entry_announces_itself_again_after_it_was_removed(paused_clock):
+    log = Log()
+    _announcer(log, paused_clock, "e1", {"e1"})
+    assert set(log.state.entries) == {"e1"}
+    log.state = log.fold.empty()
+    paused_clock.advance(CHECK_S)
+    assert set(log.state.entries) == {"e1"}
+
+
+def test_a_dead_entry_is_removed_by_the_least_living_one(paused_clock):
+    log = Log()
+    alive = {"e1", "e2", "e3"}
+    announcers = [
+        _announcer(log, paused_clock, entry, alive) for entry in sorted(alive)
+    ]
+    announcers[-1].close()
+    alive.discard("e3")
+    paused_clock.advance(REMOVE_AFTER_S)
+    assert "e3" in log.state.entries
+    paused_clock.advance(3 * CHECK_S)
+    assert set(log.state.entries) == {"e1", "e2"}
+
+
+def test_an_entry_that_leaves_while_it_announces_itself_is_off_the_list(paused_clock):
+    log = Log()
+    log.holds = True
+    announcer = _announcer(log, paused_clock, "e1", {"e1"})
+    announcer.leave()
+    assert not announcer.gone
+    log.release()
+    assert announcer.gone and not log.state.entries
