--- a/citronpin/demos.py
+++ b/citronpin/demos.py
@@ -61,7 +61,7 @@
     """Return the system of the demonstration, not yet started."""
     engines = [
         EngineSpec(id=f"engine-s{n}", domain="fabric-s", failure_domain="sapporo")
-        for n in range(5)
+        for n in range(6)
     ]
     engines += [
         EngineSpec(
