--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 unit: $(STAMP)
 	$(RUN) -m pytest
+	@cat KNOWN-RED.txt
 
 demo: $(STAMP)
 	$(RUN) -m citronpin demo
