--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,4 @@
 	CITRONPIN_SOAK_SEED=$(SEED) $(RUN) -m pytest -m soak
 
 settings-page: $(STAMP)
-	$(RUN) -m citronpin.references > docs/SETTINGS.md
+	$(RUN) -m citronpin.basics.references > docs/SETTINGS.md
--- /dev/null
+++ b/citronpin/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Engines and plain services, and sending work to them."""
--- a/citronpin/dispatches.py
+++ b/citronpin/backends/dispatches.py
@@ -6,9 +6,17 @@
 
 import msgspec
 
-from citronpin.clocks import MS_PER_S, Clock, TimerHandle
-from citronpin.engines import Attempt, EngineClient, Frame, FrameSink, Submission
-from citronpin.errors import (
+from citronpin.backends.engines import (
+    Attempt,
+    EngineClient,
+    Frame,
+    FrameSink,
+    Submission,
+)
+from citronpin.backends.retries import RetryBudget
+from citronpin.backends.streams import Reassembler
+from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
+from citronpin.basics.errors import (
     BadSubmission,
     CitronpinError,
     EngineFault,
@@ -16,10 +24,8 @@
     Outcome,
     TimedOut,
 )
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import Fence, GroupId, RequestId
-from citronpin.retries import RetryBudget
-from citronpin.streams import Reassembler
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import Fence, GroupId, RequestId
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/engines.py
+++ b/citronpin/backends/engines.py
@@ -7,8 +7,8 @@
 import msgspec
 from result import Result
 
-from citronpin.errors import CitronpinError
-from citronpin.ids import (
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.ids import (
     AdapterName,
     Fence,
     GroupId,
--- a/citronpin/http_engines.py
+++ b/citronpin/backends/http_engines.py
@@ -5,9 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.clients import Exchange, HttpClient, ResponseSink, WholeSink
-from citronpin.clocks import Clock
-from citronpin.engines import (
+from citronpin.backends.engines import (
     Attempt,
     CacheEvent,
     EngineClient,
@@ -16,13 +14,15 @@
     FrameSink,
     Submission,
 )
-from citronpin.errors import (
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import (
     BadSubmission,
     CitronpinError,
     EngineRefused,
     ProtocolFault,
     StaleFence,
 )
+from citronpin.web.clients import Exchange, HttpClient, ResponseSink, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/memory_engines.py
+++ b/citronpin/backends/memory_engines.py
@@ -6,8 +6,7 @@
 import msgspec
 from result import Err, Ok
 
-from citronpin.clocks import MS_PER_S, Clock, PausedClock
-from citronpin.engines import (
+from citronpin.backends.engines import (
     Attempt,
     EngineClient,
     EngineStatus,
@@ -15,9 +14,15 @@
     Order,
     OrderKind,
 )
-from citronpin.errors import CitronpinError, ConnectionFailed, StaleFence, TimedOut
-from citronpin.ids import DomainName, FailureDomainName, Fence, InstanceId
-from citronpin.instances import Instance, InstanceKind, InstanceState
+from citronpin.basics.clocks import MS_PER_S, Clock, PausedClock
+from citronpin.basics.errors import (
+    CitronpinError,
+    ConnectionFailed,
+    StaleFence,
+    TimedOut,
+)
+from citronpin.basics.ids import DomainName, FailureDomainName, Fence, InstanceId
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/server_pools.py
+++ b/citronpin/backends/server_pools.py
@@ -5,9 +5,14 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.ids import ApplicationName, FailureDomainName, InstanceId
-from citronpin.instances import Instance, InstanceKind, InstanceState, MembershipView
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import ApplicationName, FailureDomainName, InstanceId
+from citronpin.state.instances import (
+    Instance,
+    InstanceKind,
+    InstanceState,
+    MembershipView,
+)
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/services.py
+++ b/citronpin/backends/services.py
@@ -7,9 +7,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.clients import Exchange, HttpClient, WholeSink
-from citronpin.clocks import Clock
-from citronpin.errors import CitronpinError
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError
+from citronpin.web.clients import Exchange, HttpClient, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/streams.py
+++ b/citronpin/backends/streams.py
@@ -1,7 +1,7 @@
 """Reassembly of an attempt's frames by sequence number."""
 
-from citronpin.engines import Frame
-from citronpin.ids import RequestId
+from citronpin.backends.engines import Frame
+from citronpin.basics.ids import RequestId
 
 WINDOW_FRAMES = 1_024
 
--- a/citronpin/events.py
+++ b/citronpin/basics/events.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.ids import EntryId, Fence, GroupId, Offset, RequestId, StreamName
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import EntryId, Fence, GroupId, Offset, RequestId, StreamName
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/gates.py
+++ b/citronpin/basics/gates.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from enum import Enum
 
-from citronpin.clocks import Clock
-from citronpin.errors import CitronpinError
-from citronpin.events import EventKind, Recorder
-from citronpin.refusals import Draining, NotReady
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.refusals import Draining, NotReady
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/references.py
+++ b/citronpin/basics/references.py
@@ -1,6 +1,6 @@
 """The settings reference, made from the defaults."""
 
-from citronpin.settings import DEFAULTS, Setting
+from citronpin.basics.settings import DEFAULTS, Setting
 
 TITLE = """# Settings
 
--- a/citronpin/refusals.py
+++ b/citronpin/basics/refusals.py
@@ -1,6 +1,6 @@
 """Errors that callers of an entry get before or in place of an answer."""
 
-from citronpin.errors import CitronpinError, Outcome
+from citronpin.basics.errors import CitronpinError, Outcome
 
 
 class Refusal(CitronpinError):
--- a/citronpin/runners.py
+++ b/citronpin/basics/runners.py
@@ -9,8 +9,8 @@
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
-from citronpin.clocks import Clock
-from citronpin.errors import TimedOut
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import TimedOut
 
 CALL_LIMIT_S = 20.0
 
--- a/citronpin/settings.py
+++ b/citronpin/basics/settings.py
@@ -13,7 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.errors import SettingsError
+from citronpin.basics.errors import SettingsError
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/timelines.py
+++ b/citronpin/basics/timelines.py
@@ -6,8 +6,8 @@
 import jinja2
 import msgspec
 
-from citronpin.events import TimelineEvent
-from citronpin.ids import Offset, StreamName
+from citronpin.basics.events import TimelineEvent
+from citronpin.basics.ids import Offset, StreamName
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and load."""
--- a/citronpin/bench_admission.py
+++ b/citronpin/benches/bench_admission.py
@@ -6,17 +6,17 @@
 import msgspec
 import numpy as np
 
-from citronpin import shares  # noqa: F401
-from citronpin.admissions import (
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import CustomerName, DeploymentName, RequestId
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.policy import shares  # noqa: F401
+from citronpin.policy.admissions import (
     ADMISSIONS,
     AdmissionRequest,
     Admit,
     FifoAdmission,
     Refuse,
 )
-from citronpin.benches import Bench, Figure, register
-from citronpin.clocks import PausedClock
-from citronpin.ids import CustomerName, DeploymentName, RequestId
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/bench_boots.py
+++ b/citronpin/benches/bench_boots.py
@@ -10,15 +10,9 @@
 import numpy as np
 from circuits import Component
 
-from citronpin.benches import Bench, Figure, register
-from citronpin.checkpoints import checkpoint_records
-from citronpin.clients import HttpClient
-from citronpin.clocks import ClockTask, PausedClock, SystemClock
-from citronpin.events import Recorder
-from citronpin.folds import fold_for
-from citronpin.followers import HEAD_CHECK_S, Followers
-from citronpin.http_logs import HttpLog
-from citronpin.ids import (
+from citronpin.basics.clocks import ClockTask, PausedClock, SystemClock
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import (
     CONFIG_STREAM,
     NO_OFFSET,
     EntryId,
@@ -29,8 +23,14 @@
     new_id,
     new_writer,
 )
-from citronpin.logs import LogClient, MemoryLog
-from citronpin.manifests import (
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.standins.standin_logs import LogStandin
+from citronpin.state.checkpoints import checkpoint_records
+from citronpin.state.folds import fold_for
+from citronpin.state.followers import HEAD_CHECK_S, Followers
+from citronpin.state.http_logs import HttpLog
+from citronpin.state.logs import LogClient, MemoryLog
+from citronpin.state.manifests import (
     ApplicationManifest,
     CallRule,
     Customer,
@@ -39,7 +39,7 @@
     Manifest,
     scope_of,
 )
-from citronpin.records import (
+from citronpin.state.records import (
     CallIntent,
     CallOutcome,
     ConfigChange,
@@ -49,8 +49,8 @@
     decode_record,
     encode_record,
 )
-from citronpin.standin_logs import LogStandin
-from citronpin.tails import LONG_POLL_S
+from citronpin.state.tails import LONG_POLL_S
+from citronpin.web.clients import HttpClient
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/bench_controls.py
+++ b/citronpin/benches/bench_controls.py
@@ -4,13 +4,18 @@
 import random
 import time
 
-from citronpin.benches import Bench, Figure, register
-from citronpin.fabrics import Fabric
-from citronpin.ids import CONFIG_STREAM, DeploymentName, DomainName, control_stream
-from citronpin.manifests import DeploymentManifest
-from citronpin.memory_engines import engine_row
-from citronpin.records import ConfigChange, ScopeChange
-from citronpin.states import Group, GroupState
+from citronpin.backends.memory_engines import engine_row
+from citronpin.basics.ids import (
+    CONFIG_STREAM,
+    DeploymentName,
+    DomainName,
+    control_stream,
+)
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.benches.fabrics import Fabric
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.records import ConfigChange, ScopeChange
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/bench_domains.py
+++ b/citronpin/benches/bench_domains.py
@@ -10,12 +10,16 @@
 import msgspec
 import numpy as np
 
-from citronpin.bench_traces import Fault, FaultKind
-from citronpin.clocks import PausedClock
-from citronpin.ids import DomainName, FailureDomainName, Fence, GroupId, InstanceId
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.manifests import DeploymentManifest
-from citronpin.plans import (
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import (
+    DomainName,
+    FailureDomainName,
+    Fence,
+    GroupId,
+    InstanceId,
+)
+from citronpin.benches.bench_traces import Fault, FaultKind
+from citronpin.policy.plans import (
     Detector,
     Dissolve,
     DomainView,
@@ -27,8 +31,10 @@
     Replace,
     Wait,
 )
-from citronpin.repairs import reformable
-from citronpin.states import Group, GroupState
+from citronpin.policy.repairs import reformable
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.states import Group, GroupState
 
 CHECKS_S = (1.01, 2.02, 10.03)  # after the start of a silence
 RETURN_HOLD_S = 5.01
--- a/citronpin/bench_frames.py
+++ b/citronpin/benches/bench_frames.py
@@ -6,19 +6,19 @@
 import msgspec
 from circuits import Component
 
-from citronpin.benches import Bench, Figure, register
-from citronpin.clients import HttpClient
-from citronpin.clocks import ClockTask, SystemClock
-from citronpin.dispatches import AnswerSink, Dispatch, Target
-from citronpin.engines import Frame, Order, OrderKind
-from citronpin.errors import CitronpinError
-from citronpin.events import Recorder
-from citronpin.http_engines import HttpEngineClient
-from citronpin.ids import Fence, GroupId, InstanceId, RequestId
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.standin_batches import EngineSpeed
-from citronpin.standin_engines import EngineStandin
-from citronpin.standin_texts import answer_to
+from citronpin.backends.dispatches import AnswerSink, Dispatch, Target
+from citronpin.backends.engines import Frame, Order, OrderKind
+from citronpin.backends.http_engines import HttpEngineClient
+from citronpin.basics.clocks import ClockTask, SystemClock
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import Fence, GroupId, InstanceId, RequestId
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.standins.standin_batches import EngineSpeed
+from citronpin.standins.standin_engines import EngineStandin
+from citronpin.standins.standin_texts import answer_to
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
+from citronpin.web.clients import HttpClient
 
 FENCE = Fence(1)
 STREAMS = 45
--- a/citronpin/bench_limits.py
+++ b/citronpin/benches/bench_limits.py
@@ -5,10 +5,10 @@
 import msgspec
 import numpy as np
 
-from citronpin.benches import Bench, Figure, register
-from citronpin.clocks import PausedClock
-from citronpin.ids import CustomerName, EntryId
-from citronpin.limits import SharedLimits
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import CustomerName, EntryId
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.policy.limits import SharedLimits
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/bench_models.py
+++ b/citronpin/benches/bench_models.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from citronpin.clocks import PausedClock
-from citronpin.engines import CacheEvent, EngineStatus
-from citronpin.ids import GroupId, InstanceId
+from citronpin.backends.engines import CacheEvent, EngineStatus
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import GroupId, InstanceId
 
 
 class Job(msgspec.Struct, eq=False):
--- a/citronpin/bench_repair.py
+++ b/citronpin/benches/bench_repair.py
@@ -6,16 +6,16 @@
 import msgspec
 import numpy as np
 
-from citronpin.bench_domains import ModelDomain, WeightStore, confidence_half
-from citronpin.bench_traces import DAY_S, draw_trace
-from citronpin.benches import Bench, Figure, register
-from citronpin.clocks import PausedClock
-from citronpin.ids import DeploymentName, ModelName, Version
-from citronpin.manifest_files import read_manifests
-from citronpin.manifests import DeploymentManifest
-from citronpin.repairs import REPAIRS
-from citronpin.suspicions import DETECTORS
-from citronpin.valuations import MINUTES_PER_WEEK, in_critical_period
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import DeploymentName, ModelName, Version
+from citronpin.benches.bench_domains import ModelDomain, WeightStore, confidence_half
+from citronpin.benches.bench_traces import DAY_S, draw_trace
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.policy.repairs import REPAIRS
+from citronpin.policy.suspicions import DETECTORS
+from citronpin.policy.valuations import MINUTES_PER_WEEK, in_critical_period
+from citronpin.state.manifest_files import read_manifests
+from citronpin.state.manifests import DeploymentManifest
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/bench_reports.py
+++ b/citronpin/benches/bench_reports.py
@@ -4,7 +4,7 @@
 import pygal
 from pygal.style import CleanStyle
 
-from citronpin.benches import Bound, Figure, Results, broken_bounds
+from citronpin.benches.benches import Bound, Figure, Results, broken_bounds
 
 PLOT_WIDTH = 900
 PLOT_HEIGHT = 380
--- a/citronpin/bench_routing.py
+++ b/citronpin/benches/bench_routing.py
@@ -6,12 +6,12 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
-from citronpin import affinities  # noqa: F401
-from citronpin.bench_models import Job, ModelGroup
-from citronpin.benches import Bench, Figure, register
-from citronpin.clocks import PausedClock
-from citronpin.ids import CustomerName, DeploymentName, GroupId, RequestId
-from citronpin.routers import ROUTERS, GroupLoad, RouteRequest
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import CustomerName, DeploymentName, GroupId, RequestId
+from citronpin.benches.bench_models import Job, ModelGroup
+from citronpin.benches.benches import Bench, Figure, register
+from citronpin.policy import affinities  # noqa: F401
+from citronpin.policy.routers import ROUTERS, GroupLoad, RouteRequest
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/benches.py
+++ b/citronpin/benches/benches.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-import citronpin
+import citronpin.benches
 
 logger = logging.getLogger(__name__)
 
@@ -69,9 +69,9 @@
 
 def load_benches() -> dict[str, type[Bench]]:
     """Import every ``bench_*`` module of the package and return the registry."""
-    for module in pkgutil.iter_modules(citronpin.__path__):
+    for module in pkgutil.iter_modules(citronpin.benches.__path__):
         if module.name.startswith(MODULE_PREFIX):
-            importlib.import_module(f"citronpin.{module.name}")
+            importlib.import_module(f"citronpin.benches.{module.name}")
     return BENCHES
 
 
--- a/citronpin/fabrics.py
+++ b/citronpin/benches/fabrics.py
@@ -6,20 +6,20 @@
 import numpy as np
 from result import Err, Ok
 
-from citronpin.clocks import Clock, PausedClock
-from citronpin.controls import ControlTask
-from citronpin.errors import LogUnavailable, TimedOut
-from citronpin.events import Recorder
-from citronpin.followers import Followers
-from citronpin.ids import CONFIG_STREAM, EntryId, RecordId, new_id
-from citronpin.instances import Instance, MembershipView
-from citronpin.logs import LogClient, MemoryLog
-from citronpin.memory_engines import LATENCY_S, MemoryEngine, MemoryEngines
-from citronpin.placements import EvenPlacement
-from citronpin.plans import Detector, RepairPolicy
-from citronpin.records import FORMAT_VERSION, Record, encode_record
-from citronpin.repairs import ImmediateRepair
-from citronpin.suspicions import TimeoutDetector
+from citronpin.backends.memory_engines import LATENCY_S, MemoryEngine, MemoryEngines
+from citronpin.basics.clocks import Clock, PausedClock
+from citronpin.basics.errors import LogUnavailable, TimedOut
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import CONFIG_STREAM, EntryId, RecordId, new_id
+from citronpin.control.controls import ControlTask
+from citronpin.policy.placements import EvenPlacement
+from citronpin.policy.plans import Detector, RepairPolicy
+from citronpin.policy.repairs import ImmediateRepair
+from citronpin.policy.suspicions import TimeoutDetector
+from citronpin.state.followers import Followers
+from citronpin.state.instances import Instance, MembershipView
+from citronpin.state.logs import LogClient, MemoryLog
+from citronpin.state.records import FORMAT_VERSION, Record, encode_record
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/loads.py
+++ b/citronpin/benches/loads.py
@@ -10,11 +10,11 @@
 from circuits import Component
 from hdrh.histogram import HdrHistogram
 
-from citronpin.clients import HttpClient, ResponseSink, WholeSink
-from citronpin.clocks import Clock, ClockTask
-from citronpin.errors import CitronpinError, ConnectionFailed, Outcome
-from citronpin.ids import new_id
-from citronpin.metrics import HIGHEST_US, LOWEST_US, SIGNIFICANT_DIGITS, US_PER_S
+from citronpin.basics.clocks import Clock, ClockTask
+from citronpin.basics.errors import CitronpinError, ConnectionFailed, Outcome
+from citronpin.basics.ids import new_id
+from citronpin.basics.metrics import HIGHEST_US, LOWEST_US, SIGNIFICANT_DIGITS, US_PER_S
+from citronpin.web.clients import HttpClient, ResponseSink, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The filter chain that the requests of callers pass."""
--- a/citronpin/applications.py
+++ b/citronpin/callers/applications.py
@@ -7,15 +7,15 @@
 import xxhash
 from result import Ok, Result
 
-from citronpin.errors import CitronpinError, Outcome
-from citronpin.events import EventKind
-from citronpin.filters import OUTCOME_HEADER, Context, Ending, Filter, Proceed
-from citronpin.ids import ApplicationName, InstanceId
-from citronpin.instances import Instance
-from citronpin.manifests import ApplicationManifest, CallRule
-from citronpin.refusals import NoServer, NotPermitted, UnknownApplication
-from citronpin.server_pools import ServerPool
-from citronpin.services import ServiceClient, ServiceResponse
+from citronpin.backends.server_pools import ServerPool
+from citronpin.backends.services import ServiceClient, ServiceResponse
+from citronpin.basics.errors import CitronpinError, Outcome
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import ApplicationName, InstanceId
+from citronpin.basics.refusals import NoServer, NotPermitted, UnknownApplication
+from citronpin.callers.filters import OUTCOME_HEADER, Context, Ending, Filter, Proceed
+from citronpin.state.instances import Instance
+from citronpin.state.manifests import ApplicationManifest, CallRule
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/call_holders.py
+++ b/citronpin/callers/call_holders.py
@@ -9,10 +9,10 @@
 
 import xxhash
 
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.errors import Outcome
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import (
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import (
     NO_OFFSET,
     CallKey,
     EntryId,
@@ -20,12 +20,12 @@
     StreamName,
     calls_stream,
 )
-from citronpin.logs import States
-from citronpin.meshes import Mesh
-from citronpin.messages import CallBegin, CallFinish, CallFinished, CallReply
-from citronpin.overlays import rendezvous
-from citronpin.records import CallIntent, CallOutcome, CallPurge, LeaseClaim
-from citronpin.states import Call
+from citronpin.peers.meshes import Mesh
+from citronpin.peers.messages import CallBegin, CallFinish, CallFinished, CallReply
+from citronpin.peers.overlays import rendezvous
+from citronpin.state.logs import States
+from citronpin.state.records import CallIntent, CallOutcome, CallPurge, LeaseClaim
+from citronpin.state.states import Call
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/call_recorders.py
+++ b/citronpin/callers/call_recorders.py
@@ -5,14 +5,14 @@
 
 import msgspec
 
-from citronpin.call_holders import ShardHolder
-from citronpin.calls_folds import MAX_OUTCOME_BYTES
-from citronpin.clocks import Clock
-from citronpin.grants import Attempt, Phase, content_type
-from citronpin.ids import EntryId, Offset
-from citronpin.logs import States
-from citronpin.meshes import Mesh
-from citronpin.messages import CallFinish, CallFinished
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import EntryId, Offset
+from citronpin.callers.call_holders import ShardHolder
+from citronpin.callers.grants import Attempt, Phase, content_type
+from citronpin.peers.meshes import Mesh
+from citronpin.peers.messages import CallFinish, CallFinished
+from citronpin.state.calls_folds import MAX_OUTCOME_BYTES
+from citronpin.state.logs import States
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/callers.py
+++ b/citronpin/callers/callers.py
@@ -2,14 +2,14 @@
 
 import logging
 
-from citronpin.clocks import Clock
-from citronpin.configurations import Configuration
-from citronpin.errors import Outcome
-from citronpin.events import Recorder
-from citronpin.filters import Context, Ending, FilterChain
-from citronpin.manifests import Customer
-from citronpin.metrics import Metrics
-from citronpin.servers import HttpRequest, Reply, Routes
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import Recorder
+from citronpin.basics.metrics import Metrics
+from citronpin.callers.filters import Context, Ending, FilterChain
+from citronpin.state.configurations import Configuration
+from citronpin.state.manifests import Customer
+from citronpin.web.servers import HttpRequest, Reply, Routes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/calls.py
+++ b/citronpin/callers/calls.py
@@ -12,13 +12,21 @@
 from circuits import BaseComponent
 from result import Result
 
-from citronpin.call_holders import MARGIN_S, ShardHolder, reply_of
-from citronpin.call_recorders import FORWARD_S, OutcomeRecorder
-from citronpin.calls_folds import key_time_ms
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.errors import CitronpinError, Outcome
-from citronpin.events import EventKind, Recorder
-from citronpin.grants import (
+from citronpin.backends.services import ServiceResponse
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.errors import CitronpinError, Outcome
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import (
+    NO_OFFSET,
+    ApplicationName,
+    CallKey,
+    EntryId,
+    Offset,
+    StreamName,
+)
+from citronpin.callers.call_holders import MARGIN_S, ShardHolder, reply_of
+from citronpin.callers.call_recorders import FORWARD_S, OutcomeRecorder
+from citronpin.callers.grants import (
     Attempt,
     BadKey,
     KeyReused,
@@ -34,19 +42,11 @@
     canonical_key,
     recorded_answer,
 )
-from citronpin.ids import (
-    NO_OFFSET,
-    ApplicationName,
-    CallKey,
-    EntryId,
-    Offset,
-    StreamName,
-)
-from citronpin.logs import States
-from citronpin.meshes import Mesh
-from citronpin.messages import CallBegin, CallReply
-from citronpin.records import CallIntent
-from citronpin.services import ServiceResponse
+from citronpin.peers.meshes import Mesh
+from citronpin.peers.messages import CallBegin, CallReply
+from citronpin.state.calls_folds import key_time_ms
+from citronpin.state.logs import States
+from citronpin.state.records import CallIntent
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/chats.py
+++ b/citronpin/callers/chats.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from citronpin.dispatches import AnswerSink
-from citronpin.engines import Frame
-from citronpin.errors import CitronpinError, Outcome
-from citronpin.filters import OUTCOME_HEADER, Context, Ending, Filter, Proceed
-from citronpin.ids import DeploymentName
-from citronpin.manifests import DeploymentManifest
-from citronpin.refusals import BadBody, NotPermitted, UnknownModel
+from citronpin.backends.dispatches import AnswerSink
+from citronpin.backends.engines import Frame
+from citronpin.basics.errors import CitronpinError, Outcome
+from citronpin.basics.ids import DeploymentName
+from citronpin.basics.refusals import BadBody, NotPermitted, UnknownModel
+from citronpin.callers.filters import OUTCOME_HEADER, Context, Ending, Filter, Proceed
+from citronpin.state.manifests import DeploymentManifest
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/filters.py
+++ b/citronpin/callers/filters.py
@@ -7,18 +7,18 @@
 
 import msgspec
 
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.errors import CitronpinError, Outcome
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import CustomerName, RequestId, new_id
-from citronpin.manifests import (
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.errors import CitronpinError, Outcome
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import CustomerName, RequestId, new_id
+from citronpin.basics.refusals import BadBody, NotIdentified
+from citronpin.state.manifests import (
     ApplicationManifest,
     CallRule,
     Customer,
     DeploymentManifest,
 )
-from citronpin.refusals import BadBody, NotIdentified
-from citronpin.servers import PROBLEM_TYPE, HttpRequest, Reply, problem_body
+from citronpin.web.servers import PROBLEM_TYPE, HttpRequest, Reply, problem_body
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/generations.py
+++ b/citronpin/callers/generations.py
@@ -5,28 +5,28 @@
 
 import msgspec
 
-from citronpin.admissions import (
+from citronpin.backends.dispatches import AnswerSink, Dispatch, Target
+from citronpin.backends.engines import EngineClient, EngineStatus, Frame
+from citronpin.backends.retries import RetryBudget
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError, Outcome
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import DeploymentName, GroupId, InstanceId, RequestId
+from citronpin.basics.metrics import LatencyCollector
+from citronpin.basics.refusals import Overloaded
+from citronpin.callers.chats import answer_for
+from citronpin.callers.filters import Context, Ending, Filter, Proceed
+from citronpin.policy.admissions import (
     AdmissionPolicy,
     AdmissionRequest,
     Admit,
     Refuse,
 )
-from citronpin.chats import answer_for
-from citronpin.clocks import Clock
-from citronpin.directories import GroupDirectory
-from citronpin.dispatches import AnswerSink, Dispatch, Target
-from citronpin.engines import EngineClient, EngineStatus, Frame
-from citronpin.errors import CitronpinError, Outcome
-from citronpin.events import EventKind
-from citronpin.filters import Context, Ending, Filter, Proceed
-from citronpin.group_loads import LoadBook
-from citronpin.ids import DeploymentName, GroupId, InstanceId, RequestId
-from citronpin.manifests import DeploymentManifest
-from citronpin.metrics import LatencyCollector
-from citronpin.prefixes import prefix_blocks
-from citronpin.refusals import Overloaded
-from citronpin.retries import RetryBudget
-from citronpin.routers import GroupLoad, RoutePolicy, RouteRequest
+from citronpin.policy.group_loads import LoadBook
+from citronpin.policy.prefixes import prefix_blocks
+from citronpin.policy.routers import GroupLoad, RoutePolicy, RouteRequest
+from citronpin.state.directories import GroupDirectory
+from citronpin.state.manifests import DeploymentManifest
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/grants.py
+++ b/citronpin/callers/grants.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from citronpin.errors import Outcome
-from citronpin.ids import ApplicationName, CallKey, EntryId, Offset, new_id
-from citronpin.services import ServiceResponse
+from citronpin.backends.services import ServiceResponse
+from citronpin.basics.errors import Outcome
+from citronpin.basics.ids import ApplicationName, CallKey, EntryId, Offset, new_id
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/idempotencies.py
+++ b/citronpin/callers/idempotencies.py
@@ -5,16 +5,27 @@
 
 from result import Err, Ok
 
-from citronpin.applications import (
+from citronpin.backends.server_pools import ServerPool
+from citronpin.backends.services import ServiceClient, ServiceResponse
+from citronpin.basics.errors import CitronpinError, LogUnavailable
+from citronpin.basics.ids import ApplicationName, CallKey
+from citronpin.basics.refusals import (
+    CallPending,
+    KeyMissing,
+    KeyReused,
+    KeyTooOld,
+    NoServer,
+    OutcomeUnknown,
+)
+from citronpin.callers.applications import (
     KEY_HEADER,
     call_digest,
     send_service_answer,
     service_target,
 )
-from citronpin.calls import Calls, LookupCallback
-from citronpin.errors import CitronpinError, LogUnavailable
-from citronpin.filters import Context, Filter, Proceed
-from citronpin.grants import (
+from citronpin.callers.calls import Calls, LookupCallback
+from citronpin.callers.filters import Context, Filter, Proceed
+from citronpin.callers.grants import (
     BadKey,
     KeyReused as KeyReusedGrant,
     Owned,
@@ -24,18 +35,7 @@
     TooOld,
     Unknown,
 )
-from citronpin.ids import ApplicationName, CallKey
-from citronpin.manifests import ApplicationManifest
-from citronpin.refusals import (
-    CallPending,
-    KeyMissing,
-    KeyReused,
-    KeyTooOld,
-    NoServer,
-    OutcomeUnknown,
-)
-from citronpin.server_pools import ServerPool
-from citronpin.services import ServiceClient, ServiceResponse
+from citronpin.state.manifests import ApplicationManifest
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/limiters.py
+++ b/citronpin/callers/limiters.py
@@ -2,15 +2,15 @@
 
 import logging
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.filters import Context, Filter, Proceed
-from citronpin.generations import expected_tokens
-from citronpin.ids import CustomerName, EntryId
-from citronpin.limits import CustomerDemand, DemandMessage, SharedLimits
-from citronpin.manifests import Customer
-from citronpin.meshes import Mesh
-from citronpin.messages import CustomerRate, Demand
-from citronpin.refusals import LimitExceeded
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.ids import CustomerName, EntryId
+from citronpin.basics.refusals import LimitExceeded
+from citronpin.callers.filters import Context, Filter, Proceed
+from citronpin.callers.generations import expected_tokens
+from citronpin.peers.meshes import Mesh
+from citronpin.peers.messages import CustomerRate, Demand
+from citronpin.policy.limits import CustomerDemand, DemandMessage, SharedLimits
+from citronpin.state.manifests import Customer
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program."""
--- a/citronpin/commands_benches.py
+++ b/citronpin/commands/commands_benches.py
@@ -6,9 +6,9 @@
 import msgspec
 from absl import flags
 
-from citronpin import benches
-from citronpin.bench_reports import render_page
-from citronpin.commands import EXIT_USAGE, Command, register
+from citronpin.benches import benches
+from citronpin.benches.bench_reports import render_page
+from citronpin.commands.commands import EXIT_USAGE, Command, register
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/commands_config.py
+++ b/citronpin/commands/commands_config.py
@@ -9,17 +9,17 @@
 from circuits import Component
 from result import Err
 
-from citronpin.clients import HttpClient
-from citronpin.clocks import ClockTask, SystemClock
-from citronpin.commands import EXIT_USAGE, FLAGS, Command, register
-from citronpin.errors import Outcome
-from citronpin.events import Recorder
-from citronpin.followers import Followers
-from citronpin.http_logs import HttpLog
-from citronpin.ids import EntryId, Offset, new_id
-from citronpin.manifest_files import ManifestFile, read_manifests
-from citronpin.publishers import InForceWatch, Published, Publisher
-from citronpin.settings import DEFAULTS, ENTRY_SECTIONS, read_settings
+from citronpin.basics.clocks import ClockTask, SystemClock
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import EntryId, Offset, new_id
+from citronpin.basics.settings import DEFAULTS, ENTRY_SECTIONS, read_settings
+from citronpin.commands.commands import EXIT_USAGE, FLAGS, Command, register
+from citronpin.state.followers import Followers
+from citronpin.state.http_logs import HttpLog
+from citronpin.state.manifest_files import ManifestFile, read_manifests
+from citronpin.state.publishers import InForceWatch, Published, Publisher
+from citronpin.web.clients import HttpClient
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/commands_demo.py
+++ b/citronpin/commands/commands_demo.py
@@ -6,8 +6,8 @@
 
 from absl import flags
 
-from citronpin.commands import FLAGS, Command, register
-from citronpin.demos import ROTA_KEY, Demo, demo_system, table, write_timeline
+from citronpin.commands.commands import FLAGS, Command, register
+from citronpin.demos.demos import ROTA_KEY, Demo, demo_system, table, write_timeline
 
 EXIT_BROKEN = 1
 DEFAULT_OUTPUT = "demo-timeline.html"
--- a/citronpin/commands_entries.py
+++ b/citronpin/commands/commands_entries.py
@@ -8,16 +8,16 @@
 import msgspec
 from absl import flags
 
-from citronpin.clocks import SystemClock
-from citronpin.commands import EXIT_USAGE, FLAGS, Command, register
-from citronpin.errors import CitronpinError
-from citronpin.fetches import Fetch, fetch_all
-from citronpin.loads import Fault, LoadPlan, LoadTask, check_effects
-from citronpin.loggings import set_up_logging
-from citronpin.runners import run_to_end
-from citronpin.settings import read_settings
-from citronpin.standin_texts import answer_to
-from citronpin.timelines import from_jsonl, merge_events, to_jsonl, to_page
+from citronpin.basics.clocks import SystemClock
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.loggings import set_up_logging
+from citronpin.basics.runners import run_to_end
+from citronpin.basics.settings import read_settings
+from citronpin.basics.timelines import from_jsonl, merge_events, to_jsonl, to_page
+from citronpin.benches.loads import Fault, LoadPlan, LoadTask, check_effects
+from citronpin.commands.commands import EXIT_USAGE, FLAGS, Command, register
+from citronpin.standins.standin_texts import answer_to
+from citronpin.web.fetches import Fetch, fetch_all
 
 EXIT_FAILED = 1
 STATUS_VIEWS = (
@@ -54,7 +54,7 @@
         flags.DEFINE_string("settings", None, "INI file with the entry's settings.")
 
     def run(self, args: list[str]) -> int:
-        from citronpin.entries import Entry
+        from citronpin.wiring.entries import Entry
 
         if not FLAGS.settings:
             print("citronpin entry: --settings is missing.", file=sys.stderr)
--- a/citronpin/commands_standins.py
+++ b/citronpin/commands/commands_standins.py
@@ -7,18 +7,18 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
-from citronpin import (  # noqa: F401
+from citronpin.basics.clocks import SystemClock
+from citronpin.basics.loggings import set_up_logging
+from citronpin.basics.settings import read_settings
+from citronpin.commands.commands import EXIT_USAGE, FLAGS, Command, register
+from citronpin.standins import (  # noqa: F401
     standin_engines,
     standin_logs,
     standin_memberships,
     standin_services,
     standin_weights,
 )
-from citronpin.clocks import SystemClock
-from citronpin.commands import EXIT_USAGE, FLAGS, Command, register
-from citronpin.loggings import set_up_logging
-from citronpin.settings import read_settings
-from citronpin.standins import STANDINS, Standin
+from citronpin.standins.standins import STANDINS, Standin
 
 STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
--- /dev/null
+++ b/citronpin/control/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that form, watch and repair groups."""
--- a/citronpin/controllers.py
+++ b/citronpin/control/controllers.py
@@ -6,11 +6,11 @@
 from circuits import BaseComponent
 from result import Err
 
-from citronpin.clocks import Clock
-from citronpin.errors import Outcome
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import EntryId, StreamName
-from citronpin.logs import States
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import EntryId, StreamName
+from citronpin.state.logs import States
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/controls.py
+++ b/citronpin/control/controls.py
@@ -5,20 +5,26 @@
 
 from circuits import BaseComponent
 
-from citronpin.clocks import Clock
-from citronpin.controllers import Controller
-from citronpin.domains import DomainFacts, Membership
-from citronpin.engines import EngineClient, EngineStatus
-from citronpin.events import Recorder
-from citronpin.groups import GroupController
-from citronpin.ids import CONFIG_STREAM, DomainName, EntryId, GroupId, control_stream
-from citronpin.instances import InstanceKind
-from citronpin.leases import MAX_HEAD_AGE_S, Alive, LeaseController
-from citronpin.logs import States
-from citronpin.orders import Orders
-from citronpin.plans import Detector, PlacementPolicy, RepairPolicy
-from citronpin.readbacks import Readbacks
-from citronpin.rollouts import RolloutController
+from citronpin.backends.engines import EngineClient, EngineStatus
+from citronpin.basics.clocks import Clock
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import (
+    CONFIG_STREAM,
+    DomainName,
+    EntryId,
+    GroupId,
+    control_stream,
+)
+from citronpin.control.controllers import Controller
+from citronpin.control.domains import DomainFacts, Membership
+from citronpin.control.groups import GroupController
+from citronpin.control.leases import MAX_HEAD_AGE_S, Alive, LeaseController
+from citronpin.control.orders import Orders
+from citronpin.control.readbacks import Readbacks
+from citronpin.control.rollouts import RolloutController
+from citronpin.policy.plans import Detector, PlacementPolicy, RepairPolicy
+from citronpin.state.instances import InstanceKind
+from citronpin.state.logs import States
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/domains.py
+++ b/citronpin/control/domains.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable
 from enum import Enum
 
-from citronpin.clocks import Clock
-from citronpin.drains import DrainPurpose, purpose_of
-from citronpin.ids import (
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import (
     CONFIG_STREAM,
     DeploymentName,
     DomainName,
@@ -14,14 +13,26 @@
     InstanceId,
     control_stream,
 )
-from citronpin.instances import Instance, InstanceKind, InstanceState, MembershipView
-from citronpin.leases import MAX_HEAD_AGE_S
-from citronpin.logs import States
-from citronpin.manifests import DeploymentManifest
-from citronpin.orders import ORDER_TRANSIT_S, ORDER_TTL_S
-from citronpin.plans import Detector, DomainView, Health, InstanceView, PlacementPolicy
-from citronpin.readbacks import Readbacks
-from citronpin.states import ControlState, Group, GroupState
+from citronpin.control.drains import DrainPurpose, purpose_of
+from citronpin.control.leases import MAX_HEAD_AGE_S
+from citronpin.control.orders import ORDER_TRANSIT_S, ORDER_TTL_S
+from citronpin.control.readbacks import Readbacks
+from citronpin.policy.plans import (
+    Detector,
+    DomainView,
+    Health,
+    InstanceView,
+    PlacementPolicy,
+)
+from citronpin.state.instances import (
+    Instance,
+    InstanceKind,
+    InstanceState,
+    MembershipView,
+)
+from citronpin.state.logs import States
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.states import ControlState, Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/drains.py
+++ b/citronpin/control/drains.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.ids import GroupId, Offset
-from citronpin.manifests import CustomersManifest
-from citronpin.readbacks import Readbacks
-from citronpin.states import Group, GroupState
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import GroupId, Offset
+from citronpin.control.readbacks import Readbacks
+from citronpin.state.manifests import CustomersManifest
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/formations.py
+++ b/citronpin/control/formations.py
@@ -2,12 +2,12 @@
 
 import logging
 
-from citronpin.clocks import Clock
-from citronpin.domains import DomainFacts, Fitness
-from citronpin.ids import GroupId, Offset
-from citronpin.orders import Orders
-from citronpin.readbacks import Readbacks, assignment_fault
-from citronpin.states import Group
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import GroupId, Offset
+from citronpin.control.domains import DomainFacts, Fitness
+from citronpin.control.orders import Orders
+from citronpin.control.readbacks import Readbacks, assignment_fault
+from citronpin.state.states import Group
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/groups.py
+++ b/citronpin/control/groups.py
@@ -4,27 +4,27 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.controllers import PERIOD_S, Controller, register
-from citronpin.domains import DomainFacts, Fitness
-from citronpin.drains import (
+from citronpin.basics.clocks import Clock
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import CONFIG_STREAM, Fence, InstanceId
+from citronpin.control.controllers import PERIOD_S, Controller, register
+from citronpin.control.domains import DomainFacts, Fitness
+from citronpin.control.drains import (
     AFTER_DRAIN,
     DrainPurpose,
     Drains,
     drain_deadline_s,
     purpose_of,
 )
-from citronpin.events import EventKind
-from citronpin.formations import Formations
-from citronpin.ids import CONFIG_STREAM, Fence, InstanceId
-from citronpin.leases import LeaseController
-from citronpin.manifests import DeploymentManifest
-from citronpin.orders import Orders
-from citronpin.plans import RepairPolicy
-from citronpin.readbacks import Readbacks
-from citronpin.records import GroupMove, GroupRelease, InstanceBar
-from citronpin.repairers import Repairer
-from citronpin.states import Group, GroupState
+from citronpin.control.formations import Formations
+from citronpin.control.leases import LeaseController
+from citronpin.control.orders import Orders
+from citronpin.control.readbacks import Readbacks
+from citronpin.control.repairers import Repairer
+from citronpin.policy.plans import RepairPolicy
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.records import GroupMove, GroupRelease, InstanceBar
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/leases.py
+++ b/citronpin/control/leases.py
@@ -5,11 +5,11 @@
 
 import xxhash
 
-from citronpin.controllers import Controller, register
-from citronpin.events import EventKind
-from citronpin.ids import EntryId, Fence, Offset, StreamName
-from citronpin.records import LeaseClaim, LeaseYield
-from citronpin.states import Lease
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import EntryId, Fence, Offset, StreamName
+from citronpin.control.controllers import Controller, register
+from citronpin.state.records import LeaseClaim, LeaseYield
+from citronpin.state.states import Lease
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/orders.py
+++ b/citronpin/control/orders.py
@@ -6,16 +6,16 @@
 import msgspec
 from result import Err, Ok
 
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.engines import EngineClient, EngineStatus, Order, OrderKind
-from citronpin.errors import Outcome
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import EntryId, Fence, GroupId, InstanceId, StreamName
-from citronpin.instances import Instance
-from citronpin.leases import LeaseController
-from citronpin.manifests import DeploymentManifest
-from citronpin.readbacks import Readbacks, load_fault
-from citronpin.states import Group
+from citronpin.backends.engines import EngineClient, EngineStatus, Order, OrderKind
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import EntryId, Fence, GroupId, InstanceId, StreamName
+from citronpin.control.leases import LeaseController
+from citronpin.control.readbacks import Readbacks, load_fault
+from citronpin.state.instances import Instance
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.states import Group
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/readbacks.py
+++ b/citronpin/control/readbacks.py
@@ -6,13 +6,13 @@
 import msgspec
 from result import Ok
 
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.engines import EngineClient, EngineStatus
-from citronpin.ids import GroupId, InstanceId
-from citronpin.instances import Instance
-from citronpin.manifests import DeploymentManifest
-from citronpin.plans import Detector
-from citronpin.states import Group
+from citronpin.backends.engines import EngineClient, EngineStatus
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.ids import GroupId, InstanceId
+from citronpin.policy.plans import Detector
+from citronpin.state.instances import Instance
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.states import Group
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/readiness.py
+++ b/citronpin/control/readiness.py
@@ -10,19 +10,19 @@
 
 import msgspec
 
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import EntryId, GroupId, StreamName
-from citronpin.logs import States
-from citronpin.meshes import Mesh
-from citronpin.messages import (
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import EntryId, GroupId, StreamName
+from citronpin.peers.meshes import Mesh
+from citronpin.peers.messages import (
     NO_STAMP,
     Beat,
     GroupReady,
     ReadinessChange,
     ReadinessRequest,
 )
-from citronpin.states import ControlState, Group, GroupState
+from citronpin.state.logs import States
+from citronpin.state.states import ControlState, Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/repairers.py
+++ b/citronpin/control/repairers.py
@@ -5,13 +5,20 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.domains import DomainFacts
-from citronpin.ids import Fence, GroupId
-from citronpin.orders import Orders
-from citronpin.plans import Dissolve, Form, Health, Preload, RepairPolicy, Replace
-from citronpin.records import GroupForm, GroupReplace, InstanceBar
-from citronpin.states import Group, GroupState
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import Fence, GroupId
+from citronpin.control.domains import DomainFacts
+from citronpin.control.orders import Orders
+from citronpin.policy.plans import (
+    Dissolve,
+    Form,
+    Health,
+    Preload,
+    RepairPolicy,
+    Replace,
+)
+from citronpin.state.records import GroupForm, GroupReplace, InstanceBar
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/rollouts.py
+++ b/citronpin/control/rollouts.py
@@ -3,19 +3,19 @@
 import logging
 import math
 
-from citronpin.controllers import Controller, register
-from citronpin.domains import DomainFacts, Fitness
-from citronpin.drains import DrainPurpose
-from citronpin.events import EventKind
-from citronpin.formations import FORM_DEADLINE_S
-from citronpin.groups import move, outdated
-from citronpin.ids import DeploymentName, Fence, GroupId, Offset
-from citronpin.leases import LeaseController
-from citronpin.manifests import DeploymentManifest
-from citronpin.orders import MAX_LOADS, Orders
-from citronpin.readbacks import Readbacks
-from citronpin.records import GroupReload
-from citronpin.states import Group, GroupState
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import DeploymentName, Fence, GroupId, Offset
+from citronpin.control.controllers import Controller, register
+from citronpin.control.domains import DomainFacts, Fitness
+from citronpin.control.drains import DrainPurpose
+from citronpin.control.formations import FORM_DEADLINE_S
+from citronpin.control.groups import move, outdated
+from citronpin.control.leases import LeaseController
+from citronpin.control.orders import MAX_LOADS, Orders
+from citronpin.control.readbacks import Readbacks
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.records import GroupReload
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/watchers.py
+++ b/citronpin/control/watchers.py
@@ -8,18 +8,18 @@
 from circuits import BaseComponent
 from result import Result
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.engines import EngineClient, EngineStatus
-from citronpin.errors import CitronpinError
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import EntryId, GroupId, InstanceId, StreamName
-from citronpin.logs import States
-from citronpin.meshes import HeldLease, Mesh
-from citronpin.messages import GroupReady, ReadinessChange, ReadinessRequest
-from citronpin.overlays import rendezvous
-from citronpin.plans import Detector
-from citronpin.readiness import ReadinessTable, ready_form
-from citronpin.states import ControlState, Group, GroupState
+from citronpin.backends.engines import EngineClient, EngineStatus
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import EntryId, GroupId, InstanceId, StreamName
+from citronpin.control.readiness import ReadinessTable, ready_form
+from citronpin.peers.meshes import HeldLease, Mesh
+from citronpin.peers.messages import GroupReady, ReadinessChange, ReadinessRequest
+from citronpin.peers.overlays import rendezvous
+from citronpin.policy.plans import Detector
+from citronpin.state.logs import States
+from citronpin.state.states import ControlState, Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/demos/__init__.py
@@ -0,0 +1,1 @@
+"""Whole systems in one process, and the demonstration."""
--- a/citronpin/demos.py
+++ b/citronpin/demos/demos.py
@@ -11,17 +11,17 @@
 
 import msgspec
 
-from citronpin.embedded import Embedded, EngineSpec, ServiceSpec, wait_for
-from citronpin.errors import CitronpinError
-from citronpin.fetches import Fetch, fetch_all
-from citronpin.ids import new_id
-from citronpin.instances import InstanceState
-from citronpin.manifest_files import read_manifests
-from citronpin.standin_batches import EngineSpeed
-from citronpin.standin_memberships import ABSENT
-from citronpin.standin_texts import answer_to
-from citronpin.states import GroupState
-from citronpin.timelines import from_jsonl, merge_events, to_page
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.ids import new_id
+from citronpin.basics.timelines import from_jsonl, merge_events, to_page
+from citronpin.demos.embedded import Embedded, EngineSpec, ServiceSpec, wait_for
+from citronpin.standins.standin_batches import EngineSpeed
+from citronpin.standins.standin_memberships import ABSENT
+from citronpin.standins.standin_texts import answer_to
+from citronpin.state.instances import InstanceState
+from citronpin.state.manifest_files import read_manifests
+from citronpin.state.states import GroupState
+from citronpin.web.fetches import Fetch, fetch_all
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/embedded.py
+++ b/citronpin/demos/embedded.py
@@ -8,13 +8,9 @@
 from circuits import Component
 from result import Err
 
-from citronpin.clients import HttpClient
-from citronpin.clocks import Clock, ClockTask, SystemClock
-from citronpin.entries import Entry
-from citronpin.events import Recorder
-from citronpin.followers import Followers
-from citronpin.http_logs import HttpLog
-from citronpin.ids import (
+from citronpin.basics.clocks import Clock, ClockTask, SystemClock
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import (
     ApplicationName,
     DomainName,
     EntryId,
@@ -23,18 +19,22 @@
     Offset,
     new_id,
 )
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.manifest_files import ManifestFile
-from citronpin.publishers import Published, Publisher
-from citronpin.runners import Runner, run_to_end
-from citronpin.settings import check_settings
-from citronpin.standin_batches import EngineSpeed
-from citronpin.standin_engines import EngineStandin
-from citronpin.standin_logs import LogStandin
-from citronpin.standin_memberships import MembershipStandin
-from citronpin.standin_relays import RelayStandin
-from citronpin.standin_services import ServiceStandin
-from citronpin.standins import Standin
+from citronpin.basics.runners import Runner, run_to_end
+from citronpin.basics.settings import check_settings
+from citronpin.standins.standin_batches import EngineSpeed
+from citronpin.standins.standin_engines import EngineStandin
+from citronpin.standins.standin_logs import LogStandin
+from citronpin.standins.standin_memberships import MembershipStandin
+from citronpin.standins.standin_relays import RelayStandin
+from citronpin.standins.standin_services import ServiceStandin
+from citronpin.standins.standins import Standin
+from citronpin.state.followers import Followers
+from citronpin.state.http_logs import HttpLog
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
+from citronpin.state.manifest_files import ManifestFile
+from citronpin.state.publishers import Published, Publisher
+from citronpin.web.clients import HttpClient
+from citronpin.wiring.entries import Entry
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -5,7 +5,7 @@
 
 from absl import app
 
-from citronpin import commands
+from citronpin.commands import commands
 
 COMMAND_MODULES = (
     "commands_benches",
@@ -24,7 +24,7 @@
 def parse(argv: list[str]) -> list[str]:
     """Register all commands and parse the flags of the one that is named."""
     for module in COMMAND_MODULES:
-        importlib.import_module(f"citronpin.{module}")
+        importlib.import_module(f"citronpin.commands.{module}")
     return commands.parse(argv)
 
 
--- /dev/null
+++ b/citronpin/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries."""
--- a/citronpin/announcements.py
+++ b/citronpin/peers/announcements.py
@@ -3,12 +3,12 @@
 import logging
 from collections.abc import Callable
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.configurations import Configuration
-from citronpin.ids import CONFIG_STREAM, EntryId
-from citronpin.logs import States
-from citronpin.peers import Peers
-from citronpin.records import EntryNote
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.ids import CONFIG_STREAM, EntryId
+from citronpin.peers.peers import Peers
+from citronpin.state.configurations import Configuration
+from citronpin.state.logs import States
+from citronpin.state.records import EntryNote
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/codecs.py
+++ b/citronpin/peers/codecs.py
@@ -7,9 +7,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.errors import CitronpinError
-from citronpin.ids import EntryId
-from citronpin.messages import AnyMessage, Message
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.ids import EntryId
+from citronpin.peers.messages import AnyMessage, Message
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/links.py
+++ b/citronpin/peers/links.py
@@ -11,10 +11,10 @@
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
-from citronpin.clocks import Clock
-from citronpin.codecs import MAX_FRAME_BYTES, Envelope, FrameCodec
-from citronpin.ids import EntryId
-from citronpin.messages import Message
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import EntryId
+from citronpin.peers.codecs import MAX_FRAME_BYTES, Envelope, FrameCodec
+from citronpin.peers.messages import Message
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/meshes.py
+++ b/citronpin/peers/meshes.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from citronpin.ids import EntryId, Offset, StreamName
-from citronpin.messages import Message
+from citronpin.basics.ids import EntryId, Offset, StreamName
+from citronpin.peers.messages import Message
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/messages.py
+++ b/citronpin/peers/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from citronpin.ids import (
+from citronpin.basics.ids import (
     ApplicationName,
     CallKey,
     CustomerName,
--- a/citronpin/overlays.py
+++ b/citronpin/peers/overlays.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from citronpin.ids import EntryId
+from citronpin.basics.ids import EntryId
 
 
 def score(key: str, entry: EntryId) -> int:
--- a/citronpin/peer_votes.py
+++ b/citronpin/peers/peer_votes.py
@@ -3,8 +3,8 @@
 import logging
 from collections.abc import Iterable
 
-from citronpin.ids import EntryId
-from citronpin.messages import Suspicion
+from citronpin.basics.ids import EntryId
+from citronpin.peers.messages import Suspicion
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/peers.py
+++ b/citronpin/peers/peers.py
@@ -7,11 +7,11 @@
 import msgspec
 from circuits import BaseComponent
 
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import EntryId, Offset, StreamName
-from citronpin.links import LinkCounters, Links, NngLinks
-from citronpin.meshes import (
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import EntryId, Offset, StreamName
+from citronpin.peers.links import LinkCounters, Links, NngLinks
+from citronpin.peers.meshes import (
     BroadcastCallback,
     LeaseSource,
     LivenessCallback,
@@ -19,7 +19,7 @@
     MessageCallback,
     OffsetSource,
 )
-from citronpin.messages import (
+from citronpin.peers.messages import (
     NO_STAMP,
     Beat,
     Broadcast,
@@ -28,8 +28,8 @@
     Suspicion,
     Welcome,
 )
-from citronpin.overlays import neighbours, score
-from citronpin.peer_votes import PeerVotes
+from citronpin.peers.overlays import neighbours, score
+from citronpin.peers.peer_votes import PeerVotes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/relays.py
+++ b/citronpin/peers/relays.py
@@ -6,18 +6,18 @@
 import msgspec
 import xxhash
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import NO_OFFSET, EntryId, Offset, StreamName
-from citronpin.logs import States
-from citronpin.messages import (
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import NO_OFFSET, EntryId, Offset, StreamName
+from citronpin.peers.messages import (
     Beat,
     RecordsReply,
     RecordsRequest,
     SnapshotPart,
     SnapshotRequest,
 )
-from citronpin.peers import Peers
+from citronpin.peers.peers import Peers
+from citronpin.state.logs import States
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as functions of state and time."""
--- a/citronpin/admissions.py
+++ b/citronpin/policy/admissions.py
@@ -10,7 +10,7 @@
 import msgspec
 from numpy.random import Generator
 
-from citronpin.ids import CustomerName, DeploymentName, RequestId
+from citronpin.basics.ids import CustomerName, DeploymentName, RequestId
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/affinities.py
+++ b/citronpin/policy/affinities.py
@@ -8,10 +8,16 @@
 import msgspec
 import numpy as np
 
-from citronpin.engines import EngineStatus
-from citronpin.ids import GroupId
-from citronpin.prefixes import CacheView
-from citronpin.routers import GroupLoad, RoutePolicy, RouteRequest, register, rendezvous
+from citronpin.backends.engines import EngineStatus
+from citronpin.basics.ids import GroupId
+from citronpin.policy.prefixes import CacheView
+from citronpin.policy.routers import (
+    GroupLoad,
+    RoutePolicy,
+    RouteRequest,
+    register,
+    rendezvous,
+)
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/group_loads.py
+++ b/citronpin/policy/group_loads.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.ids import GroupId
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import GroupId
 
 MAX_AGE_S = 10.0
 
--- a/citronpin/limits.py
+++ b/citronpin/policy/limits.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from citronpin.ids import CustomerName, EntryId
+from citronpin.basics.ids import CustomerName, EntryId
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/placements.py
+++ b/citronpin/policy/placements.py
@@ -2,9 +2,9 @@
 
 import logging
 
-from citronpin.ids import DeploymentName, DomainName
-from citronpin.manifests import DeploymentManifest
-from citronpin.plans import PlacementPolicy
+from citronpin.basics.ids import DeploymentName, DomainName
+from citronpin.policy.plans import PlacementPolicy
+from citronpin.state.manifests import DeploymentManifest
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/plans.py
+++ b/citronpin/policy/plans.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from citronpin.ids import DeploymentName, DomainName, GroupId, InstanceId
-from citronpin.instances import Instance
-from citronpin.manifests import DeploymentManifest
-from citronpin.states import Group
+from citronpin.basics.ids import DeploymentName, DomainName, GroupId, InstanceId
+from citronpin.state.instances import Instance
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.states import Group
 
 
 class Health(Enum):
--- a/citronpin/policies.py
+++ b/citronpin/policy/policies.py
@@ -5,17 +5,17 @@
 
 from numpy.random import Generator
 
-from citronpin import affinities, shares, valuations  # noqa: F401
-from citronpin.admissions import ADMISSIONS, AdmissionPolicy
-from citronpin.ids import EntryId
-from citronpin.limits import SharedLimits
-from citronpin.placements import PLACEMENTS
-from citronpin.plans import Detector, PlacementPolicy, RepairPolicy
-from citronpin.repairs import REPAIRS
-from citronpin.retries import HedgePolicy, RetryBudget
-from citronpin.routers import ROUTERS, RoutePolicy
-from citronpin.settings import Settings
-from citronpin.suspicions import DETECTORS
+from citronpin.backends.retries import HedgePolicy, RetryBudget
+from citronpin.basics.ids import EntryId
+from citronpin.basics.settings import Settings
+from citronpin.policy import affinities, shares, valuations  # noqa: F401
+from citronpin.policy.admissions import ADMISSIONS, AdmissionPolicy
+from citronpin.policy.limits import SharedLimits
+from citronpin.policy.placements import PLACEMENTS
+from citronpin.policy.plans import Detector, PlacementPolicy, RepairPolicy
+from citronpin.policy.repairs import REPAIRS
+from citronpin.policy.routers import ROUTERS, RoutePolicy
+from citronpin.policy.suspicions import DETECTORS
 
 
 def _build(make: Callable, values: dict, **given):
--- a/citronpin/prefixes.py
+++ b/citronpin/policy/prefixes.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from citronpin.engines import CacheEvent
+from citronpin.backends.engines import CacheEvent
 
 BLOCK_CHARACTERS = 256
 MAX_BLOCKS = 128
--- a/citronpin/repairs.py
+++ b/citronpin/policy/repairs.py
@@ -2,9 +2,8 @@
 
 import logging
 
-from citronpin.ids import InstanceId
-from citronpin.instances import InstanceState
-from citronpin.plans import (
+from citronpin.basics.ids import InstanceId
+from citronpin.policy.plans import (
     Action,
     Dissolve,
     DomainView,
@@ -14,7 +13,8 @@
     RepairPolicy,
     Replace,
 )
-from citronpin.states import Group, GroupState
+from citronpin.state.instances import InstanceState
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/routers.py
+++ b/citronpin/policy/routers.py
@@ -14,8 +14,8 @@
 import xxhash
 from numpy.random import Generator
 
-from citronpin.engines import CacheEvent, EngineStatus
-from citronpin.ids import CustomerName, DeploymentName, GroupId, RequestId
+from citronpin.backends.engines import CacheEvent, EngineStatus
+from citronpin.basics.ids import CustomerName, DeploymentName, GroupId, RequestId
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/shares.py
+++ b/citronpin/policy/shares.py
@@ -7,7 +7,8 @@
 import msgspec
 from numpy.random import Generator
 
-from citronpin.admissions import (
+from citronpin.basics.ids import CustomerName, RequestId
+from citronpin.policy.admissions import (
     AdmissionPolicy,
     AdmissionRequest,
     Admit,
@@ -15,7 +16,6 @@
     Refuse,
     register,
 )
-from citronpin.ids import CustomerName, RequestId
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/suspicions.py
+++ b/citronpin/policy/suspicions.py
@@ -5,9 +5,9 @@
 import msgspec
 import numpy as np
 
-from citronpin.ids import InstanceId
-from citronpin.instances import InstanceState
-from citronpin.plans import Detector, Health
+from citronpin.basics.ids import InstanceId
+from citronpin.policy.plans import Detector, Health
+from citronpin.state.instances import InstanceState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/valuations.py
+++ b/citronpin/policy/valuations.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from citronpin.ids import DeploymentName, GroupId, InstanceId
-from citronpin.manifests import DeploymentManifest
-from citronpin.plans import (
+from citronpin.basics.ids import DeploymentName, GroupId, InstanceId
+from citronpin.policy.plans import (
     Action,
     Dissolve,
     DomainView,
@@ -18,8 +17,9 @@
     Replace,
     Wait,
 )
-from citronpin.repairs import free_instances, lost_members, register
-from citronpin.states import Group, GroupState
+from citronpin.policy.repairs import free_instances, lost_members, register
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and of back ends."""
--- a/citronpin/standin_batches.py
+++ b/citronpin/standins/standin_batches.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from citronpin.clocks import MS_PER_S, Clock, TimerHandle
-from citronpin.engines import Frame, Submission, prompt_text
-from citronpin.prefixes import prefix_blocks
-from citronpin.standin_caches import PrefixCache
-from citronpin.standin_reports import LaggedLoad
-from citronpin.standin_texts import answer_after, count_tokens
+from citronpin.backends.engines import Frame, Submission, prompt_text
+from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
+from citronpin.policy.prefixes import prefix_blocks
+from citronpin.standins.standin_caches import PrefixCache
+from citronpin.standins.standin_reports import LaggedLoad
+from citronpin.standins.standin_texts import answer_after, count_tokens
 
 MIN_STEP_S = 0.001
 HALT_POLL_S = 0.01
--- a/citronpin/standin_caches.py
+++ b/citronpin/standins/standin_caches.py
@@ -3,8 +3,8 @@
 import random
 from collections import OrderedDict, deque
 
-from citronpin.clocks import Clock
-from citronpin.engines import CacheEvent
+from citronpin.backends.engines import CacheEvent
+from citronpin.basics.clocks import Clock
 
 
 class PrefixCache:
--- a/citronpin/standin_engines.py
+++ b/citronpin/standins/standin_engines.py
@@ -6,32 +6,32 @@
 
 import msgspec
 
-from citronpin.clients import HttpClient
-from citronpin.clocks import MS_PER_S, Clock
-from citronpin.engines import EngineStatus, Order, Submission
-from citronpin.http_engines import (
+from citronpin.backends.engines import EngineStatus, Order, Submission
+from citronpin.backends.http_engines import (
     CACHE_EVENTS_PATH,
     ORDERS_PATH,
     STATUS_PATH,
     SUBMISSIONS_PATH,
 )
-from citronpin.ids import (
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.ids import (
     DomainName,
     FailureDomainName,
     GroupId,
     InstanceId,
     RegionName,
 )
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.servers import HttpRequest, Reply, Routes, send_problem
-from citronpin.settings import Settings, split_address
-from citronpin.standin_batches import Batch, EngineSpeed, Stream
-from citronpin.standin_caches import PrefixCache
-from citronpin.standin_frames import EngineFaults, FrameOutlet
-from citronpin.standin_holdings import Holding, Refusal
-from citronpin.standin_loaders import Loader, TimedLoader, WeightLoader
-from citronpin.standin_reports import LaggedLoad
-from citronpin.standins import Standin, register_standin
+from citronpin.basics.settings import Settings, split_address
+from citronpin.standins.standin_batches import Batch, EngineSpeed, Stream
+from citronpin.standins.standin_caches import PrefixCache
+from citronpin.standins.standin_frames import EngineFaults, FrameOutlet
+from citronpin.standins.standin_holdings import Holding, Refusal
+from citronpin.standins.standin_loaders import Loader, TimedLoader, WeightLoader
+from citronpin.standins.standin_reports import LaggedLoad
+from citronpin.standins.standins import Standin, register_standin
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
+from citronpin.web.clients import HttpClient
+from citronpin.web.servers import HttpRequest, Reply, Routes, send_problem
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standin_frames.py
+++ b/citronpin/standins/standin_frames.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.engines import Frame
-from citronpin.servers import Reply
-from citronpin.standins import Faults
+from citronpin.backends.engines import Frame
+from citronpin.basics.clocks import Clock
+from citronpin.standins.standins import Faults
+from citronpin.web.servers import Reply
 
 FRAMES_TYPE = "application/x-ndjson"
 CUT_POLL_S = 0.002
--- a/citronpin/standin_holdings.py
+++ b/citronpin/standins/standin_holdings.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from citronpin.engines import Order, OrderKind
-from citronpin.ids import (
+from citronpin.backends.engines import Order, OrderKind
+from citronpin.basics.ids import (
     AdapterName,
     Fence,
     GroupId,
@@ -14,7 +14,7 @@
     Version,
     new_id,
 )
-from citronpin.standin_loaders import Loader
+from citronpin.standins.standin_loaders import Loader
 
 NO_FENCE = Fence(-1)
 
--- a/citronpin/standin_loaders.py
+++ b/citronpin/standins/standin_loaders.py
@@ -4,9 +4,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from citronpin.clients import HttpClient, WholeSink
-from citronpin.clocks import Clock
-from citronpin.standin_weights import ADAPTERS_PATH, WEIGHTS_PATH
+from citronpin.basics.clocks import Clock
+from citronpin.standins.standin_weights import ADAPTERS_PATH, WEIGHTS_PATH
+from citronpin.web.clients import HttpClient, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standin_logs.py
+++ b/citronpin/standins/standin_logs.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.ids import Offset, StreamName
-from citronpin.logs import MemoryLog
-from citronpin.records import MAX_RECORD_BYTES
-from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.settings import Settings, split_address
-from citronpin.standins import Faults, Standin, register_standin
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import Offset, StreamName
+from citronpin.basics.settings import Settings, split_address
+from citronpin.standins.standins import Faults, Standin, register_standin
+from citronpin.state.logs import MemoryLog
+from citronpin.state.records import MAX_RECORD_BYTES
+from citronpin.web.servers import HttpRequest, Reply, Routes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standin_memberships.py
+++ b/citronpin/standins/standin_memberships.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.ids import InstanceId, new_id
-from citronpin.instances import Instance, InstanceState, MembershipView
-from citronpin.memberships import INSTANCES_PATH
-from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.settings import Settings, split_address
-from citronpin.standins import Faults, Standin, register_standin
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import InstanceId, new_id
+from citronpin.basics.settings import Settings, split_address
+from citronpin.standins.standins import Faults, Standin, register_standin
+from citronpin.state.instances import Instance, InstanceState, MembershipView
+from citronpin.state.memberships import INSTANCES_PATH
+from citronpin.web.servers import HttpRequest, Reply, Routes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standin_relays.py
+++ b/citronpin/standins/standin_relays.py
@@ -8,7 +8,7 @@
 from circuits.core.pollers import EPoll
 from circuits.net.sockets import TCPServer
 
-from citronpin.clocks import Clock, ClockTask
+from citronpin.basics.clocks import Clock, ClockTask
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standin_reports.py
+++ b/citronpin/standins/standin_reports.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from citronpin.clocks import Clock
+from citronpin.basics.clocks import Clock
 
 
 class LaggedLoad:
--- a/citronpin/standin_services.py
+++ b/citronpin/standins/standin_services.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from citronpin.clocks import Clock
-from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.settings import Settings, split_address
-from citronpin.standins import Faults, Standin, register_standin
+from citronpin.basics.clocks import Clock
+from citronpin.basics.settings import Settings, split_address
+from citronpin.standins.standins import Faults, Standin, register_standin
+from citronpin.web.servers import HttpRequest, Reply, Routes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standin_texts.py
+++ b/citronpin/standins/standin_texts.py
@@ -3,7 +3,7 @@
 import msgspec
 import xxhash
 
-from citronpin.engines import prompt_text
+from citronpin.backends.engines import prompt_text
 
 WORDS = (
     "bell tenor treble rope tower stay sally plain course lead hunt dodge place "
--- a/citronpin/standin_weights.py
+++ b/citronpin/standins/standin_weights.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.settings import Settings, split_address
-from citronpin.standins import Standin, register_standin
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.settings import Settings, split_address
+from citronpin.standins.standins import Standin, register_standin
+from citronpin.web.servers import HttpRequest, Reply, Routes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/standins.py
+++ b/citronpin/standins/standins.py
@@ -9,9 +9,9 @@
 from circuits import Component, handler
 from circuits.core.utils import findcmp
 
-from citronpin.clocks import Clock, ClockTask
-from citronpin.servers import HttpHandler, HttpRequest, Reply, Routes, WebServer
-from citronpin.settings import Settings
+from citronpin.basics.clocks import Clock, ClockTask
+from citronpin.basics.settings import Settings
+from citronpin.web.servers import HttpHandler, HttpRequest, Reply, Routes, WebServer
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/appenders.py
+++ b/citronpin/state/appenders.py
@@ -16,17 +16,17 @@
 import numpy as np
 from result import Err, Ok
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.errors import CitronpinError, LogUnavailable, Outcome, TimedOut
-from citronpin.ids import EntryId, Offset, RecordId, StreamName, WriterId, new_id
-from citronpin.logs import LogClient, ProposeCallback
-from citronpin.records import (
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.errors import CitronpinError, LogUnavailable, Outcome, TimedOut
+from citronpin.basics.ids import EntryId, Offset, RecordId, StreamName, WriterId, new_id
+from citronpin.state.logs import LogClient, ProposeCallback
+from citronpin.state.records import (
     FORMAT_VERSION,
     MAX_RECORD_BYTES,
     Record,
     encode_record,
 )
-from citronpin.states import StreamState, Verdict
+from citronpin.state.states import StreamState, Verdict
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/calls_folds.py
+++ b/citronpin/state/calls_folds.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from citronpin import records
-from citronpin.errors import Outcome
-from citronpin.rules import Fold, Rejected, check_fence, misplaced
-from citronpin.states import Call, CallsState
+from citronpin.basics.errors import Outcome
+from citronpin.state import records
+from citronpin.state.rules import Fold, Rejected, check_fence, misplaced
+from citronpin.state.states import Call, CallsState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/checkpointers.py
+++ b/citronpin/state/checkpointers.py
@@ -6,14 +6,14 @@
 from circuits import BaseComponent
 from result import Err
 
-from citronpin.checkpoints import CheckpointWrite
-from citronpin.clocks import Clock
-from citronpin.events import EventKind, Recorder
-from citronpin.folds import encode_state
-from citronpin.followers import Followers
-from citronpin.ids import CONFIG_STREAM, NO_OFFSET, EntryId, StreamName
-from citronpin.logs import LogClient
-from citronpin.records import DigestMark
+from citronpin.basics.clocks import Clock
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import CONFIG_STREAM, NO_OFFSET, EntryId, StreamName
+from citronpin.state.checkpoints import CheckpointWrite
+from citronpin.state.folds import encode_state
+from citronpin.state.followers import Followers
+from citronpin.state.logs import LogClient
+from citronpin.state.records import DigestMark
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/checkpoints.py
+++ b/citronpin/state/checkpoints.py
@@ -12,11 +12,10 @@
 import xxhash
 from result import Err, Ok
 
-from citronpin.clocks import Clock
-from citronpin.errors import CitronpinError
-from citronpin.events import EventKind, Recorder
-from citronpin.folds import encode_state, state_digest
-from citronpin.ids import (
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import (
     EntryId,
     Offset,
     RecordId,
@@ -24,16 +23,17 @@
     checkpoint_stream,
     new_id,
 )
-from citronpin.logs import LogClient, LogPage
-from citronpin.records import (
+from citronpin.state.folds import encode_state, state_digest
+from citronpin.state.logs import LogClient, LogPage
+from citronpin.state.records import (
     FORMAT_VERSION,
     Checkpoint,
     Record,
     decode_record,
     encode_record,
 )
-from citronpin.snapshots import decode_state
-from citronpin.states import StreamState
+from citronpin.state.snapshots import decode_state
+from citronpin.state.states import StreamState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/config_folds.py
+++ b/citronpin/state/config_folds.py
@@ -5,11 +5,11 @@
 import msgspec
 from immutables import Map
 
-from citronpin import records
-from citronpin.ids import NO_OFFSET, Offset
-from citronpin.manifests import check_manifest, scope_of
-from citronpin.rules import Fold, Rejected, misplaced
-from citronpin.states import AcceptedManifest, ConfigState, KnownEntry
+from citronpin.basics.ids import NO_OFFSET, Offset
+from citronpin.state import records
+from citronpin.state.manifests import check_manifest, scope_of
+from citronpin.state.rules import Fold, Rejected, misplaced
+from citronpin.state.states import AcceptedManifest, ConfigState, KnownEntry
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/configurations.py
+++ b/citronpin/state/configurations.py
@@ -3,11 +3,11 @@
 import logging
 from collections.abc import Callable
 
-from citronpin.events import EventKind, Recorder
-from citronpin.ids import CONFIG_STREAM, ApplicationName, DeploymentName, Offset
-from citronpin.logs import States
-from citronpin.manifests import ApplicationManifest, Customer, DeploymentManifest
-from citronpin.states import ConfigState
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import CONFIG_STREAM, ApplicationName, DeploymentName, Offset
+from citronpin.state.logs import States
+from citronpin.state.manifests import ApplicationManifest, Customer, DeploymentManifest
+from citronpin.state.states import ConfigState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/control_folds.py
+++ b/citronpin/state/control_folds.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from citronpin import records
-from citronpin.rules import Fold, Rejected, check_fence, misplaced
-from citronpin.states import GROUP_TRANSITIONS, ControlState, Group, GroupState
+from citronpin.state import records
+from citronpin.state.rules import Fold, Rejected, check_fence, misplaced
+from citronpin.state.states import GROUP_TRANSITIONS, ControlState, Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/directories.py
+++ b/citronpin/state/directories.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from citronpin.ids import (
+from citronpin.basics.ids import (
     DeploymentName,
     DomainName,
     Fence,
@@ -11,9 +11,9 @@
     InstanceId,
     control_stream,
 )
-from citronpin.instances import Instance, InstanceKind, MembershipView
-from citronpin.logs import States
-from citronpin.states import Group, GroupState
+from citronpin.state.instances import Instance, InstanceKind, MembershipView
+from citronpin.state.logs import States
+from citronpin.state.states import Group, GroupState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/folds.py
+++ b/citronpin/state/folds.py
@@ -6,12 +6,12 @@
 import xxhash
 from immutables import Map
 
-from citronpin.calls_folds import MAX_OUTCOME_BYTES, CallsFold, key_time_ms
-from citronpin.config_folds import ConfigFold, scope_base
-from citronpin.control_folds import ControlFold
-from citronpin.ids import StreamName
-from citronpin.rules import Fold, Rejected, late_reason
-from citronpin.states import StreamState
+from citronpin.basics.ids import StreamName
+from citronpin.state.calls_folds import MAX_OUTCOME_BYTES, CallsFold, key_time_ms
+from citronpin.state.config_folds import ConfigFold, scope_base
+from citronpin.state.control_folds import ControlFold
+from citronpin.state.rules import Fold, Rejected, late_reason
+from citronpin.state.states import StreamState
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/followers.py
+++ b/citronpin/state/followers.py
@@ -7,14 +7,20 @@
 from circuits import BaseComponent
 from result import Ok
 
-from citronpin.appenders import APPENDS_PER_S, GIVE_UP_S, Appender, Pacer
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.events import Recorder
-from citronpin.ids import EntryId, Offset, StreamName, new_writer
-from citronpin.logs import LogClient, LogPage, ProposeCallback, StateCallback, States
-from citronpin.records import Record
-from citronpin.states import StreamState, Verdict
-from citronpin.tails import LONG_POLL_S, SinceMark, Tail
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import EntryId, Offset, StreamName, new_writer
+from citronpin.state.appenders import APPENDS_PER_S, GIVE_UP_S, Appender, Pacer
+from citronpin.state.logs import (
+    LogClient,
+    LogPage,
+    ProposeCallback,
+    StateCallback,
+    States,
+)
+from citronpin.state.records import Record
+from citronpin.state.states import StreamState, Verdict
+from citronpin.state.tails import LONG_POLL_S, SinceMark, Tail
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/http_logs.py
+++ b/citronpin/state/http_logs.py
@@ -6,11 +6,11 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.clients import HttpClient, WholeSink
-from citronpin.clocks import Clock
-from citronpin.errors import CitronpinError, LogUnavailable, Outcome
-from citronpin.ids import Offset, StreamName
-from citronpin.logs import LogClient, LogPage
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError, LogUnavailable, Outcome
+from citronpin.basics.ids import Offset, StreamName
+from citronpin.state.logs import LogClient, LogPage
+from citronpin.web.clients import HttpClient, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/instances.py
+++ b/citronpin/state/instances.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from citronpin.ids import (
+from citronpin.basics.ids import (
     ApplicationName,
     DomainName,
     FailureDomainName,
--- a/citronpin/logs.py
+++ b/citronpin/state/logs.py
@@ -8,10 +8,10 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.clocks import Clock
-from citronpin.errors import CitronpinError
-from citronpin.ids import Offset, StreamName
-from citronpin.states import StreamState, Verdict
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.ids import Offset, StreamName
+from citronpin.state.states import StreamState, Verdict
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/manifest_files.py
+++ b/citronpin/state/manifest_files.py
@@ -13,7 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.manifests import (
+from citronpin.state.manifests import (
     ApplicationManifest,
     CustomersManifest,
     DeploymentManifest,
--- a/citronpin/manifests.py
+++ b/citronpin/state/manifests.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from citronpin.ids import (
+from citronpin.basics.ids import (
     AdapterName,
     ApplicationName,
     CustomerName,
--- a/citronpin/memberships.py
+++ b/citronpin/state/memberships.py
@@ -6,10 +6,10 @@
 import msgspec
 from circuits import Component
 
-from citronpin.clients import HttpClient, WholeSink
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.events import EventKind, Recorder
-from citronpin.instances import MembershipView
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.state.instances import MembershipView
+from citronpin.web.clients import HttpClient, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/publishers.py
+++ b/citronpin/state/publishers.py
@@ -6,16 +6,16 @@
 import msgspec
 from result import Err, Ok, Result
 
-from citronpin.clients import HttpClient, WholeSink
-from citronpin.clocks import Clock
-from citronpin.config_folds import MAX_PARTS, scope_base
-from citronpin.errors import CitronpinError, LogUnavailable, SettingsError
-from citronpin.followers import Followers
-from citronpin.ids import CONFIG_STREAM, Offset, RecordId, new_id
-from citronpin.manifest_files import ManifestFile
-from citronpin.manifests import scope_of
-from citronpin.records import ConfigChange, ConfigPart, ScopeChange
-from citronpin.states import ConfigState
+from citronpin.basics.clocks import Clock
+from citronpin.basics.errors import CitronpinError, LogUnavailable, SettingsError
+from citronpin.basics.ids import CONFIG_STREAM, Offset, RecordId, new_id
+from citronpin.state.config_folds import MAX_PARTS, scope_base
+from citronpin.state.followers import Followers
+from citronpin.state.manifest_files import ManifestFile
+from citronpin.state.manifests import scope_of
+from citronpin.state.records import ConfigChange, ConfigPart, ScopeChange
+from citronpin.state.states import ConfigState
+from citronpin.web.clients import HttpClient, WholeSink
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/records.py
+++ b/citronpin/state/records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from citronpin.ids import (
+from citronpin.basics.ids import (
     NO_OFFSET,
     AdapterName,
     ApplicationName,
@@ -22,7 +22,7 @@
     Version,
     WriterId,
 )
-from citronpin.manifests import Manifest
+from citronpin.state.manifests import Manifest
 
 FORMAT_VERSION = 1
 MAX_RECORD_BYTES = 256 * 1024
--- a/citronpin/rules.py
+++ b/citronpin/state/rules.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from citronpin import records
-from citronpin.ids import EntryId, Offset
-from citronpin.records import Record
-from citronpin.states import Lease, Progress, StreamState, Verdict
+from citronpin.basics.ids import EntryId, Offset
+from citronpin.state import records
+from citronpin.state.records import Record
+from citronpin.state.states import Lease, Progress, StreamState, Verdict
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/snapshots.py
+++ b/citronpin/state/snapshots.py
@@ -8,11 +8,11 @@
 from immutables import Map
 from result import Err, Ok, Result
 
-from citronpin.errors import ProtocolFault
-from citronpin.folds import encode_state, fold_for, state_digest
-from citronpin.ids import StreamName
-from citronpin.records import FORMAT_VERSION, ScopeChange
-from citronpin.states import (
+from citronpin.basics.errors import ProtocolFault
+from citronpin.basics.ids import StreamName
+from citronpin.state.folds import encode_state, fold_for, state_digest
+from citronpin.state.records import FORMAT_VERSION, ScopeChange
+from citronpin.state.states import (
     AcceptedManifest,
     Call,
     CallsState,
--- a/citronpin/states.py
+++ b/citronpin/state/states.py
@@ -5,7 +5,7 @@
 import msgspec
 from immutables import Map
 
-from citronpin.ids import (
+from citronpin.basics.ids import (
     NO_OFFSET,
     AdapterName,
     ApplicationName,
@@ -20,7 +20,7 @@
     RecordId,
     Version,
 )
-from citronpin.manifests import Manifest
+from citronpin.state.manifests import Manifest
 
 
 class GroupState(Enum):
--- a/citronpin/tails.py
+++ b/citronpin/state/tails.py
@@ -9,14 +9,14 @@
 import numpy as np
 from result import Err
 
-from citronpin.appenders import BackOff
-from citronpin.checkpoints import CheckpointSearch
-from citronpin.clocks import Clock
-from citronpin.events import EventKind, Recorder
-from citronpin.folds import fold_for, late_reason, state_digest
-from citronpin.ids import Offset, StreamName
-from citronpin.logs import LogClient, LogPage
-from citronpin.records import (
+from citronpin.basics.clocks import Clock
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import Offset, StreamName
+from citronpin.state.appenders import BackOff
+from citronpin.state.checkpoints import CheckpointSearch
+from citronpin.state.folds import fold_for, late_reason, state_digest
+from citronpin.state.logs import LogClient, LogPage
+from citronpin.state.records import (
     FORMAT_VERSION,
     MAX_RECORD_BYTES,
     ConfigChange,
@@ -25,8 +25,8 @@
     Record,
     decode_record,
 )
-from citronpin.snapshots import decode_snapshot, encode_snapshot
-from citronpin.states import StreamState, Verdict
+from citronpin.state.snapshots import decode_snapshot, encode_snapshot
+from citronpin.state.states import StreamState, Verdict
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/tests/builders.py
+++ b/citronpin/tests/builders.py
@@ -3,18 +3,18 @@
 import numpy as np
 from result import Err, Ok
 
-from citronpin.errors import LogUnavailable, Outcome
-from citronpin.events import EventKind, Recorder
-from citronpin.followers import Followers
-from citronpin.ids import NO_OFFSET, EntryId
-from citronpin.logs import LogClient, MemoryLog
-from citronpin.manifests import (
+from citronpin.basics.errors import LogUnavailable, Outcome
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.ids import NO_OFFSET, EntryId
+from citronpin.state.followers import Followers
+from citronpin.state.logs import LogClient, MemoryLog
+from citronpin.state.manifests import (
     Customer,
     CustomersManifest,
     DeploymentManifest,
     scope_of,
 )
-from citronpin.records import ConfigChange, ScopeChange
+from citronpin.state.records import ConfigChange, ScopeChange
 
 DIGEST = "a" * 64
 
--- a/citronpin/tests/call_worlds.py
+++ b/citronpin/tests/call_worlds.py
@@ -4,13 +4,13 @@
 
 from result import Ok
 
-from citronpin.calls import Calls
-from citronpin.clocks import PausedClock
-from citronpin.errors import Outcome
-from citronpin.grants import Owned, Recorded
-from citronpin.ids import EntryId
-from citronpin.logs import MemoryLog
-from citronpin.services import ServiceResponse
+from citronpin.backends.services import ServiceResponse
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.errors import Outcome
+from citronpin.basics.ids import EntryId
+from citronpin.callers.calls import Calls
+from citronpin.callers.grants import Owned, Recorded
+from citronpin.state.logs import MemoryLog
 from citronpin.tests.meshes import FakeMesh, FakeStates, recorder_for
 
 STEP_S = 0.05
--- a/citronpin/tests/conftest.py
+++ b/citronpin/tests/conftest.py
@@ -7,8 +7,8 @@
 from circuits import Component
 
 import citronpin
-from citronpin.clocks import ClockTask, PausedClock, SystemClock
-from citronpin.runners import Runner
+from citronpin.basics.clocks import ClockTask, PausedClock, SystemClock
+from citronpin.basics.runners import Runner
 
 SAMPLES = Path(citronpin.__file__).parent / "samples"
 WAIT_LIMIT_S = 20.0
--- a/citronpin/tests/fold_machines.py
+++ b/citronpin/tests/fold_machines.py
@@ -12,12 +12,12 @@
     rule,
 )
 
-from citronpin import folds, records
-from citronpin.ids import NO_OFFSET
-from citronpin.manifests import scope_of
-from citronpin.records import Record, decode_record, encode_record
-from citronpin.snapshots import decode_snapshot, encode_snapshot
-from citronpin.states import GROUP_TRANSITIONS, GroupState
+from citronpin.basics.ids import NO_OFFSET
+from citronpin.state import folds, records
+from citronpin.state.manifests import scope_of
+from citronpin.state.records import Record, decode_record, encode_record
+from citronpin.state.snapshots import decode_snapshot, encode_snapshot
+from citronpin.state.states import GROUP_TRANSITIONS, GroupState
 from citronpin.tests.builders import customers, deployment
 
 STREAMS = ("config", "control.a", "calls.0")
--- a/citronpin/tests/meshes.py
+++ b/citronpin/tests/meshes.py
@@ -4,15 +4,15 @@
 
 from result import Err, Ok
 
-from citronpin.codecs import FrameCodec
-from citronpin.errors import LogUnavailable, TimedOut
-from citronpin.events import Recorder
-from citronpin.folds import fold_for
-from citronpin.ids import EntryId, Offset, new_id
-from citronpin.links import FrameGate, Links
-from citronpin.logs import LogPage, States
-from citronpin.meshes import Mesh
-from citronpin.records import Record, decode_record, encode_record
+from citronpin.basics.errors import LogUnavailable, TimedOut
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import EntryId, Offset, new_id
+from citronpin.peers.codecs import FrameCodec
+from citronpin.peers.links import FrameGate, Links
+from citronpin.peers.meshes import Mesh
+from citronpin.state.folds import fold_for
+from citronpin.state.logs import LogPage, States
+from citronpin.state.records import Record, decode_record, encode_record
 
 DELAY_S = 0.002
 
--- a/citronpin/tests/test_admissions.py
+++ b/citronpin/tests/test_admissions.py
@@ -5,7 +5,9 @@
 import numpy
 import pytest
 
-from citronpin.admissions import (
+from citronpin.backends.retries import HedgePolicy, RetryBudget
+from citronpin.benches.bench_admission import due_shares
+from citronpin.policy.admissions import (
     ADMISSIONS,
     AdmissionRequest,
     Admit,
@@ -13,9 +15,7 @@
     Queue,
     Refuse,
 )
-from citronpin.bench_admission import due_shares
-from citronpin.retries import HedgePolicy, RetryBudget
-from citronpin.shares import WeightedAdmission
+from citronpin.policy.shares import WeightedAdmission
 
 
 def request(number, customer="c", deadline_s=60.0, share=1.0, priority=0):
--- a/citronpin/tests/test_announcements.py
+++ b/citronpin/tests/test_announcements.py
@@ -2,9 +2,9 @@
 
 from types import SimpleNamespace
 
-from citronpin.announcements import CHECK_S, REMOVE_AFTER_S, Announcer
-from citronpin.folds import ConfigFold
-from citronpin.records import Record
+from citronpin.peers.announcements import CHECK_S, REMOVE_AFTER_S, Announcer
+from citronpin.state.folds import ConfigFold
+from citronpin.state.records import Record
 
 
 class Log:
--- a/citronpin/tests/test_bench_boots.py
+++ b/citronpin/tests/test_bench_boots.py
@@ -1,6 +1,6 @@
 """Test of the benchmark of the state on the log."""
 
-from citronpin.benches import run_bench
+from citronpin.benches.benches import run_bench
 
 NODE_BYTES_PER_S = 2_000  # what a node may spend for control
 
--- a/citronpin/tests/test_bench_frames.py
+++ b/citronpin/tests/test_bench_frames.py
@@ -1,6 +1,6 @@
 """Tests of the frames benchmark."""
 
-from citronpin.benches import run_bench
+from citronpin.benches.benches import run_bench
 
 
 def test_every_answer_of_the_benchmark_is_whole():
--- a/citronpin/tests/test_benches.py
+++ b/citronpin/tests/test_benches.py
@@ -5,12 +5,14 @@
 import msgspec
 import pytest
 
-from citronpin import benches, commands, commands_benches
-from citronpin.admissions import ADMISSIONS
-from citronpin.bench_reports import render_page
-from citronpin.ids import EntryId
-from citronpin.placements import PLACEMENTS
-from citronpin.policies import (
+from citronpin.basics.ids import EntryId
+from citronpin.basics.settings import DEFAULTS, POLICY_SECTIONS, check_settings
+from citronpin.benches import benches
+from citronpin.benches.bench_reports import render_page
+from citronpin.commands import commands, commands_benches
+from citronpin.policy.admissions import ADMISSIONS
+from citronpin.policy.placements import PLACEMENTS
+from citronpin.policy.policies import (
     make_admission,
     make_detector,
     make_hedge,
@@ -20,10 +22,9 @@
     make_retry_budget,
     make_router,
 )
-from citronpin.repairs import REPAIRS
-from citronpin.routers import ROUTERS
-from citronpin.settings import DEFAULTS, POLICY_SECTIONS, check_settings
-from citronpin.suspicions import DETECTORS
+from citronpin.policy.repairs import REPAIRS
+from citronpin.policy.routers import ROUTERS
+from citronpin.policy.suspicions import DETECTORS
 
 SEED = 1
 BOUNDS = Path(__file__).parents[2] / "benchmarks" / "bounds.toml"
--- a/citronpin/tests/test_calls.py
+++ b/citronpin/tests/test_calls.py
@@ -14,11 +14,11 @@
     run_state_machine_as_test,
 )
 
-from citronpin import records
-from citronpin.calls import Calls
-from citronpin.errors import Outcome
-from citronpin.events import EventKind
-from citronpin.grants import (
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import EntryId
+from citronpin.callers.calls import Calls
+from citronpin.callers.grants import (
     BadKey,
     KeyReused,
     Owned,
@@ -29,8 +29,8 @@
     TooOld,
     Unknown,
 )
-from citronpin.ids import EntryId
-from citronpin.overlays import rendezvous
+from citronpin.peers.overlays import rendezvous
+from citronpin.state import records
 from citronpin.tests.call_worlds import World
 
 LONG_S = 80.0
--- a/citronpin/tests/test_checkpoints.py
+++ b/citronpin/tests/test_checkpoints.py
@@ -3,13 +3,13 @@
 import msgspec
 import pytest
 
-from citronpin.checkpointers import Checkpointer
-from citronpin.checkpoints import CHUNK_BYTES, checkpoint_records
-from citronpin.events import EventKind
-from citronpin.folds import fold_for, state_digest
-from citronpin.ids import CONFIG_STREAM, EntryId, RecordId, checkpoint_stream
-from citronpin.logs import MemoryLog
-from citronpin.records import (
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import CONFIG_STREAM, EntryId, RecordId, checkpoint_stream
+from citronpin.state.checkpointers import Checkpointer
+from citronpin.state.checkpoints import CHUNK_BYTES, checkpoint_records
+from citronpin.state.folds import fold_for, state_digest
+from citronpin.state.logs import MemoryLog
+from citronpin.state.records import (
     CallIntent,
     CallOutcome,
     ConfigPart,
@@ -22,7 +22,7 @@
     ScopeChange,
     encode_record,
 )
-from citronpin.snapshots import decode_snapshot, encode_snapshot
+from citronpin.state.snapshots import decode_snapshot, encode_snapshot
 from citronpin.tests.builders import alarms, build, change, customers, deployment
 
 CHECKPOINTS = checkpoint_stream(CONFIG_STREAM)
--- a/citronpin/tests/test_codecs.py
+++ b/citronpin/tests/test_codecs.py
@@ -3,9 +3,9 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from citronpin.codecs import HEAD_BYTES, FrameCodec
-from citronpin.ids import EntryId
-from citronpin.messages import Beat, Broadcast
+from citronpin.basics.ids import EntryId
+from citronpin.peers.codecs import HEAD_BYTES, FrameCodec
+from citronpin.peers.messages import Beat, Broadcast
 
 CODEC = FrameCodec(key=b"secret")
 FRAME = CODEC.encode(
--- a/citronpin/tests/test_commands_standins.py
+++ b/citronpin/tests/test_commands_standins.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from citronpin.commands_standins import STANDINS
+from citronpin.commands.commands_standins import STANDINS
 from citronpin.tests.conftest import wait_until
 
 STATUS_PATHS = {
--- a/citronpin/tests/test_controls.py
+++ b/citronpin/tests/test_controls.py
@@ -12,17 +12,18 @@
 )
 from result import Err
 
-from citronpin import repairs, rollouts
-from citronpin.domains import DomainFacts
-from citronpin.drains import Drains
-from citronpin.folds import ConfigFold, ControlFold
-from citronpin.formations import Formations
-from citronpin.groups import Condition, GroupController
-from citronpin.ids import CONFIG_STREAM, control_stream
-from citronpin.instances import InstanceState
-from citronpin.readbacks import Readbacks
-from citronpin.records import LeaseClaim
-from citronpin.tails import Tail
+from citronpin.basics.ids import CONFIG_STREAM, control_stream
+from citronpin.control import rollouts
+from citronpin.control.domains import DomainFacts
+from citronpin.control.drains import Drains
+from citronpin.control.formations import Formations
+from citronpin.control.groups import Condition, GroupController
+from citronpin.control.readbacks import Readbacks
+from citronpin.policy import repairs
+from citronpin.state.folds import ConfigFold, ControlFold
+from citronpin.state.instances import InstanceState
+from citronpin.state.records import LeaseClaim
+from citronpin.state.tails import Tail
 from citronpin.tests.worlds import World
 
 NUMBERS = st.integers(0, 99)
--- a/citronpin/tests/test_dispatch_machine.py
+++ b/citronpin/tests/test_dispatch_machine.py
@@ -3,17 +3,17 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from citronpin.clocks import PausedClock
-from citronpin.dispatches import Dispatch, DispatchLimits, Target
-from citronpin.engines import Frame
-from citronpin.errors import (
+from citronpin.backends.dispatches import Dispatch, DispatchLimits, Target
+from citronpin.backends.engines import Frame
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.errors import (
     ConnectionFailed,
     ConnectionLost,
     EngineRefused,
     Outcome,
     StaleFence,
 )
-from citronpin.events import Recorder
+from citronpin.basics.events import Recorder
 from citronpin.tests.test_dispatches import Answer, FakeEngines
 
 TOKENS = 6  # of each run, before its final frame
--- a/citronpin/tests/test_dispatches.py
+++ b/citronpin/tests/test_dispatches.py
@@ -2,14 +2,15 @@
 
 import pytest
 
-from citronpin.dispatches import (
+from citronpin.backends.dispatches import (
     AnswerSink,
     Dispatch,
     DispatchLimits,
     Target,
 )
-from citronpin.engines import Attempt, EngineClient, Frame
-from citronpin.errors import (
+from citronpin.backends.engines import Attempt, EngineClient, Frame
+from citronpin.backends.retries import RetryBudget
+from citronpin.basics.errors import (
     BadSubmission,
     ConnectionFailed,
     ConnectionLost,
@@ -17,8 +18,7 @@
     Outcome,
     StaleFence,
 )
-from citronpin.events import Recorder
-from citronpin.retries import RetryBudget
+from citronpin.basics.events import Recorder
 
 GROUPS = ("g1", "g2", "g3")
 LIMITS = DispatchLimits(first_frame_timeout_s=20.0, stall_timeout_s=5.0)
--- a/citronpin/tests/test_embedded.py
+++ b/citronpin/tests/test_embedded.py
@@ -3,15 +3,15 @@
 import openai
 import pytest
 
-from citronpin.commands_entries import run_load
-from citronpin.embedded import Embedded, EngineSpec, wait_for
-from citronpin.fetches import Fetch, fetch_all
-from citronpin.loads import LoadPlan
-from citronpin.manifest_files import read_manifests
-from citronpin.standin_batches import EngineSpeed
-from citronpin.standin_texts import answer_to
-from citronpin.states import GroupState
+from citronpin.benches.loads import LoadPlan
+from citronpin.commands.commands_entries import run_load
+from citronpin.demos.embedded import Embedded, EngineSpec, wait_for
+from citronpin.standins.standin_batches import EngineSpeed
+from citronpin.standins.standin_texts import answer_to
+from citronpin.state.manifest_files import read_manifests
+from citronpin.state.states import GroupState
 from citronpin.tests.conftest import SAMPLES
+from citronpin.web.fetches import Fetch, fetch_all
 
 KEY = "odori-demo-key"
 MESSAGES = [{"role": "user", "content": "Draft the rota for Sunday."}]
--- a/citronpin/tests/test_events.py
+++ b/citronpin/tests/test_events.py
@@ -4,8 +4,8 @@
 import json
 import logging
 
-from citronpin.events import EventKind, Recorder
-from citronpin.loggings import set_up_logging
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.loggings import set_up_logging
 
 
 def test_events_are_kept_and_logged_as_json(paused_clock, monkeypatch):
--- a/citronpin/tests/test_folds.py
+++ b/citronpin/tests/test_folds.py
@@ -8,16 +8,22 @@
 from hypothesis.stateful import run_state_machine_as_test
 from result import Ok
 
-from citronpin import control_folds, rules
-from citronpin.calls_folds import CallsFold
-from citronpin.config_folds import ConfigFold, scope_base
-from citronpin.control_folds import ControlFold
-from citronpin.folds import fold_for
-from citronpin.ids import NO_OFFSET, Offset
-from citronpin.records import ConfigChange, ConfigPart, LeaseClaim, Record, ScopeChange
-from citronpin.rules import WRITER_SWEEP, WRITER_WINDOW
-from citronpin.snapshots import decode_snapshot
-from citronpin.states import Lease
+from citronpin.basics.ids import NO_OFFSET, Offset
+from citronpin.state import control_folds, rules
+from citronpin.state.calls_folds import CallsFold
+from citronpin.state.config_folds import ConfigFold, scope_base
+from citronpin.state.control_folds import ControlFold
+from citronpin.state.folds import fold_for
+from citronpin.state.records import (
+    ConfigChange,
+    ConfigPart,
+    LeaseClaim,
+    Record,
+    ScopeChange,
+)
+from citronpin.state.rules import WRITER_SWEEP, WRITER_WINDOW
+from citronpin.state.snapshots import decode_snapshot
+from citronpin.state.states import Lease
 from citronpin.tests import fold_machines
 from citronpin.tests.builders import change, customers, deployment
 from citronpin.tests.fold_machines import (
--- a/citronpin/tests/test_followers.py
+++ b/citronpin/tests/test_followers.py
@@ -5,27 +5,27 @@
 import pytest
 from result import Err, Ok
 
-from citronpin.clients import HttpClient
-from citronpin.errors import Outcome
-from citronpin.events import EventKind
-from citronpin.http_logs import HttpLog
-from citronpin.ids import (
+from citronpin.basics.errors import Outcome
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import (
     CONFIG_STREAM,
     EntryId,
     RecordId,
     StreamName,
 )
-from citronpin.logs import MemoryLog
-from citronpin.records import (
+from citronpin.standins.standin_logs import LogStandin
+from citronpin.state.http_logs import HttpLog
+from citronpin.state.logs import MemoryLog
+from citronpin.state.records import (
     MAX_RECORD_BYTES,
     InstanceBar,
     LeaseClaim,
     Record,
     encode_record,
 )
-from citronpin.standin_logs import LogStandin
 from citronpin.tests.builders import FaultyLog, alarms, build, change, deployment
 from citronpin.tests.conftest import wait_until
+from citronpin.web.clients import HttpClient
 
 CONTROL = StreamName("control.fab-a")
 
--- a/citronpin/tests/test_gates.py
+++ b/citronpin/tests/test_gates.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from citronpin.events import Recorder
-from citronpin.gates import GateState, ServingGate
+from citronpin.basics.events import Recorder
+from citronpin.basics.gates import GateState, ServingGate
 
 
 @pytest.mark.parametrize(
--- a/citronpin/tests/test_groups.py
+++ b/citronpin/tests/test_groups.py
@@ -2,20 +2,20 @@
 
 import pytest
 
-from citronpin.drains import drain_deadline_s
-from citronpin.events import EventKind
-from citronpin.ids import CONFIG_STREAM, control_stream
-from citronpin.instances import InstanceState
-from citronpin.leases import MAX_HEAD_AGE_S, rank
-from citronpin.manifests import Customer, CustomersManifest
-from citronpin.memory_engines import Job
-from citronpin.orders import ORDER_TTL_S
-from citronpin.plans import Detector, Health, Wait
-from citronpin.records import GroupMove, LeaseClaim
-from citronpin.repairs import ImmediateRepair
-from citronpin.rollouts import floor_of
-from citronpin.states import GroupState
-from citronpin.suspicions import TimeoutDetector
+from citronpin.backends.memory_engines import Job
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import CONFIG_STREAM, control_stream
+from citronpin.control.drains import drain_deadline_s
+from citronpin.control.leases import MAX_HEAD_AGE_S, rank
+from citronpin.control.orders import ORDER_TTL_S
+from citronpin.control.rollouts import floor_of
+from citronpin.policy.plans import Detector, Health, Wait
+from citronpin.policy.repairs import ImmediateRepair
+from citronpin.policy.suspicions import TimeoutDetector
+from citronpin.state.instances import InstanceState
+from citronpin.state.manifests import Customer, CustomersManifest
+from citronpin.state.records import GroupMove, LeaseClaim
+from citronpin.state.states import GroupState
 from citronpin.tests.builders import deployment
 from citronpin.tests.worlds import World
 
--- a/citronpin/tests/test_http_engines.py
+++ b/citronpin/tests/test_http_engines.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from citronpin.engines import Frame, FrameSink
-from citronpin.errors import (
+from citronpin.backends.engines import Frame, FrameSink
+from citronpin.backends.http_engines import MAX_LINE_BYTES, FrameParser, refusal
+from citronpin.basics.errors import (
     BadSubmission,
     EngineRefused,
     Outcome,
     ProtocolFault,
     StaleFence,
 )
-from citronpin.http_engines import MAX_LINE_BYTES, FrameParser, refusal
 
 LINES = b"".join(
     b'{"request":"r","attempt":0,"sequence":%d,"text":"\xc3\xa9","more":1}\n' % number
--- a/citronpin/tests/test_idempotencies.py
+++ b/citronpin/tests/test_idempotencies.py
@@ -5,9 +5,11 @@
 import pytest
 from result import Err, Ok
 
-from citronpin.applications import ServiceRun, call_digest, find_rule
-from citronpin.errors import ConnectionFailed, ConnectionLost, Outcome
-from citronpin.grants import (
+from citronpin.backends.services import ServiceResponse
+from citronpin.basics.errors import ConnectionFailed, ConnectionLost, Outcome
+from citronpin.basics.refusals import KeyMissing
+from citronpin.callers.applications import ServiceRun, call_digest, find_rule
+from citronpin.callers.grants import (
     BadKey,
     KeyReused,
     Pending,
@@ -16,10 +18,8 @@
     TooOld,
     Unknown,
 )
-from citronpin.idempotencies import OnceFilter, grant_error
-from citronpin.manifests import ApplicationManifest, CallRule
-from citronpin.refusals import KeyMissing
-from citronpin.services import ServiceResponse
+from citronpin.callers.idempotencies import OnceFilter, grant_error
+from citronpin.state.manifests import ApplicationManifest, CallRule
 
 MANIFEST = ApplicationManifest(
     name="rota",
--- /dev/null
+++ b/citronpin/tests/test_layout.py
@@ -0,0 +1,98 @@
+"""The parts of the package import only what stands before them, without circles."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import citronpin
+
+PACKAGE = Path(citronpin.__file__).parent
+PARTS = (
+    "basics",
+    "web",
+    "state",
+    "backends",
+    "peers",
+    "policy",
+    "control",
+    "callers",
+    "wiring",
+    "standins",
+    "benches",
+    "demos",
+    "commands",
+)
+WALL_CLOCK = {("time", "time"), ("datetime", "now"), ("datetime", "utcnow")}
+CLOCK_MODULES = {"basics/clocks.py"}
+
+
+def modules(part):
+    return sorted((PACKAGE / part).glob("*.py"))
+
+
+def imported(tree):
+    """Return the full names that a module imports from this package."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and (node.module or "").startswith(
+            "citronpin."
+        ):
+            yield node.module
+        elif isinstance(node, ast.Import):
+            for alias in node.names:
+                if alias.name.startswith("citronpin."):
+                    yield alias.name
+
+
+def wall_clock_uses(tree):
+    """Return the lines that read the wall clock past the clock of the runtime."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+            if (node.value.id, node.attr) in WALL_CLOCK:
+                yield node.lineno
+        if isinstance(node, ast.ImportFrom) and node.module in ("circuits", "time"):
+            if {alias.name for alias in node.names} & {"Timer", "time", "sleep"}:
+                yield node.lineno
+
+
+def test_every_folder_is_a_listed_part():
+    folders = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
+    assert folders == {*PARTS, "tests"}
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_a_part_imports_no_later_one(part):
+    allowed = set(PARTS[: PARTS.index(part) + 1])
+    for path in modules(part):
+        for name in imported(ast.parse(path.read_text())):
+            assert name.split(".")[1] in allowed, f"{path.name} imports {name}"
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_modules_of_a_part_have_no_circle(part):
+    graph = {
+        path.stem: {
+            name.split(".")[2]
+            for name in imported(ast.parse(path.read_text()))
+            if name.count(".") > 1 and name.split(".")[1] == part
+        }
+        for path in modules(part)
+    }
+    while graph:
+        free = {name for name, needs in graph.items() if not needs & set(graph)}
+        assert free, f"circle among {sorted(graph)}"
+        graph = {name: needs for name, needs in graph.items() if name not in free}
+
+
+@pytest.mark.parametrize("part", [part for part in PARTS if part != "standins"])
+def test_time_comes_from_the_clock_only(part):
+    for path in modules(part):
+        if str(path.relative_to(PACKAGE)) in CLOCK_MODULES:
+            continue
+        lines = list(wall_clock_uses(ast.parse(path.read_text())))
+        assert not lines, f"{path.name} reads the wall clock at lines {lines}"
+
+
+def test_the_wall_clock_check_finds_each_use():
+    source = "import time\nfrom circuits import Timer\ntime.time()\n"
+    assert list(wall_clock_uses(ast.parse(source))) == [2, 3]
--- a/citronpin/tests/test_limiters.py
+++ b/citronpin/tests/test_limiters.py
@@ -4,10 +4,15 @@
 
 import pytest
 
-from citronpin.limiters import QUIET_WINDOWS, WINDOW_S, DemandExchange, LimitFilter
-from citronpin.limits import SharedLimits
-from citronpin.manifests import Customer
-from citronpin.refusals import LimitExceeded
+from citronpin.basics.refusals import LimitExceeded
+from citronpin.callers.limiters import (
+    QUIET_WINDOWS,
+    WINDOW_S,
+    DemandExchange,
+    LimitFilter,
+)
+from citronpin.policy.limits import SharedLimits
+from citronpin.state.manifests import Customer
 
 RATE = 10.0
 ENTRIES = ("e1", "e2")
--- a/citronpin/tests/test_limits.py
+++ b/citronpin/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from citronpin.limits import Bucket, DemandMessage, SharedLimits
+from citronpin.policy.limits import Bucket, DemandMessage, SharedLimits
 
 IDS = frozenset({"e0", "e1", "e2"})
 
--- a/citronpin/tests/test_links.py
+++ b/citronpin/tests/test_links.py
@@ -3,11 +3,11 @@
 import pynng
 import pytest
 
-from citronpin.events import Recorder
-from citronpin.ids import EntryId
-from citronpin.links import NngLinks
-from citronpin.messages import Broadcast
-from citronpin.peers import Peers
+from citronpin.basics.events import Recorder
+from citronpin.basics.ids import EntryId
+from citronpin.peers.links import NngLinks
+from citronpin.peers.messages import Broadcast
+from citronpin.peers.peers import Peers
 from citronpin.tests.conftest import wait_until
 
 LOOPBACK = "tcp://127.0.0.1:0"
--- a/citronpin/tests/test_manifests.py
+++ b/citronpin/tests/test_manifests.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
-from citronpin.manifest_files import KINDS, check_data, read_manifests
-from citronpin.manifests import CallRule, CriticalPeriod, Customer
+from citronpin.state.manifest_files import KINDS, check_data, read_manifests
+from citronpin.state.manifests import CallRule, CriticalPeriod, Customer
 
 REFERENCE = Path(__file__).parents[2] / "docs" / "MANIFESTS.md"
 
--- a/citronpin/tests/test_memberships.py
+++ b/citronpin/tests/test_memberships.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from citronpin.clients import HttpClient
-from citronpin.events import EventKind, Recorder
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.memberships import MembershipTask
-from citronpin.standin_memberships import MembershipStandin
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.standins.standin_memberships import MembershipStandin
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
+from citronpin.state.memberships import MembershipTask
 from citronpin.tests.conftest import wait_until
+from citronpin.web.clients import HttpClient
 
 
 def _instance(name):
--- a/citronpin/tests/test_peers.py
+++ b/citronpin/tests/test_peers.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from citronpin import records
-from citronpin.folds import encode_state
-from citronpin.ids import CONFIG_STREAM, EntryId, Offset, new_id
-from citronpin.logs import MemoryLog
-from citronpin.messages import CallFinished
-from citronpin.overlays import neighbours, rendezvous
-from citronpin.peers import BEAT_S, DEAD_S, Peers
-from citronpin.relays import LogRelay
+from citronpin.basics.ids import CONFIG_STREAM, EntryId, Offset, new_id
+from citronpin.peers.messages import CallFinished
+from citronpin.peers.overlays import neighbours, rendezvous
+from citronpin.peers.peers import BEAT_S, DEAD_S, Peers
+from citronpin.peers.relays import LogRelay
+from citronpin.state import records
+from citronpin.state.folds import encode_state
+from citronpin.state.logs import MemoryLog
 from citronpin.tests.meshes import FakeStates, MemoryLinks, Network, recorder_for
 
 
--- a/citronpin/tests/test_policies.py
+++ b/citronpin/tests/test_policies.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from citronpin.ids import control_stream
-from citronpin.states import GroupState
-from citronpin.suspicions import GradedDetector
+from citronpin.basics.ids import control_stream
+from citronpin.policy.suspicions import GradedDetector
+from citronpin.policy.valuations import WeightedRepair
+from citronpin.state.states import GroupState
 from citronpin.tests.worlds import World
-from citronpin.valuations import WeightedRepair
 
 STREAM = control_stream("a")
 
--- a/citronpin/tests/test_publishers.py
+++ b/citronpin/tests/test_publishers.py
@@ -6,15 +6,15 @@
 import msgspec
 import pytest
 
-from citronpin.errors import Outcome
-from citronpin.ids import CONFIG_STREAM
-from citronpin.logs import MemoryLog
-from citronpin.manifest_files import ManifestFile
-from citronpin.manifests import CustomersManifest
-from citronpin.publishers import PART_BYTES, Publisher
-from citronpin.servers import Routes, WebServer
-from citronpin.standin_logs import LogStandin
+from citronpin.basics.errors import Outcome
+from citronpin.basics.ids import CONFIG_STREAM
+from citronpin.standins.standin_logs import LogStandin
+from citronpin.state.logs import MemoryLog
+from citronpin.state.manifest_files import ManifestFile
+from citronpin.state.manifests import CustomersManifest
+from citronpin.state.publishers import PART_BYTES, Publisher
 from citronpin.tests.builders import FaultyLog, build, deployment
+from citronpin.web.servers import Routes, WebServer
 
 ANY_PORT = ("127.0.0.1", 0)
 RUN_LIMIT_S = 30
--- a/citronpin/tests/test_readiness.py
+++ b/citronpin/tests/test_readiness.py
@@ -4,18 +4,25 @@
 import pytest
 from result import Err, Ok
 
-from citronpin import records
-from citronpin.engines import EngineClient, EngineStatus
-from citronpin.errors import ConnectionFailed, TimedOut
-from citronpin.ids import EntryId, Fence, GroupId, InstanceId, control_stream, new_id
-from citronpin.logs import MemoryLog
-from citronpin.messages import ReadinessChange
-from citronpin.overlays import rendezvous
-from citronpin.peers import DEAD_S, Peers
-from citronpin.readiness import LEASE_S, ReadinessTable, ready_form
-from citronpin.states import GroupState
+from citronpin.backends.engines import EngineClient, EngineStatus
+from citronpin.basics.errors import ConnectionFailed, TimedOut
+from citronpin.basics.ids import (
+    EntryId,
+    Fence,
+    GroupId,
+    InstanceId,
+    control_stream,
+    new_id,
+)
+from citronpin.control.readiness import LEASE_S, ReadinessTable, ready_form
+from citronpin.control.watchers import PROBE_S, PROBE_TIMEOUT_S, Watcher, mismatch
+from citronpin.peers.messages import ReadinessChange
+from citronpin.peers.overlays import rendezvous
+from citronpin.peers.peers import DEAD_S, Peers
+from citronpin.state import records
+from citronpin.state.logs import MemoryLog
+from citronpin.state.states import GroupState
 from citronpin.tests.meshes import FakeStates, MemoryLinks, Network, recorder_for
-from citronpin.watchers import PROBE_S, PROBE_TIMEOUT_S, Watcher, mismatch
 
 HOLDER = EntryId("holder")
 STEP_S = 0.01
--- a/citronpin/tests/test_repairs.py
+++ b/citronpin/tests/test_repairs.py
@@ -3,13 +3,11 @@
 import msgspec
 import pytest
 
-from citronpin.bench_repair import TODAY, RepairRun, Variant
-from citronpin.bench_traces import FaultKind
-from citronpin.ids import Fence
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.manifests import CriticalPeriod, DeploymentManifest
-from citronpin.placements import EvenPlacement
-from citronpin.plans import (
+from citronpin.basics.ids import Fence
+from citronpin.benches.bench_repair import TODAY, RepairRun, Variant
+from citronpin.benches.bench_traces import FaultKind
+from citronpin.policy.placements import EvenPlacement
+from citronpin.policy.plans import (
     Dissolve,
     DomainView,
     Form,
@@ -19,10 +17,12 @@
     Replace,
     Wait,
 )
-from citronpin.repairs import REPAIRS, ImmediateRepair
-from citronpin.states import Group, GroupState
-from citronpin.suspicions import DETECTORS, GradedDetector
-from citronpin.valuations import WeightedRepair, in_critical_period
+from citronpin.policy.repairs import REPAIRS, ImmediateRepair
+from citronpin.policy.suspicions import DETECTORS, GradedDetector
+from citronpin.policy.valuations import WeightedRepair, in_critical_period
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
+from citronpin.state.manifests import CriticalPeriod, DeploymentManifest
+from citronpin.state.states import Group, GroupState
 
 
 def row(number, state=InstanceState.LIVE):
@@ -296,7 +296,7 @@
 
 
 def test_no_instance_is_in_two_groups_over_a_drawn_trace(monkeypatch):
-    from citronpin import bench_domains
+    from citronpin.benches import bench_domains
 
     checked = []
     count = bench_domains.ModelDomain.count
--- a/citronpin/tests/test_routers.py
+++ b/citronpin/tests/test_routers.py
@@ -3,10 +3,10 @@
 import numpy
 import pytest
 
-from citronpin.affinities import AffinityRoute, Popularity
-from citronpin.engines import CacheEvent, EngineStatus
-from citronpin.prefixes import CacheView, prefix_blocks
-from citronpin.routers import ROUTERS, GroupLoad, RouteRequest
+from citronpin.backends.engines import CacheEvent, EngineStatus
+from citronpin.policy.affinities import AffinityRoute, Popularity
+from citronpin.policy.prefixes import CacheView, prefix_blocks
+from citronpin.policy.routers import ROUTERS, GroupLoad, RouteRequest
 
 GROUPS = tuple(GroupLoad(group=f"g{number}", slots=8) for number in range(8))
 BLOCKS = tuple(f"b{number}" for number in range(8))
--- a/citronpin/tests/test_runners.py
+++ b/citronpin/tests/test_runners.py
@@ -5,8 +5,8 @@
 
 from circuits import Component
 
-from citronpin.clocks import ClockTask, SystemClock
-from citronpin.runners import Runner, run_to_end
+from citronpin.basics.clocks import ClockTask, SystemClock
+from citronpin.basics.runners import Runner, run_to_end
 
 
 class Root(Component):
--- a/citronpin/tests/test_scenarios.py
+++ b/citronpin/tests/test_scenarios.py
@@ -10,14 +10,14 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from citronpin.clocks import SystemClock
-from citronpin.commands_entries import expected_text
-from citronpin.embedded import Embedded, EngineSpec, ServiceSpec, wait_for
-from citronpin.loads import LoadPlan, LoadTask, check_effects
-from citronpin.manifest_files import ManifestFile, read_manifests
-from citronpin.runners import Runner
-from citronpin.standin_batches import EngineSpeed
-from citronpin.standin_memberships import ABSENT
+from citronpin.basics.clocks import SystemClock
+from citronpin.basics.runners import Runner
+from citronpin.benches.loads import LoadPlan, LoadTask, check_effects
+from citronpin.commands.commands_entries import expected_text
+from citronpin.demos.embedded import Embedded, EngineSpec, ServiceSpec, wait_for
+from citronpin.standins.standin_batches import EngineSpeed
+from citronpin.standins.standin_memberships import ABSENT
+from citronpin.state.manifest_files import ManifestFile, read_manifests
 from citronpin.tests.conftest import SAMPLES
 
 scenarios("scenarios/failures.feature")
--- a/citronpin/tests/test_server_pools.py
+++ b/citronpin/tests/test_server_pools.py
@@ -3,13 +3,13 @@
 import msgspec
 import pytest
 
-from citronpin.instances import (
+from citronpin.backends.server_pools import MAX_BACKOFF_S, ServerPool
+from citronpin.state.instances import (
     Instance,
     InstanceKind,
     InstanceState,
     MembershipView,
 )
-from citronpin.server_pools import MAX_BACKOFF_S, ServerPool
 
 NONE = frozenset()
 
--- a/citronpin/tests/test_servers.py
+++ b/citronpin/tests/test_servers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from citronpin.servers import Routes, ServerLimits, WebServer
 from citronpin.tests.conftest import wait_until
+from citronpin.web.servers import Routes, ServerLimits, WebServer
 
 LIMITS = ServerLimits(body_bytes=64, header_bytes=1024)
 HASTY = ServerLimits(
--- a/citronpin/tests/test_services.py
+++ b/citronpin/tests/test_services.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from citronpin.clients import HttpClient
-from citronpin.errors import ConnectionFailed, Outcome
-from citronpin.services import HttpServiceClient, end_to_end
-from citronpin.standin_services import ServiceStandin
+from citronpin.backends.services import HttpServiceClient, end_to_end
+from citronpin.basics.errors import ConnectionFailed, Outcome
+from citronpin.standins.standin_services import ServiceStandin
 from citronpin.tests.conftest import wait_until
+from citronpin.web.clients import HttpClient
 
 
 class Calls:
--- a/citronpin/tests/test_settings.py
+++ b/citronpin/tests/test_settings.py
@@ -5,8 +5,8 @@
 import pytest
 
 import citronpin
-from citronpin.references import settings_page
-from citronpin.settings import check_settings, read_settings
+from citronpin.basics.references import settings_page
+from citronpin.basics.settings import check_settings, read_settings
 
 PAGE = Path(citronpin.__file__).parent.parent / "docs" / "SETTINGS.md"
 GOOD = {
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -5,28 +5,28 @@
 
 import pytest
 
-from citronpin.clients import HttpClient
-from citronpin.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
-from citronpin.engines import FrameSink, Order, OrderKind, Submission
-from citronpin.errors import (
+from citronpin.backends.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
+from citronpin.backends.engines import FrameSink, Order, OrderKind, Submission
+from citronpin.backends.http_engines import HttpEngineClient
+from citronpin.basics.errors import (
     ConnectionFailed,
     ConnectionLost,
     EngineRefused,
     StaleFence,
 )
-from citronpin.events import Recorder
-from citronpin.http_engines import HttpEngineClient
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.standin_batches import Batch, EngineSpeed
-from citronpin.standin_caches import PrefixCache
-from citronpin.standin_engines import EngineStandin
-from citronpin.standin_holdings import Holding
-from citronpin.standin_loaders import TimedLoader
-from citronpin.standin_reports import LaggedLoad
-from citronpin.standin_services import ServiceStandin
-from citronpin.standin_texts import answer_to
-from citronpin.standin_weights import WeightStandin
+from citronpin.basics.events import Recorder
+from citronpin.standins.standin_batches import Batch, EngineSpeed
+from citronpin.standins.standin_caches import PrefixCache
+from citronpin.standins.standin_engines import EngineStandin
+from citronpin.standins.standin_holdings import Holding
+from citronpin.standins.standin_loaders import TimedLoader
+from citronpin.standins.standin_reports import LaggedLoad
+from citronpin.standins.standin_services import ServiceStandin
+from citronpin.standins.standin_texts import answer_to
+from citronpin.standins.standin_weights import WeightStandin
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
 from citronpin.tests.conftest import wait_until
+from citronpin.web.clients import HttpClient
 
 BODY = {"messages": [{"role": "user", "content": "Draft a rota. " * 40}]}
 SPEED = EngineSpeed(tokens_per_s=2_000.0)
--- a/citronpin/tests/test_standin_relays.py
+++ b/citronpin/tests/test_standin_relays.py
@@ -2,8 +2,8 @@
 
 import socket
 
-from citronpin.servers import Routes, WebServer
-from citronpin.standin_relays import RelayStandin
+from citronpin.standins.standin_relays import RelayStandin
+from citronpin.web.servers import Routes, WebServer
 
 
 def _server(clock):
--- a/citronpin/tests/test_streams.py
+++ b/citronpin/tests/test_streams.py
@@ -2,8 +2,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from citronpin.engines import Frame
-from citronpin.streams import Reassembler
+from citronpin.backends.engines import Frame
+from citronpin.backends.streams import Reassembler
 
 
 def _frames(texts, attempt=0, request="r"):
--- a/citronpin/tests/test_timelines.py
+++ b/citronpin/tests/test_timelines.py
@@ -4,8 +4,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from citronpin.events import EventKind, TimelineEvent
-from citronpin.timelines import from_jsonl, merge_events, to_jsonl, to_page
+from citronpin.basics.events import EventKind, TimelineEvent
+from citronpin.basics.timelines import from_jsonl, merge_events, to_jsonl, to_page
 
 
 def _events(skews_ms: list[int], count: int, seed: int) -> list[TimelineEvent]:
--- a/citronpin/tests/worlds.py
+++ b/citronpin/tests/worlds.py
@@ -2,15 +2,15 @@
 
 import msgspec
 
-from citronpin.drains import DrainPurpose
-from citronpin.events import EventKind
-from citronpin.fabrics import Fabric
-from citronpin.folds import fold_for, scope_base
-from citronpin.ids import CONFIG_STREAM, control_stream
-from citronpin.instances import InstanceState
-from citronpin.memory_engines import Job, engine_row
-from citronpin.records import ConfigChange, GroupMove, ScopeChange, decode_record
-from citronpin.states import GroupState
+from citronpin.backends.memory_engines import Job, engine_row
+from citronpin.basics.events import EventKind
+from citronpin.basics.ids import CONFIG_STREAM, control_stream
+from citronpin.benches.fabrics import Fabric
+from citronpin.control.drains import DrainPurpose
+from citronpin.state.folds import fold_for, scope_base
+from citronpin.state.instances import InstanceState
+from citronpin.state.records import ConfigChange, GroupMove, ScopeChange, decode_record
+from citronpin.state.states import GroupState
 from citronpin.tests.builders import change, deployment
 
 SCOPE = "deployment/rota"
--- /dev/null
+++ b/citronpin/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients."""
--- a/citronpin/clients.py
+++ b/citronpin/web/clients.py
@@ -17,12 +17,20 @@
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
-from citronpin.clocks import Clock, TimerHandle
-from citronpin.errors import CitronpinError, ConnectionFailed, ConnectionLost, TimedOut
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.errors import (
+    CitronpinError,
+    ConnectionFailed,
+    ConnectionLost,
+    TimedOut,
+)
 
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 2.0
+USER_TIMEOUT_MS = 4_000  # unacknowledged data ends a connection that fell silent
+KEEP_ALIVE_SLACK_S = 0.5  # reuse ends this long before the server's own time-out
+MS_PER_S = 1_000
 IDLE_LIMIT_S = 30.0
 MAX_IDLE_PER_ADDRESS = 64
 MAX_HEADER_BYTES = 64 * 1024
@@ -96,7 +104,11 @@
         body: bytes,
         sink: ResponseSink,
         timeout_s: float | None,
+        connect_timeout_s: float,
+        max_idle_s: float,
     ) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.max_idle_s = max_idle_s
         self.address = address
         self.head = head
         self.body = body
@@ -121,6 +133,7 @@
         self.sent_bytes = 0
         self.served = 0
         self.idle_since_s = 0.0
+        self.keep_alive_s = IDLE_LIMIT_S  # how long the server keeps it idle
         self.exchange: Exchange | None = None
         self.connect_timer: TimerHandle | None = None
 
@@ -163,10 +176,17 @@
         headers: tuple[tuple[str, str], ...] = (),
         body: bytes = b"",
         timeout_s: float | None = 10.0,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_idle_s: float = IDLE_LIMIT_S,
+        host: str | None = None,
     ) -> Exchange:
-        """Send a request to ``IP:PORT``; the sink is told all that follows."""
+        """Send a request to ``IP:PORT``; the sink is told all that follows.
+
+        A connection that was idle for ``max_idle_s`` is not used again; 0 makes a
+        new one. ``host`` replaces the address in the ``Host`` header.
+        """
         self.counters.requests += 1
-        fields = [("Host", address), *headers]
+        fields = [("Host", host or address), *headers]
         if body or method in ("POST", "PUT", "PATCH"):
             fields.append(("Content-Length", str(len(body))))
         exchange = Exchange(
@@ -175,6 +195,8 @@
             body=body,
             sink=sink,
             timeout_s=timeout_s,
+            connect_timeout_s=connect_timeout_s,
+            max_idle_s=max_idle_s,
         )
         if timeout_s is not None:
             exchange.timer = self._clock.call_later(
@@ -197,7 +219,7 @@
             self._lose(conn, "The client is closing.")
 
     def _assign(self, exchange: Exchange) -> None:
-        conn = self._take_idle(exchange.address)
+        conn = self._take_idle(exchange)
         if conn is None:
             conn = self._connect(exchange)
         if conn is None:
@@ -207,11 +229,12 @@
         if conn.connected:
             self._send(conn)
 
-    def _take_idle(self, address: str) -> Connection | None:
-        idle = self._idle.get(address)
-        while idle:
+    def _take_idle(self, exchange: Exchange) -> Connection | None:
+        idle = self._idle.get(exchange.address)
+        while idle and exchange.max_idle_s > 0:
             conn = idle.pop()
-            fresh = self._clock.now() - conn.idle_since_s < IDLE_LIMIT_S
+            idle_s = self._clock.now() - conn.idle_since_s
+            fresh = idle_s < min(exchange.max_idle_s, conn.keep_alive_s)
             if fresh and not _has_input(conn.sock):
                 return conn
             self._close(conn)
@@ -222,6 +245,9 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
         try:
             code = sock.connect_ex((host, int(port)))
         except (OSError, ValueError) as exc:
@@ -233,7 +259,8 @@
         conn = Connection(address=exchange.address, sock=sock)
         self._conns[sock] = conn
         conn.connect_timer = self._clock.call_later(
-            CONNECT_TIMEOUT_S, lambda: self._lose(conn, "No connection in time.")
+            exchange.connect_timeout_s,
+            lambda: self._lose(conn, "No connection in time."),
         )
         self._find_poller().addWriter(self, sock)
         return conn
@@ -338,6 +365,7 @@
             exchange.sink.data(bytes(event.data))
         elif isinstance(event, h11.Response):
             headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+            conn.keep_alive_s = _keep_alive_s(headers.get("keep-alive", ""))
             exchange.sink.head(event.status_code, headers)
         elif isinstance(event, h11.EndOfMessage):
             self._complete(conn, exchange)
@@ -347,7 +375,9 @@
     def _complete(self, conn: Connection, exchange: Exchange) -> None:
         self._finish(exchange)
         conn.exchange = None
-        reusable = conn.parser.our_state is h11.DONE and not conn.out
+        # Bytes after the answer belong to no request, so the connection ends.
+        extra = bool(conn.parser.trailing_data[0])
+        reusable = conn.parser.our_state is h11.DONE and not conn.out and not extra
         if reusable and conn.parser.their_state is h11.DONE:
             conn.parser.start_next_cycle()
             self._park(conn)
@@ -407,6 +437,15 @@
         conn.sock.close()
 
 
+def _keep_alive_s(field: str) -> float:
+    """Return how long a connection may be kept idle, by a ``Keep-Alive`` field."""
+    for part in field.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(int(value) - KEEP_ALIVE_SLACK_S, 0.0)
+    return IDLE_LIMIT_S
+
+
 def _has_input(sock: socket.socket) -> bool:
     """Return whether an idle connection was closed or got stray bytes."""
     try:
--- a/citronpin/fetches.py
+++ b/citronpin/web/fetches.py
@@ -3,10 +3,10 @@
 import msgspec
 from circuits import Component
 
-from citronpin.clients import HttpClient, WholeSink
-from citronpin.clocks import Clock, ClockTask, SystemClock
-from citronpin.errors import CitronpinError, ProtocolFault
-from citronpin.runners import run_to_end
+from citronpin.basics.clocks import Clock, ClockTask, SystemClock
+from citronpin.basics.errors import CitronpinError, ProtocolFault
+from citronpin.basics.runners import run_to_end
+from citronpin.web.clients import HttpClient, WholeSink
 
 FETCH_TIMEOUT_S = 5.0
 
--- a/citronpin/http_conns.py
+++ b/citronpin/web/http_conns.py
@@ -18,8 +18,8 @@
 from circuits.web.http import HTTP
 from circuits.web.wrappers import Request, Response
 
-from citronpin.clocks import Clock
-from citronpin.replies import (
+from citronpin.basics.clocks import Clock
+from citronpin.web.replies import (
     PROBLEM_TYPE,
     HttpHandler,
     HttpRequest,
--- a/citronpin/routes.py
+++ b/citronpin/web/routes.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Callable
 
-from citronpin.replies import HttpHandler, HttpRequest, Reply, send_problem
+from citronpin.web.replies import HttpHandler, HttpRequest, Reply, send_problem
 
 Endpoint = Callable[..., None]
 
--- a/citronpin/servers.py
+++ b/citronpin/web/servers.py
@@ -5,9 +5,9 @@
 from circuits import BaseComponent, handler
 from circuits.net.sockets import TCPServer
 
-from citronpin.clocks import Clock
-from citronpin.http_conns import BoundedHttp, ServerLimits
-from citronpin.replies import (
+from citronpin.basics.clocks import Clock
+from citronpin.web.http_conns import BoundedHttp, ServerLimits
+from citronpin.web.replies import (
     JSON_TYPE,
     PROBLEM_TYPE,
     HttpHandler,
@@ -16,7 +16,7 @@
     problem_body,
     send_problem,
 )
-from citronpin.routes import Routes
+from citronpin.web.routes import Routes
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/citronpin/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: all tasks wired together."""
--- a/citronpin/admins.py
+++ b/citronpin/wiring/admins.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from citronpin.events import Recorder
-from citronpin.gates import GateState, ServingGate
-from citronpin.metrics import Metrics
-from citronpin.servers import HttpRequest, Reply, Routes
-from citronpin.timelines import to_jsonl
+from citronpin.basics.events import Recorder
+from citronpin.basics.gates import GateState, ServingGate
+from citronpin.basics.metrics import Metrics
+from citronpin.basics.timelines import to_jsonl
+from citronpin.web.servers import HttpRequest, Reply, Routes
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/entries.py
+++ b/citronpin/wiring/entries.py
@@ -6,39 +6,36 @@
 from circuits import Component, handler
 from circuits.core.pollers import EPoll
 
-from citronpin.admins import AdminPages
-from citronpin.announcements import Announcer, Booter
-from citronpin.applications import ApplicationFilter, ServiceFilter
-from citronpin.callers import CallerApi
-from citronpin.calls import Calls
-from citronpin.chats import ChatFilter
-from citronpin.checkpointers import Checkpointer
-from citronpin.clients import HttpClient
-from citronpin.clocks import Clock, ClockTask
-from citronpin.configurations import Configuration
-from citronpin.controls import ControlTask
-from citronpin.directories import GroupDirectory
-from citronpin.engines import EngineStatus
-from citronpin.events import EventKind, Recorder
-from citronpin.filters import Filter, FilterChain, GateFilter, IdentifyFilter
-from citronpin.followers import Followers
-from citronpin.gates import ServingGate
-from citronpin.generations import (
+from citronpin.backends.engines import EngineStatus
+from citronpin.backends.http_engines import HttpEngineClient
+from citronpin.backends.server_pools import ServerPool
+from citronpin.backends.services import HttpServiceClient
+from citronpin.basics.clocks import Clock, ClockTask
+from citronpin.basics.events import EventKind, Recorder
+from citronpin.basics.gates import ServingGate
+from citronpin.basics.ids import CONFIG_STREAM, EntryId, GroupId, new_id
+from citronpin.basics.metrics import Metrics
+from citronpin.basics.settings import Settings, split_address
+from citronpin.callers.applications import ApplicationFilter, ServiceFilter
+from citronpin.callers.callers import CallerApi
+from citronpin.callers.calls import Calls
+from citronpin.callers.chats import ChatFilter
+from citronpin.callers.filters import Filter, FilterChain, GateFilter, IdentifyFilter
+from citronpin.callers.generations import (
     AdmitFilter,
     DeploymentLoad,
     GenerateFilter,
 )
-from citronpin.group_loads import LoadBook
-from citronpin.http_engines import HttpEngineClient
-from citronpin.http_logs import HttpLog
-from citronpin.idempotencies import OnceFilter, ServiceLookup
-from citronpin.ids import CONFIG_STREAM, EntryId, GroupId, new_id
-from citronpin.limiters import DemandExchange, LimitFilter
-from citronpin.manifests import DeploymentManifest
-from citronpin.memberships import MembershipTask
-from citronpin.metrics import Metrics
-from citronpin.peers import Peers
-from citronpin.policies import (
+from citronpin.callers.idempotencies import OnceFilter, ServiceLookup
+from citronpin.callers.limiters import DemandExchange, LimitFilter
+from citronpin.control.controls import ControlTask
+from citronpin.control.readiness import ReadinessTable
+from citronpin.control.watchers import Watcher
+from citronpin.peers.announcements import Announcer, Booter
+from citronpin.peers.peers import Peers
+from citronpin.peers.relays import LogRelay
+from citronpin.policy.group_loads import LoadBook
+from citronpin.policy.policies import (
     make_admission,
     make_detector,
     make_limits,
@@ -47,14 +44,17 @@
     make_retry_budget,
     make_router,
 )
-from citronpin.readiness import ReadinessTable
-from citronpin.relays import LogRelay
-from citronpin.server_pools import ServerPool
-from citronpin.servers import Routes, ServerLimits, WebServer
-from citronpin.services import HttpServiceClient
-from citronpin.settings import Settings, split_address
-from citronpin.views import add_entry_views
-from citronpin.watchers import Watcher
+from citronpin.state.checkpointers import Checkpointer
+from citronpin.state.configurations import Configuration
+from citronpin.state.directories import GroupDirectory
+from citronpin.state.followers import Followers
+from citronpin.state.http_logs import HttpLog
+from citronpin.state.manifests import DeploymentManifest
+from citronpin.state.memberships import MembershipTask
+from citronpin.web.clients import HttpClient
+from citronpin.web.servers import Routes, ServerLimits, WebServer
+from citronpin.wiring.admins import AdminPages
+from citronpin.wiring.views import add_entry_views
 
 logger = logging.getLogger(__name__)
 
--- a/citronpin/views.py
+++ b/citronpin/wiring/views.py
@@ -3,7 +3,7 @@
 import resource
 import time
 
-from citronpin.admins import AdminPages
+from citronpin.wiring.admins import AdminPages
 
 BYTES_PER_KB = 1024
 
--- a/tools/engines.py
+++ b/tools/engines.py
@@ -8,10 +8,10 @@
 from circuits import Component, handler
 from circuits.core.pollers import EPoll
 
-from citronpin.clocks import ClockTask, SystemClock
-from citronpin.instances import Instance, InstanceKind, InstanceState
-from citronpin.standin_batches import EngineSpeed
-from citronpin.standin_engines import EngineStandin
+from citronpin.basics.clocks import ClockTask, SystemClock
+from citronpin.standins.standin_batches import EngineSpeed
+from citronpin.standins.standin_engines import EngineStandin
+from citronpin.state.instances import Instance, InstanceKind, InstanceState
 
 LOOPBACK = "127.0.0.1"
 
--- a/tools/measure_once.py
+++ b/tools/measure_once.py
@@ -11,8 +11,8 @@
 from clusters import ENVIRONMENT_KEY, get_json
 from measure_path import KEY, MODEL, run
 
-from citronpin.clocks import SystemClock
-from citronpin.loads import LoadPlan, LoadTask, check_effects
+from citronpin.basics.clocks import SystemClock
+from citronpin.benches.loads import LoadPlan, LoadTask, check_effects
 
 APPENDS_WITHOUT_BATCHES = 2  # an intent and an outcome for each call
 
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -12,12 +12,12 @@
 from clusters import ENVIRONMENT_KEY, get_json
 from measure_nodes import sample
 
-from citronpin.clients import HttpClient
-from citronpin.clocks import SystemClock
-from citronpin.engines import Frame, FrameSink, Submission
-from citronpin.http_engines import HttpEngineClient
-from citronpin.ids import new_id
-from citronpin.loads import LoadPlan, LoadTask
+from citronpin.backends.engines import Frame, FrameSink, Submission
+from citronpin.backends.http_engines import HttpEngineClient
+from citronpin.basics.clocks import SystemClock
+from citronpin.basics.ids import new_id
+from citronpin.benches.loads import LoadPlan, LoadTask
+from citronpin.web.clients import HttpClient
 
 KEY = "odori-demo-key"
 MODEL = "rota"
--- a/tools/measure_peers.py
+++ b/tools/measure_peers.py
@@ -15,14 +15,14 @@
 
 from circuits import Component
 
-from citronpin.clocks import ClockTask, SystemClock
-from citronpin.ids import EntryId
-from citronpin.logs import MemoryLog
-from citronpin.peers import Peers
-from citronpin.readiness import ReadinessTable
+from citronpin.basics.clocks import ClockTask, SystemClock
+from citronpin.basics.ids import EntryId
+from citronpin.control.readiness import ReadinessTable
+from citronpin.control.watchers import Watcher
+from citronpin.peers.peers import Peers
+from citronpin.state.logs import MemoryLog
 from citronpin.tests.meshes import FakeStates, recorder_for
 from citronpin.tests.test_readiness import Domain, FakeEngines
-from citronpin.watchers import Watcher
 
 BASE_PORT = 23_000
 DOMAINS = 6
