--- a/citronpin/basics/clocks.py
+++ b/citronpin/basics/clocks.py
@@ -41,6 +41,10 @@
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch, for people and key ages."""
 
+    @abstractmethod
+    def elapsed(self) -> float:
+        """Return seconds that go on while the machine is suspended, for leases."""
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> TimerHandle:
         """Schedule ``callback`` after ``delay_s`` seconds."""
         timer = TimerHandle(due_s=self.now() + max(delay_s, 0.0), callback=callback)
@@ -73,6 +77,9 @@
     def wall_ms(self) -> int:
         return time.time_ns() // 1_000_000
 
+    def elapsed(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
 
 class PausedClock(Clock):
     """A clock for tests that moves only when it is advanced."""
@@ -89,6 +96,9 @@
     def wall_ms(self) -> int:
         return self.EPOCH_MS + int(self._now_s * MS_PER_S)
 
+    def elapsed(self) -> float:
+        return self._now_s
+
     def advance(self, seconds: float) -> None:
         """Move forward and run each timer at the moment it is due."""
         end_s = self._now_s + seconds
--- a/citronpin/benches/fabrics.py
+++ b/citronpin/benches/fabrics.py
@@ -38,6 +38,9 @@
     def now(self) -> float:
         return self._shared.now()
 
+    def elapsed(self) -> float:
+        return self.now()
+
     def wall_ms(self) -> int:
         return self._shared.wall_ms()
 
--- /dev/null
+++ b/citronpin/gateway/answers.py
@@ -0,0 +1,88 @@
+"""Final answers of an entry's own, all of them true about what ran."""
+
+import logging
+import random
+from enum import Enum
+
+import msgspec
+
+from citronpin.web.replies import PROBLEM_TYPE, Reply, problem_body
+
+logger = logging.getLogger(__name__)
+
+RETRY_SPREAD = 0.5  # callers that are refused together come back apart
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """An answer; ``outcome`` is ``not-run`` only where nothing ran or will run."""
+
+    status: int
+    kind: str
+    detail: str
+    remedy: str
+    outcome: str = "not-run"
+    retry_after_s: float | None = None
+
+
+class RefusalKind(Enum):
+    """Refusals whose text is always the same."""
+
+    NO_CONFIG = Refusal(
+        status=503,
+        kind="not-ready",
+        detail="The entry has not yet read the configuration.",
+        remedy="Try again after Retry-After.",
+        retry_after_s=0.5,
+    )
+    NO_ROUTE = Refusal(
+        status=404,
+        kind="no-route",
+        detail="No route takes this host and path.",
+        remedy="Check the host and the path.",
+    )
+    NO_CUSTOMER = Refusal(
+        status=401,
+        kind="not-identified",
+        detail="The key belongs to no customer.",
+        remedy="Send a key that is in force.",
+    )
+    LOST = Refusal(
+        status=502,
+        kind="answer-lost",
+        detail="The backend server gave no whole answer; the request may have run.",
+        remedy="Find out whether it took effect before sending it again.",
+        outcome="unknown",
+    )
+    TIMED_OUT = Refusal(
+        status=504,
+        kind="timed-out",
+        detail="No answer came in time; the request may have run.",
+        remedy="Find out whether it took effect before sending it again.",
+        outcome="unknown",
+    )
+
+
+def no_place(*, reason: str, wait_s: float, rng: random.Random) -> Refusal:
+    """Return the refusal of a request for which no instance has a place."""
+    spread = 1.0 + RETRY_SPREAD * rng.random()
+    return Refusal(
+        status=503,
+        kind="no-place",
+        detail=f"The request was not run: {reason}.",
+        remedy="Try again after Retry-After.",
+        retry_after_s=round(wait_s * spread, 2),
+    )
+
+
+def send_refusal(reply: Reply, refusal: Refusal, headers: dict[str, str]) -> None:
+    """Answer with problem details."""
+    body = problem_body(
+        refusal.status,
+        refusal.kind,
+        refusal.detail,
+        refusal.remedy,
+        outcome=refusal.outcome,
+    )
+    if refusal.retry_after_s is not None:
+        headers = headers | {"Retry-After": f"{refusal.retry_after_s:g}"}
+    reply.whole(refusal.status, body, PROBLEM_TYPE, headers)
--- /dev/null
+++ b/citronpin/gateway/exchanges.py
@@ -0,0 +1,308 @@
+"""The way of one request: attempts at instances until there is an answer."""
+
+import logging
+import random
+from abc import abstractmethod
+
+import msgspec
+
+from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
+from citronpin.basics.ids import ApplicationName, CustomerName, InstanceId, ModelName
+from citronpin.gateway.answers import Refusal, RefusalKind, no_place, send_refusal
+from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, Sending
+from citronpin.gateway.budgets import RepeatBudget
+from citronpin.gateway.fleets import Fleet
+from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.placers import Demand, NoPlace, Placer
+from citronpin.gateway.ports import HeaderNames
+from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.routings import Route, RoutingTable
+from citronpin.gateway.suspects import Suspects
+from citronpin.web.clients import HttpClient
+from citronpin.web.replies import HttpRequest, Reply
+
+logger = logging.getLogger(__name__)
+
+HOP_BY_HOP = frozenset(
+    "connection keep-alive proxy-authenticate proxy-authorization proxy-connection te "
+    "trailer transfer-encoding upgrade content-length host expect".split()
+)
+MAX_SENDS = 4  # instances that refuse one request before it is given up
+
+
+class Task(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted request with all that configuration says of it."""
+
+    req: HttpRequest
+    route: Route
+    service: ApplicationName
+    customer: CustomerName | None
+    model: ModelName | None
+    received_s: float
+    deadline_s: float  # clock time at which the caller has left
+    config_version: int
+    priority: int
+
+    @property
+    def end_s(self) -> float:
+        """Return when the request is given up: deadline or the route's time-out."""
+        return min(self.deadline_s, self.received_s + self.route.timeout_s)
+
+
+class Desk:
+    """What all exchanges of an entry share."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        client: HttpClient,
+        names: HeaderNames,
+        fleet: Fleet,
+        placer: Placer,
+        loads: LoadBook,
+        suspects: Suspects,
+        log: RequestLog,
+        rng: random.Random,
+        make_budget,
+    ) -> None:
+        self.clock = clock
+        self.client = client
+        self.names = names
+        self.fleet = fleet
+        self.placer = placer
+        self.loads = loads
+        self.suspects = suspects
+        self.log = log
+        self.rng = rng
+        self.table: RoutingTable | None = None
+        self.entries = 1  # that share the budgets
+        self.open: set["Exchange"] = set()
+        self._make_budget = make_budget
+        self._budgets: dict[ApplicationName, RepeatBudget] = {}
+
+    def budget(self, service: ApplicationName) -> RepeatBudget:
+        """Return the budget of repeats at a service."""
+        if service not in self._budgets:
+            self._budgets[service] = self._make_budget()
+        return self._budgets[service]
+
+
+class Exchange(AttemptOwner):
+    """Base of the exchanges: places, sends, and gives the one final answer."""
+
+    FRESH_CONNECTION_S = 4.0  # a connection idle for longer may be closing
+
+    def __init__(self, *, task: Task, reply: Reply, desk: Desk) -> None:
+        self._task = task
+        self._reply = reply
+        self._desk = desk
+        self._attempts: list[Attempt] = []
+        self._excluded: set[InstanceId] = set()
+        self._timer: TimerHandle | None = None
+        self._done = False
+        self._sending = Sending(
+            method=task.req.method,
+            target=task.req.target,
+            host=task.req.headers.get("host", ""),
+            attempt_id=task.req.headers.get(desk.names.attempt, ""),
+            body=task.req.body,
+        )
+
+    def start(self) -> None:
+        """Send the request, or refuse it at once."""
+        now_s = self._desk.clock.now()
+        self._desk.open.add(self)
+        self._reply.on_gone = self._caller_left
+        self._desk.budget(self._task.service).request(now_s=now_s)
+        self._timer = self._desk.clock.call_later(
+            self._task.end_s - now_s, self._out_of_time
+        )
+        self._send_next()
+
+    @property
+    def runs(self) -> int:
+        """Return how many instances may have run the request."""
+        return sum(a.fault is None or a.fault.ran for a in self._attempts)
+
+    @property
+    def _last(self) -> Attempt | None:
+        return self._attempts[-1] if self._attempts else None
+
+    def _demand(self) -> Demand:
+        return Demand(
+            service=self._task.service,
+            model=self._task.model,
+            excluded=self._excluded,
+            urgent=bool(self._attempts),
+        )
+
+    def _send_next(self) -> bool:
+        """Send to the next instance; without one, answer and return false."""
+        now_s = self._desk.clock.now()
+        found = self._desk.placer.place(demand=self._demand(), now_s=now_s)
+        if isinstance(found, NoPlace):
+            self._no_place(found)
+            return False
+        attempt = Attempt(
+            owner=self,
+            instance=found.instance,
+            load=found.load,
+            names=self._desk.names,
+            client=self._desk.client,
+            clock=self._desk.clock,
+        )
+        self._attempts.append(attempt)
+        self._excluded.add(found.instance.id)
+        self._desk.loads.started(found.instance.id)
+        attempt.send(self._sending, self._headers(attempt), self._max_idle_s())
+        return True
+
+    def _max_idle_s(self) -> float:
+        return self.FRESH_CONNECTION_S
+
+    def _headers(self, attempt: Attempt) -> tuple[tuple[str, str], ...]:
+        names = self._desk.names
+        dropped = {
+            names.key,
+            names.customer,
+            names.deadline_ms,
+            names.expect_instance,
+            names.urgency,
+            *self._own_headers(),
+        }
+        for name in self._task.req.headers.get("connection", "").split(","):
+            dropped.add(name.strip().lower())
+        headers = [
+            (name, value)
+            for name, value in self._task.req.headers.items()
+            if name not in HOP_BY_HOP and name not in dropped
+        ]
+        left_s = self._task.end_s - self._desk.clock.now()
+        headers.append((names.deadline_ms, str(max(int(left_s * MS_PER_S), 1))))
+        headers.append((names.expect_instance, attempt.instance.id))
+        if self._task.customer is not None:
+            headers.append((names.customer, self._task.customer))
+        return (*headers, *self._own_headers().items())
+
+    def _own_headers(self) -> dict[str, str]:
+        """Return headers that replace those of the caller."""
+        return {}
+
+    def _may_repeat(self, fault: Fault, *, midway: bool = False) -> bool:
+        """Return whether another instance may get the request after a fault."""
+        task = self._task
+        if len(self._attempts) >= MAX_SENDS:
+            return False
+        if fault.ran:
+            if not task.route.repeatable or self.runs >= task.route.max_attempts:
+                return False
+        now_s = self._desk.clock.now()
+        if fault is Fault.UNSENT:
+            return True  # no instance has seen it, so it is no repeat
+        return self._desk.budget(task.service).take(
+            entries=self._desk.entries, midway=midway, now_s=now_s
+        )
+
+    def _judge(self, attempt: Attempt, fault: Fault) -> None:
+        """Let later placements know what came of an attempt."""
+        suspects, now_s = self._desk.suspects, self._desk.clock.now()
+        if fault is Fault.UNSENT:
+            suspects.unreachable(attempt.instance.id, now_s=now_s)
+        elif fault is Fault.STALLED:
+            suspects.stalled(attempt.instance.id, now_s=now_s)
+        elif fault is not Fault.NOT_RUN:
+            suspects.failed(attempt.instance.id)
+
+    def attempt_failed(self, attempt: Attempt, fault: Fault) -> None:
+        self._desk.loads.ended(attempt.instance.id)
+        self._judge(attempt, fault)
+        self._after_fault(fault)
+
+    @abstractmethod
+    def _after_fault(self, fault: Fault) -> None:
+        """Go on after the last attempt failed."""
+
+    @abstractmethod
+    def _no_place(self, found: NoPlace) -> None:
+        """Go on when no instance takes the request."""
+
+    def _wait_s(self, found: NoPlace) -> float:
+        """Return when a place is expected."""
+        if not found.candidates:
+            return 0.6
+        return 0.4
+
+    def _refuse_place(self, found: NoPlace) -> None:
+        wait_s = self._wait_s(found)
+        self._answer(no_place(reason=found.reason, wait_s=wait_s, rng=self._desk.rng))
+
+    def _answer(self, refusal: Refusal) -> None:
+        """Give a final answer of the entry's own."""
+        if self._done:
+            return
+        self._close(refusal.kind, refusal.status)
+        send_refusal(self._reply, refusal, self._echo())
+
+    def _echo(self) -> dict[str, str]:
+        return {self._desk.names.attempt: self._sending.attempt_id}
+
+    def _answer_after(self, fault: Fault) -> None:
+        """Answer when a fault cannot be mended by another attempt."""
+        if self.runs:
+            timed_out = fault is Fault.TIMED_OUT
+            kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.LOST
+            self._answer(kind.value)
+            return
+        self._answer(
+            no_place(
+                reason="the instances that were asked did not run it",
+                wait_s=0.4,
+                rng=self._desk.rng,
+            )
+        )
+
+    def _deliver_whole(self, attempt: Attempt, body: bytes) -> None:
+        """Pass an instance's whole answer on unchanged."""
+        self._close("delivered", attempt.status)
+        headers = passed_on(attempt.headers)
+        content_type = headers.pop("content-type", "application/octet-stream")
+        self._reply.whole(attempt.status, body, content_type, headers)
+
+    def _out_of_time(self) -> None:
+        last = self._last
+        if last is not None and not last.over:
+            last.cancel(Fault.TIMED_OUT, "the time of the request is over")
+            self._desk.loads.ended(last.instance.id)
+            self._judge(last, Fault.TIMED_OUT)
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """Answer when the time is over."""
+        self._answer_after(Fault.TIMED_OUT)
+
+    def _caller_left(self) -> None:
+        last = self._last
+        if last is not None and not last.over:
+            last.cancel(Fault.LOST, "the caller left")
+            self._desk.loads.ended(last.instance.id)
+        self._close("caller-left", 0)
+
+    def _close(self, outcome: str, status: int) -> None:
+        self._done = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._desk.open.discard(self)
+        self._desk.log.ended(
+            task=self._task,
+            request=self._sending.attempt_id,
+            outcome=outcome,
+            status=status,
+            attempts=self._attempts,
+            now_s=self._desk.clock.now(),
+        )
+
+
+def passed_on(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers of an answer that concern more than one connection."""
+    return {name: value for name, value in headers.items() if name not in HOP_BY_HOP}
--- /dev/null
+++ b/citronpin/gateway/fabrics.py
@@ -0,0 +1,311 @@
+"""Carries out what is planned for the fabric domains whose leases are held."""
+
+import logging
+
+from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.ids import (
+    ApplicationName,
+    DomainName,
+    GroupId,
+    InstanceId,
+)
+from citronpin.gateway.budgets import SlidingCount
+from citronpin.gateway.fleets import Fleet, Phase
+from citronpin.gateway.formers import (
+    Action,
+    Close,
+    DomainView,
+    Form,
+    Formation,
+    Former,
+    InstanceView,
+    Open,
+    Stage,
+)
+from citronpin.gateway.ports import (
+    DomainLeases,
+    InstanceControl,
+    Order,
+    OrderKind,
+    OrderResult,
+)
+from citronpin.gateway.routings import EngineSpec, RoutingTable
+from citronpin.gateway.watches import MemberWatch
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+EPOCHS_PER_GENERATION = 1 << 20  # epochs of a later holder are always higher
+LOAD_WINDOW_S = 5.0
+BUSY_AFTER_ORDER_S = 2.5  # reports are asked for often while something changes
+STAGE_AGAIN_S = 40.0  # loads that share the store take up to half of it
+
+
+class FabricController:
+    """Forms, repairs and opens the groups of one fabric domain."""
+
+    def __init__(
+        self,
+        *,
+        service: ApplicationName,
+        domain: DomainName,
+        fleet: Fleet,
+        former: Former,
+        control: InstanceControl,
+        leases: DomainLeases,
+        clock: Clock,
+        heartbeat_s: float,
+    ) -> None:
+        self.service = service
+        self.domain = domain
+        self._fleet = fleet
+        self._former = former
+        self._control = control
+        self._leases = leases
+        self._clock = clock
+        self._watch = MemberWatch(
+            control=control, fleet=fleet, clock=clock, heartbeat_s=heartbeat_s
+        )
+        self._formations: dict[GroupId, Formation] = {}
+        self._closes: dict[GroupId, float] = {}
+        self._opens: dict[GroupId, float] = {}
+        self._stages: dict[InstanceId, float] = {}
+        self._loads = SlidingCount(window_s=LOAD_WINDOW_S)
+        self._epoch = 0
+        self._ordered_s = float("-inf")
+        self._held_since_s: float | None = None
+
+    def release(self) -> None:
+        """Forget what was ordered; another entry decides now."""
+        if self._held_since_s is not None:
+            logger.info("lease lost", extra={"domain": self.domain})
+        self._held_since_s = None
+        self._formations.clear()
+        self._closes.clear()
+        self._opens.clear()
+        self._stages.clear()
+
+    def tick(self, *, engine: EngineSpec, domains: int, bulk: bool) -> None:
+        """Look at the domain and order what is to be done."""
+        now_s = self._clock.now()
+        if self._held_since_s is None:
+            self._held_since_s = now_s
+            logger.info(
+                "lease held",
+                extra={"domain": self.domain, "generation": self._leases.generation},
+            )
+        instances = [
+            instance
+            for instance in self._fleet.of_service(self.service)
+            if instance.domain == self.domain
+        ]
+        busy = now_s - self._ordered_s < BUSY_AFTER_ORDER_S
+        self._watch.ask(instances, busy=busy)
+        self._watch.forget_others({instance.id for instance in instances})
+        views = {
+            instance.id: InstanceView(
+                instance=self._watch.overlay(instance), dead=self._watch.dead(instance)
+            )
+            for instance in instances
+        }
+        self._tidy(views, now_s)
+        view = DomainView(
+            engine=engine,
+            instances=views,
+            formations=self._formations,
+            closes=self._closes,
+            opens=self._opens,
+            stages=self._stages,
+            loads_left=self._loads_left(engine, domains, now_s),
+            bulk=bulk,
+        )
+        for action in self._former.plan(view=view, now_s=now_s):
+            self._carry_out(action, views, now_s)
+
+    def _loads_left(self, engine: EngineSpec, domains: int, now_s: float) -> int:
+        """Return how many loads may begin, a domain's part of the common rate."""
+        part = engine.loads_per_s * LOAD_WINDOW_S / max(domains, 1)
+        return max(int(part - self._loads.total(now_s=now_s)), 0)
+
+    def _tidy(self, views: dict[InstanceId, InstanceView], now_s: float) -> None:
+        """Drop notes on groups that are gone or have gone on."""
+        for seen in views.values():
+            place = seen.instance.membership
+            if place is None:
+                continue
+            formation = self._formations.get(place.group)
+            if formation is not None and place.epoch > formation.epoch:
+                del self._formations[place.group]
+            if place.rank == 0 and place.phase in (Phase.READY, Phase.BROKEN):
+                self._closes.pop(place.group, None)
+        for group, formation in list(self._formations.items()):
+            if not any(member in views for member in formation.members):
+                del self._formations[group]
+        for instance, ordered_s in list(self._stages.items()):
+            seen = views.get(instance)
+            over = now_s - ordered_s > STAGE_AGAIN_S
+            if seen is None or seen.dead or seen.instance.staged or over:
+                del self._stages[instance]
+
+    def _next_epoch(self, views: dict[InstanceId, InstanceView]) -> int:
+        seen = [
+            view.instance.membership.epoch
+            for view in views.values()
+            if view.instance.membership is not None
+        ]
+        base = self._leases.generation * EPOCHS_PER_GENERATION
+        self._epoch = max(self._epoch, base, *seen, 0) + 1
+        return self._epoch
+
+    def _carry_out(
+        self, action: Action, views: dict[InstanceId, InstanceView], now_s: float
+    ) -> None:
+        self._ordered_s = now_s
+        match action:
+            case Form():
+                self._form(action, views, now_s)
+            case Open():
+                self._opens[action.group] = now_s
+                order = Order(
+                    kind=OrderKind.OPEN, group=action.group, epoch=action.epoch
+                )
+                self._send(action.head, order, views)
+            case Close():
+                self._closes.setdefault(action.group, now_s)
+                order = Order(
+                    kind=OrderKind.CLOSE,
+                    group=action.group,
+                    epoch=action.epoch,
+                    cancel=action.cancel,
+                )
+                self._send(action.head, order, views, reason=action.reason)
+            case Stage():
+                self._stages[action.instance] = now_s
+                self._loads.add(1.0, now_s=now_s)
+                order = Order(kind=OrderKind.STAGE, model=action.model)
+                self._send(action.instance, order, views)
+
+    def _form(
+        self, action: Form, views: dict[InstanceId, InstanceView], now_s: float
+    ) -> None:
+        epoch = self._next_epoch(views)
+        group = action.group or GroupId(f"{self.domain}.{epoch}")
+        self._loads.add(float(action.loads), now_s=now_s)
+        self._closes.pop(group, None)
+        self._opens.pop(group, None)
+        self._formations[group] = Formation(
+            group=group,
+            epoch=epoch,
+            model=action.model,
+            members=action.members,
+            ordered_s=now_s,
+        )
+        order = Order(
+            kind=OrderKind.JOIN,
+            group=group,
+            epoch=epoch,
+            model=action.model,
+            members=action.members,
+        )
+        for member in action.members:
+            self._send(member, order, views, reason=action.reason)
+
+    def _send(
+        self,
+        to: InstanceId,
+        order: Order,
+        views: dict[InstanceId, InstanceView],
+        reason: str = "",
+    ) -> None:
+        def done(result: OrderResult) -> None:
+            logger.info(
+                "order",
+                extra={
+                    "order": order.kind.value,
+                    "instance": to,
+                    "group": order.group,
+                    "epoch": order.epoch,
+                    "model": order.model,
+                    "members": list(order.members),
+                    "reason": reason,
+                    "result": result.value,
+                },
+            )
+            if order.kind is OrderKind.STAGE and result is not OrderResult.BEGUN:
+                self._stages.pop(to, None)
+
+        self._control.order(to=views[to].instance, order=order, done=done)
+
+
+class Fabrics:
+    """Runs a controller for each fabric domain whose lease is held."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        former: Former,
+        control: InstanceControl,
+        leases: DomainLeases,
+        clock: Clock,
+        heartbeat_s: float,
+    ) -> None:
+        self._fleet = fleet
+        self._former = former
+        self._control = control
+        self._leases = leases
+        self._clock = clock
+        self._heartbeat_s = heartbeat_s
+        self._controllers: dict[tuple[ApplicationName, DomainName], FabricController]
+        self._controllers = {}
+        self._timer: TimerHandle | None = None
+        self.table: RoutingTable | None = None
+        self.traffic_began = False
+
+    def start(self) -> None:
+        """Begin to look at the domains."""
+        self._timer = self._clock.call_later(TICK_S, self._tick)
+
+    def stop(self) -> None:
+        """Decide no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    @property
+    def held(self) -> int:
+        """Return how many domains this entry decides on."""
+        return sum(self._leases.holds(domain) for _, domain in self._controllers)
+
+    def _tick(self) -> None:
+        self._timer = self._clock.call_later(TICK_S, self._tick)
+        if self.table is None or not self._fleet.loaded:
+            return
+        for service in self.table.services.values():
+            if service.engine is not None:
+                self._look_at(service.name, service.engine)
+
+    def _look_at(self, service: ApplicationName, engine: EngineSpec) -> None:
+        instances = list(self._fleet.of_service(service))
+        domains = {instance.domain for instance in instances}
+        for domain in domains:
+            key = (service, domain)
+            if key not in self._controllers:
+                self._controllers[key] = FabricController(
+                    service=service,
+                    domain=domain,
+                    fleet=self._fleet,
+                    former=self._former,
+                    control=self._control,
+                    leases=self._leases,
+                    clock=self._clock,
+                    heartbeat_s=self._heartbeat_s,
+                )
+            controller = self._controllers[key]
+            if not self._leases.holds(domain):
+                controller.release()
+                continue
+            controller.tick(
+                engine=engine,
+                domains=len(domains),
+                bulk=not self.traffic_began,
+            )
--- /dev/null
+++ b/citronpin/gateway/fronts.py
@@ -0,0 +1,98 @@
+"""Takes the requests of callers: route, customer, exchange."""
+
+import logging
+
+from citronpin.basics.clocks import MS_PER_S
+from citronpin.basics.ids import ApplicationName, ModelName
+from citronpin.gateway.answers import Refusal, RefusalKind, send_refusal
+from citronpin.gateway.exchanges import Desk, Task
+from citronpin.gateway.routings import RequestKind, Route, RoutingTable, Tenant
+from citronpin.gateway.stream_exchanges import StreamExchange
+from citronpin.gateway.whole_exchanges import WholeExchange
+from citronpin.web.replies import HttpHandler, HttpRequest, Reply
+
+logger = logging.getLogger(__name__)
+
+
+class Front(HttpHandler):
+    """Finds out what a request is and begins its exchange."""
+
+    def __init__(self, *, desk: Desk) -> None:
+        self._desk = desk
+        self.stopping = False
+
+    def handle(self, req: HttpRequest, reply: Reply) -> None:
+        if self.stopping:
+            reply.close_after()
+        table = self._desk.table
+        if table is None:
+            self._refuse(req, reply, RefusalKind.NO_CONFIG.value)
+            return
+        path = req.target.partition("?")[0]
+        host = req.headers.get("host", "")
+        route = table.match(host=host, path=path) or table.match(
+            host=host.partition(":")[0], path=path
+        )
+        if route is None:
+            self._refuse(req, reply, RefusalKind.NO_ROUTE.value)
+            return
+        customer = None
+        if table.needs_key and not route.public:
+            customer = table.customer(req.headers.get(self._desk.names.key, ""))
+            if customer is None:
+                self._refuse(req, reply, RefusalKind.NO_CUSTOMER.value)
+                return
+        self._begin(req, reply, table, route, customer)
+
+    def _begin(
+        self,
+        req: HttpRequest,
+        reply: Reply,
+        table: RoutingTable,
+        route: Route,
+        customer: Tenant | None,
+    ) -> None:
+        now_s = self._desk.clock.now()
+        service = self._pick(route)
+        spec = table.services.get(service)
+        model = None
+        if spec is not None and spec.engine is not None:
+            model = ModelName(req.headers.get(self._desk.names.model, ""))
+        priority = route.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        task = Task(
+            req=req,
+            route=route,
+            service=service,
+            customer=None if customer is None else customer.name,
+            model=model,
+            received_s=now_s,
+            deadline_s=now_s + self._deadline_s(req, route),
+            config_version=table.version,
+            priority=priority,
+        )
+        stream = route.kind is RequestKind.STREAM
+        kind = StreamExchange if stream else WholeExchange
+        kind(task=task, reply=reply, desk=self._desk).start()
+
+    def _pick(self, route: Route) -> ApplicationName:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        return self._desk.rng.choices(route.targets, weights)[0].service
+
+    def _deadline_s(self, req: HttpRequest, route: Route) -> float:
+        text = req.headers.get(self._desk.names.deadline_ms, "")
+        return int(text) / MS_PER_S if text.isdigit() else route.timeout_s
+
+    def _refuse(self, req: HttpRequest, reply: Reply, refusal: Refusal) -> None:
+        attempt = req.headers.get(self._desk.names.attempt, "")
+        version = self._desk.table.version if self._desk.table else 0
+        self._desk.log.refused(
+            request=attempt,
+            reason=refusal.kind,
+            status=refusal.status,
+            config=version,
+        )
+        send_refusal(reply, refusal, {self._desk.names.attempt: attempt})
--- /dev/null
+++ b/citronpin/gateway/loadbooks.py
@@ -0,0 +1,69 @@
+"""What entries know of the requests in progress at instances, and of suspects."""
+
+import logging
+from collections import Counter
+
+import msgspec
+
+from citronpin.basics.ids import EntryId, InstanceId
+
+logger = logging.getLogger(__name__)
+
+PEER_NEWS_S = 1.5  # age at which the figures of a silent entry are dropped
+
+
+class PeerLoad(msgspec.Struct):
+    """The latest figures of another entry."""
+
+    heard_s: float
+    loads: dict[InstanceId, int]
+
+
+class LoadBook:
+    """Counts own requests by instance and adds what other entries reported."""
+
+    def __init__(self) -> None:
+        self._own: Counter[InstanceId] = Counter()
+        self._peers: dict[EntryId, PeerLoad] = {}
+        self._others: Counter[InstanceId] = Counter()
+
+    def started(self, instance: InstanceId) -> None:
+        """Count a request that was sent."""
+        self._own[instance] += 1
+
+    def ended(self, instance: InstanceId) -> None:
+        """Count the end of a request."""
+        self._own[instance] -= 1
+        if self._own[instance] <= 0:
+            del self._own[instance]
+
+    def own(self) -> dict[InstanceId, int]:
+        """Return the own requests in progress by instance."""
+        return dict(self._own)
+
+    def load(self, instance: InstanceId) -> int:
+        """Return the requests in progress of all entries, as far as known."""
+        return self._own[instance] + self._others[instance]
+
+    def heard(
+        self, *, entry: EntryId, loads: dict[InstanceId, int], now_s: float
+    ) -> None:
+        """Take the figures of another entry."""
+        self._peers[entry] = PeerLoad(now_s, loads)
+        self._sum(now_s)
+
+    def expire(self, *, now_s: float) -> None:
+        """Drop the figures of entries that fell silent."""
+        self._sum(now_s)
+
+    def _sum(self, now_s: float) -> None:
+        for entry, news in list(self._peers.items()):
+            if now_s - news.heard_s > PEER_NEWS_S:
+                del self._peers[entry]
+        self._others = Counter()
+        for news in self._peers.values():
+            self._others.update(news.loads)
+
+    def peers(self) -> int:
+        """Return how many other entries report."""
+        return len(self._peers)
--- /dev/null
+++ b/citronpin/gateway/placers.py
@@ -0,0 +1,136 @@
+"""Placement: which instance gets a request, or why none does."""
+
+import logging
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Sequence
+
+import msgspec
+
+from citronpin.basics.ids import (
+    ApplicationName,
+    FailureDomainName,
+    InstanceId,
+    ModelName,
+)
+from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.suspects import Suspects
+
+logger = logging.getLogger(__name__)
+
+REMOTE_COST = 0.35  # requests; a place nearby is taken first among equals
+
+
+class Demand(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that looks for an instance."""
+
+    service: ApplicationName
+    model: ModelName | None = None
+    excluded: Collection[InstanceId] = ()
+    urgent: bool = False  # may take a place in the queue of a full instance
+
+
+class Placement(msgspec.Struct, frozen=True, kw_only=True):
+    """The instance that was chosen, and what decided it."""
+
+    instance: FleetInstance
+    load: int
+    candidates: int
+
+
+class NoPlace(msgspec.Struct, frozen=True, kw_only=True):
+    """No instance takes the request now."""
+
+    reason: str
+    candidates: int
+    load: int = 0
+
+
+class Placer(ABC):
+    """Chooses instances for the requests of one entry."""
+
+    @abstractmethod
+    def place(self, *, demand: Demand, now_s: float) -> Placement | NoPlace:
+        """Choose an instance."""
+
+
+class LeastLoaded(Placer):
+    """Chooses the least loaded instance, with loads as all entries report them.
+
+    Entries learn of each other's requests with a delay. Ties and near ties are
+    therefore drawn at random: entries that see the same figures must not all send
+    to the same place.
+    """
+
+    NEAR = 0.6  # requests; differences below it count as a tie
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        loads: LoadBook,
+        suspects: Suspects,
+        failure_domain: FailureDomainName,
+        rng: random.Random,
+        queue: int,
+    ) -> None:
+        self._fleet = fleet
+        self._loads = loads
+        self._suspects = suspects
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._queue = queue
+
+    def place(self, *, demand: Demand, now_s: float) -> Placement | NoPlace:
+        usable = self._candidates(demand)
+        if not usable:
+            return NoPlace(reason="no instance serves this", candidates=0)
+        sound = [
+            instance
+            for instance in usable
+            if not self._suspects.avoided(instance.id, now_s=now_s)
+        ]
+        chosen = self._least(sound or usable)
+        load = self._loads.load(chosen.id)
+        room = chosen.slots + (2 * self._queue if demand.urgent else self._queue)
+        if load >= room:
+            return NoPlace(
+                reason="all instances are full", candidates=len(usable), load=load
+            )
+        return Placement(instance=chosen, load=load, candidates=len(usable))
+
+    def _candidates(self, demand: Demand) -> list[FleetInstance]:
+        return [
+            instance
+            for instance in self._fleet.of_service(demand.service)
+            if not instance.draining
+            and instance.id not in demand.excluded
+            and not self._fleet.is_missing(instance.id)
+            and serves(instance, demand.model)
+        ]
+
+    def _least(self, instances: Sequence[FleetInstance]) -> FleetInstance:
+        costs = [self._cost(instance) for instance in instances]
+        least = min(costs)
+        near = [
+            instance
+            for instance, cost in zip(instances, costs)
+            if cost <= least + self.NEAR
+        ]
+        return self._rng.choice(near)
+
+    def _cost(self, instance: FleetInstance) -> float:
+        remote = instance.failure_domain != self._failure_domain
+        return (
+            self._loads.load(instance.id)
+            + self._suspects.penalty(instance.id)
+            + (REMOTE_COST if remote else 0.0)
+        )
+
+
+def serves(instance: FleetInstance, model: ModelName | None) -> bool:
+    """Return whether an instance takes requests for a model, or any without one."""
+    if model is None:
+        return True
+    return instance.serving_head and model in instance.models
--- /dev/null
+++ b/citronpin/gateway/request_logs.py
@@ -0,0 +1,66 @@
+"""One log line for each request, and the figures drawn from it."""
+
+import logging
+from collections.abc import Sequence
+
+from citronpin.basics.clocks import MS_PER_S
+from citronpin.basics.metrics import Metrics
+from citronpin.gateway.attempts import Attempt
+
+logger = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Writes what decided each request; the volume is bounded by the log's queue."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def ended(
+        self,
+        *,
+        task,
+        request: str,
+        outcome: str,
+        status: int,
+        attempts: Sequence[Attempt],
+        now_s: float,
+    ) -> None:
+        """Write the line of a request that has its final answer."""
+        customer = str(task.customer or "")
+        self._metrics.requests.labels(
+            customer, task.route.name, outcome, task.route.kind.value
+        ).inc()
+        duration_s = now_s - task.received_s
+        self._metrics.latencies.record("request", "", task.route.name, duration_s)
+        first = next((a.first_s for a in attempts if a.first_s is not None), None)
+        if first is not None:
+            first_s = first - task.received_s
+            self._metrics.latencies.record("first_token", "", task.route.name, first_s)
+        logger.info(
+            "request",
+            extra={
+                "request": request,
+                "route": task.route.name,
+                "customer": customer,
+                "config": task.config_version,
+                "outcome": outcome,
+                "status": status,
+                "ms": round(duration_s * MS_PER_S),
+                "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
+                "attempts": [attempt.summary() for attempt in attempts],
+            },
+        )
+
+    def refused(self, *, request: str, reason: str, status: int, config: int) -> None:
+        """Write the line of a request that matched no route or customer."""
+        self._metrics.requests.labels("", "", reason, "").inc()
+        logger.info(
+            "request",
+            extra={
+                "request": request,
+                "outcome": reason,
+                "status": status,
+                "config": config,
+            },
+        )
--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -12,8 +12,11 @@
     "commands_config",
     "commands_demo",
     "commands_entries",
+    "commands_gateway",
     "commands_standins",
 )
+# Imported alone, since the imports of all commands would double the time of a start.
+LEAN_COMMANDS = {"gateway": "commands_gateway"}
 
 
 def main(argv: list[str]) -> int:
@@ -23,7 +26,8 @@
 
 def parse(argv: list[str]) -> list[str]:
     """Register all commands and parse the flags of the one that is named."""
-    for module in COMMAND_MODULES:
+    lean = LEAN_COMMANDS.get(argv[1]) if len(argv) > 1 else None
+    for module in (lean,) if lean else COMMAND_MODULES:
         importlib.import_module(f"citronpin.commands.{module}")
     return commands.parse(argv)
 
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -9,6 +9,7 @@
     EntryId,
     Fence,
     GroupId,
+    InstanceId,
     Offset,
     ShardNumber,
     StreamName,
@@ -181,6 +182,14 @@
     tokens: tuple[CustomerRate, ...] = ()
 
 
+class LoadNews(Message, tag=18):
+    """What the sender has in progress, and which instances it suspects."""
+
+    loads: dict[InstanceId, int] = {}
+    suspects: tuple[InstanceId, ...] = ()
+    traffic: bool = False  # whether it has ever taken a request
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -198,4 +207,5 @@
     | CallFinish
     | CallFinished
     | Demand
+    | LoadNews
 )
--- /dev/null
+++ b/citronpin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its words, decides nothing."""
--- /dev/null
+++ b/citronpin/platform/decoders.py
@@ -0,0 +1,324 @@
+"""Decodes the configuration and the entries and reports of instances.
+
+Each ``Wire`` type has the fields of the platform's pages; a comment says what a
+field holds where its name does not.
+"""
+
+import logging
+
+import msgspec
+from result import Err, Ok, Result
+
+from citronpin.basics.clocks import MS_PER_S
+from citronpin.basics.errors import CitronpinError
+from citronpin.basics.ids import (
+    ApplicationName,
+    CustomerName,
+    DomainName,
+    FailureDomainName,
+    GroupId,
+    InstanceId,
+    ModelName,
+)
+from citronpin.gateway.fleets import FleetInstance, Membership, Phase
+from citronpin.gateway.ports import Report
+from citronpin.gateway.routings import (
+    CallerLimits,
+    EngineSpec,
+    GatewayConfig,
+    ModelSpec,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    Target,
+    Tenant,
+)
+
+logger = logging.getLogger(__name__)
+
+PER_THOUSAND = 1_000.0
+PER_MILLION = 1_000_000.0
+STATES = ("ready", "draining")
+
+
+class Unreadable(CitronpinError):
+    """A record of the platform that does not have the documented form."""
+
+    kind = "unreadable-record"
+    remedy = "The record is left out; find out who writes it."
+
+
+class _Wire(msgspec.Struct, kw_only=True, rename="kebab"):
+    """Base of what is read; unknown fields are ignored."""
+
+
+class WireBackend(_Wire, kw_only=True):
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(_Wire, kw_only=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None  # given in place of ``backends`` when there is one
+    backends: tuple[WireBackend, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class WireModel(_Wire, kw_only=True):
+    name: str
+    size: int = 1
+    share: float = 1.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class WireUsual(_Wire, kw_only=True):
+    """Mean counts of tokens."""
+
+    prompt: float = 1.0
+    answer: float = 1.0
+
+
+class WireEngine(msgspec.Struct, kw_only=True):
+    """Times are in ms unless the name says otherwise; names mix two spellings."""
+
+    slots: int
+    models: tuple[WireModel, ...] = ()
+    kv_capacity_tokens: int = msgspec.field(name="kv-capacity-tokens", default=0)
+    stride: int = 1
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0  # added to a step for each request that writes
+    context_per_k: float = 0.0  # added for 1,000 tokens of context of each of them
+    read_per_s: float = 0.0  # tokens
+    pairs_per_m: float = 0.0  # for a million pairs of a token and an earlier one
+    chunk: int = 0  # tokens
+    loads_per_s: float = msgspec.field(name="loads-per-s", default=1.0)
+    loads_at_once: int = 1
+    form_ms: float = msgspec.field(name="form-ms", default=0.0)
+    usual: WireUsual = msgspec.field(default_factory=WireUsual)
+
+
+class WireService(_Wire, kw_only=True):
+    name: str
+    max_connections: int = 0
+    engine: WireEngine | None = None
+
+
+class WireTenant(_Wire, kw_only=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class WireLimits(_Wire, kw_only=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class WireConfig(_Wire, kw_only=True):
+    version: int
+    routes: tuple[WireRoute, ...]
+    services: tuple[WireService, ...]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: tuple[WireTenant, ...] = ()
+
+
+class WireGroup(_Wire, kw_only=True):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class WireLoaded(_Wire, kw_only=True):
+    name: str
+
+
+class WireReport(_Wire, kw_only=True):
+    models: tuple[WireLoaded, ...] = ()
+    staged: tuple[str | WireLoaded, ...] = ()
+    group: WireGroup | None = None
+    born: int = 0  # Unix ms of the start
+    running: int = 0
+    waiting: int = 0
+    pace: float = 1.0
+
+
+class WireServer(WireReport, kw_only=True):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    domain: str | int | None = None
+
+
+_CONFIG = msgspec.json.Decoder(WireConfig)
+_SERVER = msgspec.json.Decoder(WireServer)
+_REPORT = msgspec.json.Decoder(WireReport)
+
+
+def decode_config(data: bytes) -> Result[GatewayConfig, Unreadable]:
+    """Decode a whole configuration."""
+    try:
+        wire = _CONFIG.decode(data)
+        return Ok(
+            GatewayConfig(
+                version=wire.version,
+                routes=tuple(_route(route) for route in wire.routes),
+                services=tuple(_service(service) for service in wire.services),
+                tenants=tuple(
+                    Tenant(
+                        name=CustomerName(tenant.name),
+                        keys=tenant.api_keys,
+                        priority=tenant.priority,
+                    )
+                    for tenant in wire.tenants
+                ),
+                limits=CallerLimits(
+                    header_bytes=wire.limits.max_header_bytes,
+                    body_bytes=wire.limits.max_body_bytes,
+                    header_timeout_s=wire.limits.header_timeout_ms / MS_PER_S,
+                    idle_timeout_s=wire.limits.idle_timeout_ms / MS_PER_S,
+                ),
+            )
+        )
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        return Err(Unreadable(f"A configuration cannot be read: {exc}."))
+
+
+def _route(wire: WireRoute) -> Route:
+    targets = tuple(
+        Target(service=ApplicationName(backend.service), weight=backend.weight)
+        for backend in wire.backends
+    )
+    if wire.service is not None:
+        targets = (Target(service=ApplicationName(wire.service)),)
+    if not targets:
+        raise ValueError(f"route {wire.name} leads nowhere")
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        kind=RequestKind(wire.kind),
+        targets=targets,
+        timeout_s=wire.timeout_ms / MS_PER_S,
+        objective_s=wire.target_latency_ms / MS_PER_S,
+        max_attempts=max(wire.max_attempts, 1),
+        priority=wire.priority,
+        public=wire.public,
+        resumable=wire.resumable,
+        gap_objective_s=wire.gap_aim_ms / MS_PER_S,
+    )
+
+
+def _service(wire: WireService) -> ServiceSpec:
+    engine = wire.engine
+    return ServiceSpec(
+        name=ApplicationName(wire.name),
+        max_connections=wire.max_connections,
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(wire: WireEngine) -> EngineSpec:
+    return EngineSpec(
+        models=tuple(
+            ModelSpec(
+                name=ModelName(model.name),
+                size=model.size,
+                pace=model.pace,
+                share=model.share,
+                load_s=model.load_s,
+                warm_s=model.warm_s,
+            )
+            for model in wire.models
+        ),
+        slots=wire.slots,
+        memory_tokens=wire.kv_capacity_tokens,
+        step_s=wire.step_ms / MS_PER_S,
+        step_per_writer_s=wire.per_seq_ms / MS_PER_S,
+        step_per_context_token_s=wire.context_per_k / MS_PER_S / PER_THOUSAND,
+        read_tokens_per_s=wire.read_per_s,
+        pair_s=wire.pairs_per_m / MS_PER_S / PER_MILLION,
+        chunk_tokens=wire.chunk,
+        stride=wire.stride,
+        loads_per_s=wire.loads_per_s,
+        loads_at_once=wire.loads_at_once,
+        form_s=wire.form_ms / MS_PER_S,
+        mean_prompt_tokens=wire.usual.prompt,
+        mean_answer_tokens=wire.usual.answer,
+    )
+
+
+def decode_instance(name: str, data: bytes) -> Result[FleetInstance, Unreadable]:
+    """Decode the entry of an instance, whose id is the key of the record."""
+    try:
+        wire = _SERVER.decode(data)
+        if wire.state not in STATES:
+            raise ValueError(f"state {wire.state!r} is unknown")
+        return Ok(
+            FleetInstance(
+                id=InstanceId(name),
+                service=ApplicationName(wire.service),
+                address=wire.address,
+                failure_domain=FailureDomainName(wire.zone),
+                slots=wire.slots,
+                draining=wire.state == "draining",
+                domain=DomainName("" if wire.domain is None else str(wire.domain)),
+                models=_names(wire.models),
+                staged=_names(wire.staged),
+                membership=_membership(wire.group),
+                born_ms=wire.born,
+            )
+        )
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        return Err(Unreadable(f"The entry of {name!r} cannot be read: {exc}."))
+
+
+def decode_report(data: bytes) -> Result[Report, Unreadable]:
+    """Decode what an instance says of itself."""
+    try:
+        wire = _REPORT.decode(data)
+        return Ok(
+            Report(
+                membership=_membership(wire.group),
+                born_ms=wire.born,
+                models=_names(wire.models),
+                staged=_names(wire.staged),
+                running=wire.running,
+                waiting=wire.waiting,
+                pace=wire.pace,
+            )
+        )
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        return Err(Unreadable(f"A report cannot be read: {exc}."))
+
+
+def _names(models: tuple) -> tuple[ModelName, ...]:
+    return tuple(
+        ModelName(model if isinstance(model, str) else model.name) for model in models
+    )
+
+
+def _membership(wire: WireGroup | None) -> Membership | None:
+    if wire is None:
+        return None
+    return Membership(
+        group=GroupId(wire.name),
+        epoch=wire.epoch,
+        rank=wire.rank,
+        phase=Phase(wire.state),
+    )
--- /dev/null
+++ b/citronpin/platform/leases.py
@@ -0,0 +1,103 @@
+"""Leases on fabric domains, dealt by the store as the partitions of a topic."""
+
+import logging
+import zlib
+
+from result import Result
+
+from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
+from citronpin.basics.ids import DomainName
+from citronpin.gateway.ports import DomainLeases
+from citronpin.platform.stores import LogStore, Share
+
+logger = logging.getLogger(__name__)
+
+GROUP = "citronpin.control"
+TOPIC = "citronpin.control"
+TTL_S = 1.6  # a killed holder is followed within it
+RENEW_S = 0.4
+MARGIN_S = 0.3  # a holder stops this long before the store may deal anew
+
+
+class PartitionLeases(DomainLeases):
+    """Holds the domains whose partition the store has dealt to this process.
+
+    The store gives a partition to another member only after this one has joined
+    without it, has left, or has sent nothing for the time to live. So the lease
+    counts from the moment at which the last answered join was *sent*, on a clock
+    that goes on while the machine is suspended.
+    """
+
+    def __init__(
+        self, *, store: LogStore, clock: Clock, member: str, parts: int, ttl_min_ms: int
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._member = member
+        self._parts = parts
+        self._ttl_s = max(TTL_S, ttl_min_ms / MS_PER_S)
+        self._held: frozenset[int] = frozenset()
+        self._generation = 0
+        self._until_s = float("-inf")
+        self._timer: TimerHandle | None = None
+        self._left = False
+
+    def start(self) -> None:
+        """Join, and stay joined."""
+        self._join()
+
+    def stop(self) -> None:
+        """Give the leases back, so that others need not wait."""
+        self._left = True
+        self._until_s = float("-inf")
+        if self._timer is not None:
+            self._timer.cancel()
+        self._store.leave(group=GROUP, member=self._member, done=self._on_left)
+
+    def holds(self, domain: DomainName) -> bool:
+        part = zlib.crc32(domain.encode()) % self._parts
+        return part in self._held and self._clock.elapsed() < self._until_s
+
+    @property
+    def generation(self) -> int:
+        return self._generation
+
+    def _join(self) -> None:
+        self._timer = self._clock.call_later(RENEW_S, self._join)
+        sent_s = self._clock.elapsed()
+
+        def joined(result: Result) -> None:
+            if self._left:
+                return
+            if result.is_err():
+                logger.info(
+                    "lease not renewed", extra={"detail": str(result.err_value)}
+                )
+                return
+            share: Share = result.ok_value
+            if share.generation < self._generation:
+                return  # an answer that a later one overtook
+            if share.parts != self._held:
+                logger.info(
+                    "leases dealt",
+                    extra={
+                        "generation": share.generation,
+                        "parts": sorted(share.parts),
+                    },
+                )
+            self._generation = share.generation
+            self._held = share.parts
+            self._until_s = max(self._until_s, sent_s + self._ttl_s - MARGIN_S)
+
+        self._store.join(
+            group=GROUP,
+            member=self._member,
+            topic=TOPIC,
+            ttl_ms=int(self._ttl_s * MS_PER_S),
+            generation=self._generation,
+            done=joined,
+        )
+
+    def _on_left(self, result: Result) -> None:
+        if result.is_err():
+            logger.info("leases lapse", extra={"detail": str(result.err_value)})
--- /dev/null
+++ b/citronpin/platform/names.py
@@ -0,0 +1,17 @@
+"""Names of headers on the wire."""
+
+from citronpin.gateway.ports import HeaderNames
+
+HEADERS = HeaderNames(
+    attempt="x-citronpin-attempt-id",
+    deadline_ms="x-citronpin-deadline-ms",
+    key="x-citronpin-key",
+    customer="x-citronpin-tenant",
+    expect_instance="x-citronpin-expect-instance",
+    not_run="x-citronpin-not-executed",
+    digest="x-citronpin-response-signature",
+    model="x-citronpin-model",
+    token_usage="x-citronpin-token-usage",
+    urgency="x-citronpin-request-urgency",
+    last_event="last-event-id",
+)
--- /dev/null
+++ b/citronpin/platform/orders.py
@@ -0,0 +1,100 @@
+"""Orders to instances and their reports."""
+
+import logging
+
+import msgspec
+
+from citronpin.basics.errors import CitronpinError
+from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.ports import (
+    InstanceControl,
+    Order,
+    OrderDone,
+    OrderKind,
+    OrderResult,
+    ReportDone,
+)
+from citronpin.platform.decoders import Unreadable, decode_report
+from citronpin.platform.names import HEADERS
+from citronpin.web.clients import HttpClient, WholeSink
+
+logger = logging.getLogger(__name__)
+
+ORDER_PATH = "/v1/order"
+REPORT_PATH = "/v1/report"
+ORDER_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 0.35  # twice the longest way of a resent packet
+CONNECT_TIMEOUT_S = 0.35
+OK = 200
+
+RESULTS = {
+    200: OrderResult.HOLDS,
+    202: OrderResult.BEGUN,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.OUTDATED,
+    421: OrderResult.OTHER,
+}
+
+
+class WireControl(InstanceControl):
+    """Sends orders and asks for reports over HTTP."""
+
+    def __init__(self, *, client: HttpClient) -> None:
+        self._client = client
+
+    def order(self, *, to: FleetInstance, order: Order, done: OrderDone) -> None:
+        def answered(answer, error: CitronpinError | None) -> None:
+            if error is not None:
+                logger.info("order unanswered", extra={"detail": error.detail})
+                done(OrderResult.UNKNOWN)
+                return
+            done(RESULTS.get(answer[0], OrderResult.UNKNOWN))
+
+        self._client.request(
+            address=to.address,
+            method="POST",
+            target=ORDER_PATH,
+            sink=WholeSink(done=answered),
+            headers=(
+                ("Content-Type", "application/json"),
+                (HEADERS.expect_instance, to.id),
+            ),
+            body=msgspec.json.encode(_body(order)),
+            timeout_s=ORDER_TIMEOUT_S,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+
+    def report(self, *, of: FleetInstance, done: ReportDone) -> None:
+        def answered(answer, error: CitronpinError | None) -> None:
+            if error is None and answer[0] != OK:
+                error = Unreadable(f"A report was answered {answer[0]}.")
+            if error is not None:
+                done(None, error)
+                return
+            result = decode_report(answer[2])
+            if result.is_err():
+                done(None, result.err_value)
+            else:
+                done(result.ok_value, None)
+
+        self._client.request(
+            address=of.address,
+            method="GET",
+            target=REPORT_PATH,
+            sink=WholeSink(done=answered),
+            headers=((HEADERS.expect_instance, of.id),),
+            timeout_s=REPORT_TIMEOUT_S,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+
+
+def _body(order: Order) -> dict:
+    body: dict = {"op": order.kind.value}
+    if order.kind is OrderKind.STAGE:
+        return body | {"model": order.model}
+    body |= {"group": order.group, "epoch": order.epoch}
+    if order.kind is OrderKind.JOIN:
+        body |= {"model": order.model, "members": list(order.members)}
+    if order.kind is OrderKind.CLOSE:
+        body |= {"mode": "cancel" if order.cancel else "queue"}
+    return body
--- /dev/null
+++ b/citronpin/platform/processes.py
@@ -0,0 +1,87 @@
+"""The settings file that the platform gives to each process."""
+
+import json
+import logging
+import os
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+from citronpin.basics.clocks import MS_PER_S
+from citronpin.basics.errors import SettingsError
+from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.gateway.nodes import NodeSettings
+
+logger = logging.getLogger(__name__)
+
+PATH_VARIABLE = "CITRONPIN_SETTINGS"
+DEFAULT_PATH = "/etc/citronpin/settings.json"
+
+
+class WireListen(msgspec.Struct, kw_only=True):
+    """Addresses that the process listens on, each ``IP:PORT``."""
+
+    front: str  # for callers
+    ready: str  # for the balancer's question
+
+
+class WireBounds(msgspec.Struct, kw_only=True, rename="kebab"):
+    """Bounds that hold on this deployment, in the unit that the name ends with."""
+
+    grace_s: float = 8.0  # from SIGTERM to SIGKILL
+    retry_budget_ratio: float = 0.2
+    retry_budget_slack: float = 100.0
+    budget_window_s: float = 10.0
+
+
+class WireStore(msgspec.Struct, kw_only=True, rename="kebab"):
+    """The platform's store."""
+
+    address: str
+    parts: int = 24  # partitions of a topic
+    ttl_min_ms: int = 1_000  # of a member of a group of readers
+
+
+class WireSettings(msgspec.Struct, kw_only=True, rename="kebab"):
+    """The fields of the file that are used; others are ignored."""
+
+    node: str  # name of the machine
+    ip: str
+    zone: str  # failure domain
+    listen: WireListen
+    internal_ports: tuple[int, int]  # first and last
+    platform: WireStore
+    heartbeat_ms: int = 1_200  # of the instances' entries
+    bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+
+
+def settings_path() -> Path:
+    """Return where the file lies."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_process_settings(path: Path) -> Result[WireSettings, SettingsError]:
+    """Read the platform's file."""
+    try:
+        return Ok(msgspec.json.decode(path.read_bytes(), type=WireSettings))
+    except (OSError, msgspec.MsgspecError, json.JSONDecodeError) as exc:
+        return Err(SettingsError(f"{path}: {exc}.", remedy="Correct the file."))
+
+
+def node_settings(wire: WireSettings, metrics_port: int) -> NodeSettings:
+    """Return the settings of the product's node."""
+    first = wire.internal_ports[0]
+    return NodeSettings(
+        name=EntryId(wire.node),
+        failure_domain=FailureDomainName(wire.zone),
+        front=wire.listen.front,
+        ready=wire.listen.ready,
+        peers=f"{wire.ip}:{first}",
+        metrics=f"{wire.ip}:{metrics_port}",
+        heartbeat_s=wire.heartbeat_ms / MS_PER_S,
+        grace_s=wire.bounds.grace_s,
+        repeat_ratio=wire.bounds.retry_budget_ratio,
+        repeat_slack=wire.bounds.retry_budget_slack,
+        repeat_window_s=wire.bounds.budget_window_s,
+    )
--- a/citronpin/tests/test_events.py
+++ b/citronpin/tests/test_events.py
@@ -14,9 +14,10 @@
     output = io.StringIO()
     monkeypatch.setattr("sys.stderr", output)
     try:
-        set_up_logging("INFO", "entry-1")
+        listener = set_up_logging("INFO", "entry-1")
         recorder = Recorder(process="entry-1", clock=paused_clock)
         recorder.note(EventKind.LEASE, "claimed", stream="control.a", offset=4)
+        listener.stop()
     finally:
         root.handlers[:], root.level = before
     line = json.loads(output.getvalue())
--- a/citronpin/tests/test_layout.py
+++ b/citronpin/tests/test_layout.py
@@ -18,6 +18,8 @@
     "control",
     "callers",
     "wiring",
+    "gateway",
+    "platform",
     "standins",
     "benches",
     "demos",
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -245,9 +245,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         try:
             code = sock.connect_ex((host, int(port)))
         except (OSError, ValueError) as exc:
--- a/citronpin/web/http_conns.py
+++ b/citronpin/web/http_conns.py
@@ -146,6 +146,10 @@
             if conn.res is None and not conn.waiting:
                 self.fire(close(sock))
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Take other limits, for connections and requests that come from now on."""
+        self._limits = limits
+
     def stop_sweeping(self) -> None:
         """Stop the timer that ends slow connections."""
         self._sweep_timer.cancel()
