--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -255,6 +255,14 @@
             if isinstance(exchange, StreamExchange):
                 exchange.check(now_s)
 
+    def run_until_stopped(self) -> None:
+        """Run the loop in the main thread, which alone is given signals.
+
+        circuits takes over the signals to end; a hangup would end the process too.
+        """
+        signal.signal(signal.SIGHUP, self._signal_handler)
+        self.run()
+
     @handler("signal", channel="*")
     def _on_signal(self, event, number, frame) -> None:
         if number in (signal.SIGTERM, signal.SIGINT):
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -7,7 +7,6 @@
 from citronpin.basics.clocks import Clock, SystemClock
 from citronpin.basics.ids import EntryId, new_id
 from citronpin.basics.loggings import set_up_logging
-from citronpin.basics.runners import run_to_end
 from citronpin.gateway.nodes import Adapter, GatewayNode
 from citronpin.platform.directories import StoreDirectory
 from citronpin.platform.feeds import ConfigFeed, FleetFeed
@@ -141,6 +140,6 @@
         client=client,
         adapter=adapter,
     )
-    run_to_end(node, clock)
+    node.run_until_stopped()
     listener.stop()
     return 0
--- /dev/null
+++ b/citronpin/tests/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in of the users' platform, in memory and on the paused clock."""
--- /dev/null
+++ b/citronpin/tests/test_gateway_signals.py
@@ -0,0 +1,73 @@
+"""A gateway process follows signals: it reloads, or finishes its work and stops."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+LINES_READ = 200
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@pytest.fixture
+def gateway(tmp_path):
+    """Run a gateway process whose store cannot be reached."""
+    ports = [free_port() for _ in range(5)]
+    settings = {
+        "node": "front-1",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "listen": {
+            "front": f"127.0.0.1:{ports[0]}",
+            "ready": f"127.0.0.1:{ports[1]}",
+        },
+        "internal-ports": [ports[2], ports[2]],
+        "platform": {"address": f"127.0.0.1:{ports[3]}"},
+        "bounds": {"grace-s": 4.0},
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "citronpin", "gateway", f"--metrics_port={ports[4]}"],
+        env=os.environ | {"CITRONPIN_SETTINGS": str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    yield process
+    process.kill()
+    process.wait()
+    process.stdout.close()
+
+
+def read_until(process, message):
+    """Return the log line with a message."""
+    for _ in range(LINES_READ):
+        line = json.loads(process.stdout.readline())
+        if line["message"] == message:
+            return line
+    raise AssertionError(f"no line {message!r}")
+
+
+def test_a_term_signal_ends_the_process_in_order(gateway):
+    read_until(gateway, "start")
+    gateway.send_signal(signal.SIGTERM)
+    read_until(gateway, "stop")
+    assert read_until(gateway, "stopped")["in_progress"] == 0
+    assert gateway.wait(timeout=30) == 0
+
+
+def test_a_hangup_signal_reloads_and_ends_nothing(gateway):
+    read_until(gateway, "start")
+    gateway.send_signal(signal.SIGHUP)
+    read_until(gateway, "reload")
+    assert read_until(gateway, "settings read")["same"] is True
+    assert gateway.poll() is None
