Test the gateway and its adapter against a stand-in of the platform

It found loads over the common rate after a lease changed hands: a new holder did not know the loads of the one before; it now counts them as begun.

--- a/citronpin/gateway/budgets.py
+++ b/citronpin/gateway/budgets.py
@@ -10,7 +10,10 @@
 
 
 class SlidingCount:
-    """Counts what happened within a window that slides in steps of ``BUCKET_S``."""
+    """Counts what happened within a window that slides in steps of ``BUCKET_S``.
+
+    What happened stays counted up to a step longer than the window, never shorter.
+    """
 
     def __init__(self, *, window_s: float) -> None:
         self._window_s = window_s
@@ -26,7 +29,8 @@
 
     def total(self, *, now_s: float) -> float:
         """Return the sum over the window."""
-        while self._buckets and now_s - self._buckets[0][0] > self._window_s:
+        kept_s = self._window_s + BUCKET_S
+        while self._buckets and now_s - self._buckets[0][0] > kept_s:
             self._total -= self._buckets.popleft()[1]
         return self._total
 
@@ -45,9 +49,9 @@
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
         self._slack = slack
-        self._requests = SlidingCount(window_s=window_s)
-        # Repeats are counted somewhat longer, as windows of entries are not aligned.
-        self._repeats = SlidingCount(window_s=window_s + BUCKET_S)
+        # Requests are counted for less, as they may not be counted for longer.
+        self._requests = SlidingCount(window_s=window_s - BUCKET_S)
+        self._repeats = SlidingCount(window_s=window_s)
 
     def request(self, *, now_s: float) -> None:
         """Count a request of a caller."""
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -94,6 +94,8 @@
                 "lease held",
                 extra={"domain": self.domain, "generation": self._leases.generation},
             )
+            # The holder before may have begun as many loads as it was allowed.
+            self._loads.add(_load_part(engine, domains), now_s=now_s)
         instances = [
             instance
             for instance in self._fleet.of_service(self.service)
@@ -124,7 +126,7 @@
 
     def _loads_left(self, engine: EngineSpec, domains: int, now_s: float) -> int:
         """Return how many loads may begin, a domain's part of the common rate."""
-        part = engine.loads_per_s * LOAD_WINDOW_S / max(domains, 1)
+        part = _load_part(engine, domains)
         return max(int(part - self._loads.total(now_s=now_s)), 0)
 
     def _tidy(self, views: dict[InstanceId, InstanceView], now_s: float) -> None:
@@ -237,6 +239,11 @@
         self._control.order(to=views[to].instance, order=order, done=done)
 
 
+def _load_part(engine: EngineSpec, domains: int) -> float:
+    """Return the loads that one of ``domains`` domains may begin in a window."""
+    return engine.loads_per_s * LOAD_WINDOW_S / max(domains, 1)
+
+
 class Fabrics:
     """Runs a controller for each fabric domain whose lease is held."""
 
--- /dev/null
+++ b/citronpin/tests/platforms/requests.py
@@ -0,0 +1,241 @@
+"""Requests of callers through a front, with instances that a test scripts."""
+
+import json
+import random
+
+from citronpin.basics.ids import (
+    ApplicationName,
+    DomainName,
+    FailureDomainName,
+    GroupId,
+    InstanceId,
+    ModelName,
+)
+from citronpin.basics.metrics import Metrics
+from citronpin.gateway.budgets import RepeatBudget
+from citronpin.gateway.exchanges import Desk
+from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
+from citronpin.gateway.fronts import Front
+from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.placers import LeastLoaded
+from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.stream_exchanges import StreamExchange
+from citronpin.gateway.suspects import Suspects
+from citronpin.platform.names import HEADERS
+from citronpin.tests.platforms.wires import MemoryClient
+from citronpin.tests.platforms.worlds import table_of
+from citronpin.web.replies import HttpRequest
+
+HOST = "towers.example"
+STREAM_ROUTE = {
+    "name": "draft",
+    "host": HOST,
+    "path-prefix": "/draft/",
+    "kind": "stream",
+    "timeout-ms": 6000,
+    "target-latency-ms": 300,
+    "gap-aim-ms": 200,
+    "service": "engines",
+    "max-attempts": 2,
+    "resumable": True,
+}
+SAFE_ROUTE = {
+    "name": "look-up",
+    "host": HOST,
+    "path-prefix": "/look-up/",
+    "kind": "safe",
+    "timeout-ms": 800,
+    "target-latency-ms": 400,
+    "service": "book",
+    "max-attempts": 2,
+}
+UNSAFE_ROUTE = SAFE_ROUTE | {
+    "name": "swap",
+    "path-prefix": "/swap/",
+    "kind": "unsafe",
+    "max-attempts": 1,
+}
+ROUTES = [STREAM_ROUTE, SAFE_ROUTE, UNSAFE_ROUTE]
+STALL_TICK_S = 0.05
+
+
+class CallerReply:
+    """What a caller gets."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.ended = False
+        self.aborted = False
+        self.on_gone = None
+        self.closes = False
+
+    def whole(self, status, body=b"", content_type="", headers=None):
+        assert self.status is None, "two answers"
+        self.status, self.body = status, body
+        self.headers = {k.lower(): v for k, v in (headers or {}).items()}
+        self.ended = True
+
+    def start(self, status, content_type, headers=None):
+        assert self.status is None, "two answers"
+        self.status = status
+        self.headers = headers or {}
+
+    def push(self, data):
+        assert not self.ended, "data after the end"
+        self.body += data
+
+    def finish(self):
+        self.ended = True
+
+    def abort(self):
+        self.ended = self.aborted = True
+
+    def close_after(self):
+        self.closes = True
+
+    def leave(self):
+        """Close the connection, as a caller that gives up does."""
+        self.on_gone()
+
+    @property
+    def outcome(self):
+        return json.loads(self.body)["outcome"]
+
+
+class Counter:
+    """A front with scripted instances; ``scripts`` take the exchanges of each."""
+
+    def __init__(self, *, clock, engines=3, books=2, **config):
+        self.clock = clock
+        self.client = MemoryClient(clock=clock)
+        self.fleet = Fleet()
+        self.scripts = {}
+        self.loads = LoadBook()
+        self.suspects = Suspects()
+        for number in range(engines):
+            self.add(f"e{number}", "engines", head=True)
+        for number in range(books):
+            self.add(f"b{number}", "book")
+        rng = random.Random(7)
+        self.desk = Desk(
+            clock=clock,
+            client=self.client,
+            names=HEADERS,
+            fleet=self.fleet,
+            placer=LeastLoaded(
+                fleet=self.fleet,
+                loads=self.loads,
+                suspects=self.suspects,
+                failure_domain=FailureDomainName("a"),
+                rng=rng,
+                queue=4,
+            ),
+            loads=self.loads,
+            suspects=self.suspects,
+            log=RequestLog(metrics=Metrics()),
+            rng=rng,
+            make_budget=lambda: RepeatBudget(ratio=0.2, slack=100, window_s=10),
+        )
+        self.desk.table = table_of(**({"routes": ROUTES} | config))
+        self.front = Front(desk=self.desk)
+        self.number = 0
+        self._tick()
+
+    def _tick(self):
+        self.clock.call_later(STALL_TICK_S, self._tick)
+        for exchange in list(self.desk.open):
+            if isinstance(exchange, StreamExchange):
+                exchange.check(self.clock.now())
+
+    def add(self, name, service, head=False):
+        address = f"10.1.0.{len(self.client.handlers) + 1}:80"
+        place = Membership(group=GroupId(name), epoch=1, rank=0, phase=Phase.OPEN)
+        self.fleet.listed(
+            FleetInstance(
+                id=InstanceId(name),
+                service=ApplicationName(service),
+                address=address,
+                failure_domain=FailureDomainName("a"),
+                slots=9,
+                domain=DomainName("d0"),
+                models=(ModelName("small"),) if head else (),
+                membership=place if head else None,
+            ),
+            now_s=self.clock.now(),
+        )
+        self.fleet.loaded = True
+        self.client.handlers[address] = lambda exchange: self.script(name)(exchange)
+
+    def script(self, name):
+        return self.scripts.get(name) or self.scripts["*"]
+
+    def send(self, path, method="POST", **headers):
+        """Send a request and return its reply."""
+        self.number += 1
+        reply = CallerReply()
+        known = {
+            "host": HOST,
+            HEADERS.attempt: f"a{self.number}",
+            HEADERS.key: "key-1",
+            HEADERS.deadline_ms: "5000",
+            HEADERS.model: "small",
+        }
+        known |= {name.replace("_", "-"): value for name, value in headers.items()}
+        req = HttpRequest(
+            method=method,
+            path=path,
+            target=path,
+            query={},
+            headers={name: value for name, value in known.items() if value is not None},
+            body=b"text",
+            peer="10.2.0.1",
+        )
+        self.front.handle(req, reply)
+        return reply
+
+
+def sound(exchange, **more):
+    """Return the headers of an instance's own answer."""
+    echo = {HEADERS.attempt: exchange.headers[HEADERS.attempt]}
+    return echo | {HEADERS.digest: "3e1b.07"} | more
+
+
+def event(number):
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
+class Stream:
+    """Answers with events from where the request asks on, at a steady pace."""
+
+    def __init__(self, *, clock, last=10, pause_s=0.05, stop_after=None, then=None):
+        self.clock = clock
+        self.last = last
+        self.pause_s = pause_s
+        self.stop_after = stop_after  # number of the last event before a fault
+        self.then = then  # what happens then; nothing: silence
+        self.exchanges = []
+
+    def __call__(self, exchange):
+        self.exchanges.append(exchange)
+        asked = exchange.headers.get(HEADERS.last_event)
+        exchange.head(200, sound(exchange, **{"content-type": "text/event-stream"}))
+        self._next(exchange, 0 if asked is None else int(asked) + 1)
+
+    def _next(self, exchange, number):
+        if self.stop_after is not None and number > self.stop_after:
+            if self.then is not None:
+                self.then(exchange)
+            return
+        if number > self.last:
+            exchange.end()
+            return
+        exchange.data(event(number))
+        self.clock.call_later(self.pause_s, lambda: self._next(exchange, number + 1))
+
+
+def whole_stream(last=10):
+    """Return the body that a caller has to get."""
+    return b"".join(event(number) for number in range(last + 1))
--- /dev/null
+++ b/citronpin/tests/test_fabrics.py
@@ -0,0 +1,254 @@
+"""Controllers of fabric domains over a stand-in of the platform, on a paused clock."""
+
+import pytest
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from citronpin.gateway.formers import composition
+from citronpin.tests.platforms.worlds import World, table_of
+
+SETTLE_S = 8.0
+CALM_S = 60.0  # covers one load under the common rate, and all its retries
+
+
+@pytest.fixture
+def world():
+    """A domain that has formed its groups, with traffic."""
+    made = World()
+    made.advance(SETTLE_S)
+    made.begin_traffic()
+    return made
+
+
+def serving(world, model):
+    """Return a head that serves a model."""
+    heads = world.platform.open_heads()
+    return next(head for head in heads if head.member.model == model)
+
+
+def other_member(world, head):
+    return world.platform.instances[head.member.members[-1]]
+
+
+def test_groups_form_from_nothing_and_leave_spares(world):
+    assert world.open_models() == {"big": 1, "small": 2}
+    spares = [m for m in world.platform.instances.values() if m.member is None]
+    assert len(spares) == 2 and all(spare.staged for spare in spares)
+    assert not world.platform.violations
+
+
+def test_spares_hold_both_models(world):
+    spares = [m for m in world.platform.instances.values() if m.member is None]
+    assert {spare.staged[0] for spare in spares} == {"big", "small"}
+
+
+@pytest.mark.parametrize("model", ["big", "small"])
+@pytest.mark.parametrize("role", ["head", "member"])
+def test_a_lost_member_is_replaced_by_a_warm_spare(world, model, role):
+    head = serving(world, model)
+    lost = head if role == "head" else other_member(world, head)
+    before = len(world.platform.loads)
+    lost.kill()
+    world.advance(6.0)
+    assert world.open_models() == {"big": 1, "small": 2}
+    assert not world.platform.violations
+    # The only load is that of a spare that holds what was lost, not of the repair.
+    assert len(world.platform.loads) - before <= 1
+
+
+def test_a_member_that_starts_again_under_its_id_is_joined_anew(world):
+    member = other_member(world, serving(world, "big"))
+    member.kill()
+    world.clock.advance(0.1)
+    member.revive()
+    world.advance(6.0)
+    assert world.open_models() == {"big": 1, "small": 2}
+    assert not world.platform.violations
+
+
+def test_a_killed_holder_is_followed_and_the_groups_stay(world):
+    epochs = {h.name: h.member.epoch for h in world.platform.open_heads()}
+    holder = world.holder()
+    name = next(n for n, c in world.controllers.items() if c is holder)
+    world.kill_controller(name)
+    world.advance(3.0)
+    assert world.holder() is not None
+    assert {h.name: h.member.epoch for h in world.platform.open_heads()} == epochs
+
+
+def test_all_controllers_gone_find_the_groups_that_serve(world):
+    epochs = {h.name: h.member.epoch for h in world.platform.open_heads()}
+    for name in list(world.controllers):
+        world.kill_controller(name)
+    world.advance(2.0)
+    for _ in range(3):
+        world.start_controller()
+    world.advance(8.0)
+    assert {h.name: h.member.epoch for h in world.platform.open_heads()} == epochs
+
+
+def test_a_cut_holder_stops_before_another_begins(world):
+    holder = world.holder()
+    holder.cut_from_store = True
+    for _ in range(100):
+        world.advance(0.05)
+        world.holder()  # fails when two hold the lease
+    assert world.holder() not in (None, holder)
+
+
+def test_a_frozen_holder_orders_nothing_when_it_wakes(world):
+    holder = world.holder()
+    holder.clock.frozen = True
+    world.advance(5.0)
+    other_member(world, serving(world, "small")).kill()
+    world.advance(4.0)
+    sent = len(holder.client.sent)
+    holder.clock.frozen = False
+    world.advance(0.05)
+    orders = [e for e in holder.client.sent[sent:] if e.target == "/v1/order"]
+    assert not orders and not world.platform.violations
+
+
+def test_late_orders_break_no_rule(world):
+    for made in world.platform.instances.values():
+        made.late_orders = 2
+    other_member(world, serving(world, "big")).kill()
+    other_member(world, serving(world, "small")).kill()
+    world.advance(30.0)
+    assert world.open_models() == {"big": 1, "small": 2}
+    assert not world.platform.violations
+
+
+def test_a_head_that_is_only_cut_from_the_store_is_closed_before_its_members_move(
+    world,
+):
+    head = serving(world, "small")
+    head.cut_from_store = True
+    world.advance(20.0)
+    assert not world.platform.violations
+
+
+def test_newcomers_are_staged_and_used(world):
+    for number in range(10, 14):
+        world.platform.add(f"i-d0-{number}", "d0")
+    world.advance(60.0)
+    wanted = composition(
+        table_of().services["engines"].engine, usable=14, spare_share=0.2
+    )
+    assert world.open_models() == {name: wanted[name] for name in ("big", "small")}
+    assert not world.platform.violations
+
+
+def test_loads_keep_to_the_common_rate():
+    made = World(domains=("d0", "d1", "d2"))
+    made.begin_traffic()
+    made.advance(40.0)
+    loads = made.platform.loads
+    for begin in loads:
+        within = sum(begin <= other < begin + 5.0 for other in loads)
+        assert within <= 5.0 * 5.0 * 1.1 + 3
+
+
+class Fabric(RuleBasedStateMachine):
+    """Faults in any order: no rule is broken, and groups serve again in calm."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.world.advance(SETTLE_S)
+        self.world.begin_traffic()
+        self.added = 10
+
+    def pick(self, number):
+        names = sorted(self.world.platform.instances)
+        return self.world.platform.instances[names[number % len(names)]]
+
+    def controller(self, number):
+        names = sorted(self.world.controllers)
+        return names[number % len(names)]
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 0.7, 1.5, 4.0]))
+    def pass_time(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(number=st.integers(0, 40))
+    def kill_instance(self, number):
+        self.pick(number).kill()
+
+    @rule(number=st.integers(0, 40))
+    def restart_instance(self, number):
+        made = self.pick(number)
+        made.kill()
+        made.revive()
+
+    @rule(number=st.integers(0, 40))
+    def cut_instance_from_store(self, number):
+        self.pick(number).cut_from_store = True
+
+    @rule(number=st.integers(0, 40), orders=st.integers(1, 3))
+    def orders_come_late(self, number, orders):
+        self.pick(number).late_orders = orders
+
+    @rule(number=st.integers(0, 40))
+    def drain_instance(self, number):
+        made = self.pick(number)
+        made.state = "draining"
+        made.write_entry()
+
+    @rule()
+    def add_instance(self):
+        self.world.platform.add(f"i-d0-{self.added}", "d0")
+        self.added += 1
+
+    @precondition(lambda self: len(self.world.controllers) > 1)
+    @rule(number=st.integers(0, 9))
+    def kill_controller(self, number):
+        self.world.kill_controller(self.controller(number))
+
+    @rule()
+    def start_controller(self):
+        if len(self.world.controllers) < 4:
+            self.world.start_controller()
+
+    @rule(number=st.integers(0, 9), frozen=st.booleans())
+    def freeze(self, number, frozen):
+        self.world.controllers[self.controller(number)].clock.frozen = frozen
+
+    @rule(number=st.integers(0, 9), cut=st.booleans())
+    def cut_controller(self, number, cut):
+        self.world.controllers[self.controller(number)].cut_from_store = cut
+
+    @rule(down=st.booleans())
+    def store_down(self, down):
+        self.world.store.down = down
+
+    @invariant()
+    def no_rule_is_broken(self):
+        assert not self.world.platform.violations
+        self.world.holder()
+
+    def teardown(self):
+        self.world.store.down = False
+        for controller in self.world.controllers.values():
+            controller.clock.frozen = False
+            controller.cut_from_store = False
+        for made in self.world.platform.instances.values():
+            made.cut_from_store = False
+            made.late_orders = 0
+            if made.dead:
+                made.revive()
+            made.state = "ready"
+            made.write_entry()
+        self.world.advance(CALM_S)
+        assert not self.world.platform.violations
+        assert all(self.world.open_models().values()), self.world.open_models()
+
+
+TestFabric = Fabric.TestCase
+TestFabric.settings = settings(
+    max_examples=25,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
