--- a/citronpin/gateway/answers.py
+++ b/citronpin/gateway/answers.py
@@ -1,7 +1,6 @@
 """Final answers of an entry's own, all of them true about what ran."""
 
 import logging
-import random
 from enum import Enum
 
 import msgspec
@@ -10,7 +9,7 @@
 
 logger = logging.getLogger(__name__)
 
-RETRY_SPREAD = 0.5  # callers that are refused together come back apart
+LEAST_WAIT_S = 0.05
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -62,15 +61,14 @@
     )
 
 
-def no_place(*, reason: str, wait_s: float, rng: random.Random) -> Refusal:
+def no_place(*, reason: str, wait_s: float) -> Refusal:
     """Return the refusal of a request for which no instance has a place."""
-    spread = 1.0 + RETRY_SPREAD * rng.random()
     return Refusal(
         status=503,
         kind="no-place",
         detail=f"The request was not run: {reason}.",
         remedy="Try again after Retry-After.",
-        retry_after_s=round(wait_s * spread, 2),
+        retry_after_s=max(round(wait_s, 2), LEAST_WAIT_S),
     )
 
 
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -13,10 +13,11 @@
 from citronpin.gateway.budgets import RepeatBudget
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.overloads import FirstEventTimes, Pending, ReturnTimes
 from citronpin.gateway.placers import Demand, NoPlace, Placer
 from citronpin.gateway.ports import HeaderNames
 from citronpin.gateway.request_logs import RequestLog
-from citronpin.gateway.routings import Route, RoutingTable
+from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.web.clients import HttpClient
 from citronpin.web.replies import HttpRequest, Reply
@@ -42,6 +43,8 @@
     deadline_s: float  # clock time at which the caller has left
     config_version: int
     priority: int
+    spent_s: float = 0.0  # by the caller before this attempt, as far as known
+    engine: EngineSpec | None = None
 
     @property
     def end_s(self) -> float:
@@ -62,6 +65,7 @@
         placer: Placer,
         loads: LoadBook,
         suspects: Suspects,
+        times: FirstEventTimes,
         log: RequestLog,
         rng: random.Random,
         make_budget,
@@ -76,11 +80,24 @@
         self.log = log
         self.rng = rng
         self.table: RoutingTable | None = None
+        self.times = times
+        self.returns = ReturnTimes()
         self.entries = 1  # that share the budgets
+        self._full_times: dict[str, float] = {}
         self.open: set["Exchange"] = set()
         self._make_budget = make_budget
         self._budgets: dict[ApplicationName, RepeatBudget] = {}
 
+    def spent_s(self, *, route: Route, left_s: float) -> float:
+        """Return what a caller has spent before this attempt.
+
+        Callers of a route begin with the same time, so what one has less than the
+        most that was seen went by in earlier attempts.
+        """
+        full_s = max(self._full_times.get(route.name, 0.0), left_s)
+        self._full_times[route.name] = full_s
+        return full_s - left_s
+
     def budget(self, service: ApplicationName) -> RepeatBudget:
         """Return the budget of repeats at a service."""
         if service not in self._budgets:
@@ -101,6 +118,7 @@
         self._excluded: set[InstanceId] = set()
         self._timer: TimerHandle | None = None
         self._done = False
+        self._reason = ""  # of a refusal, for the log
         self._sending = Sending(
             method=task.req.method,
             target=task.req.target,
@@ -115,6 +133,7 @@
         self._desk.open.add(self)
         self._reply.on_gone = self._caller_left
         self._desk.budget(self._task.service).request(now_s=now_s)
+        self._desk.returns.asked(now_s=now_s)
         self._timer = self._desk.clock.call_later(
             self._task.end_s - now_s, self._out_of_time
         )
@@ -130,13 +149,25 @@
         return self._attempts[-1] if self._attempts else None
 
     def _demand(self) -> Demand:
+        task = self._task
+        waited_s = self._desk.clock.now() - task.received_s
         return Demand(
-            service=self._task.service,
-            model=self._task.model,
+            pending=Pending(
+                service=task.service,
+                model=task.model,
+                objective_s=task.route.objective_s,
+                spent_s=task.spent_s + waited_s,
+                midway=self._midway,
+            ),
+            engine=task.engine,
             excluded=self._excluded,
-            urgent=bool(self._attempts),
         )
 
+    @property
+    def _midway(self) -> bool:
+        """Return whether the caller has a part of the answer."""
+        return False
+
     def _send_next(self) -> bool:
         """Send to the next instance; without one, answer and return false."""
         now_s = self._desk.clock.now()
@@ -211,7 +242,10 @@
             suspects.unreachable(attempt.instance.id, now_s=now_s)
         elif fault is Fault.STALLED:
             suspects.stalled(attempt.instance.id, now_s=now_s)
-        elif fault is not Fault.NOT_RUN:
+        elif fault is Fault.NOT_RUN:
+            if attempt.load < attempt.instance.slots:
+                suspects.refused(attempt.instance.id, now_s=now_s)
+        else:
             suspects.failed(attempt.instance.id)
 
     def attempt_failed(self, attempt: Attempt, fault: Fault) -> None:
@@ -227,15 +261,19 @@
     def _no_place(self, found: NoPlace) -> None:
         """Go on when no instance takes the request."""
 
-    def _wait_s(self, found: NoPlace) -> float:
-        """Return when a place is expected."""
-        if not found.candidates:
-            return 0.6
-        return 0.4
-
     def _refuse_place(self, found: NoPlace) -> None:
-        wait_s = self._wait_s(found)
-        self._answer(no_place(reason=found.reason, wait_s=wait_s, rng=self._desk.rng))
+        self._reason = f"{found.reason}: {found.candidates}, load {found.load}"
+        self._refuse(found.reason)
+
+    def _refuse(self, reason: str) -> None:
+        """Answer that the request did not run, and when a place is expected."""
+        now_s = self._desk.clock.now()
+        wait_s = self._desk.returns.refuse(
+            left_s=self._task.deadline_s - now_s,
+            draw=self._desk.rng.random(),
+            now_s=now_s,
+        )
+        self._answer(no_place(reason=reason, wait_s=wait_s))
 
     def _answer(self, refusal: Refusal) -> None:
         """Give a final answer of the entry's own."""
@@ -254,13 +292,7 @@
             kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.LOST
             self._answer(kind.value)
             return
-        self._answer(
-            no_place(
-                reason="the instances that were asked did not run it",
-                wait_s=0.4,
-                rng=self._desk.rng,
-            )
-        )
+        self._refuse("the instances that were asked did not run it")
 
     def _deliver_whole(self, attempt: Attempt, body: bytes) -> None:
         """Pass an instance's whole answer on unchanged."""
@@ -299,6 +331,7 @@
             outcome=outcome,
             status=status,
             attempts=self._attempts,
+            reason=self._reason,
             now_s=self._desk.clock.now(),
         )
 
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -1,6 +1,7 @@
 """Carries out what is planned for the fabric domains whose leases are held."""
 
 import logging
+from collections.abc import Iterator
 
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import (
@@ -31,6 +32,7 @@
 )
 from citronpin.gateway.routings import EngineSpec, RoutingTable
 from citronpin.gateway.watches import MemberWatch
+from citronpin.peers.messages import HeadNews
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +40,7 @@
 EPOCHS_PER_GENERATION = 1 << 20  # epochs of a later holder are always higher
 LOAD_WINDOW_S = 5.0
 BUSY_AFTER_ORDER_S = 2.5  # reports are asked for often while something changes
+SETTLE_S = 0.4  # a holder that had extended its lease has heard of the new one by then
 STAGE_AGAIN_S = 40.0  # loads that share the store take up to half of it
 
 
@@ -74,12 +77,14 @@
         self._epoch = 0
         self._ordered_s = float("-inf")
         self._held_since_s: float | None = None
+        self.heads: tuple[HeadNews, ...] = ()  # groups that serve, as found last
 
     def release(self) -> None:
         """Forget what was ordered; another entry decides now."""
         if self._held_since_s is not None:
             logger.info("lease lost", extra={"domain": self.domain})
         self._held_since_s = None
+        self.heads = ()
         self._formations.clear()
         self._closes.clear()
         self._opens.clear()
@@ -121,6 +126,9 @@
             loads_left=self._loads_left(engine, domains, now_s),
             bulk=bulk,
         )
+        self.heads = tuple(_serving(views))
+        if now_s - self._held_since_s < SETTLE_S and not bulk:
+            return
         for action in self._former.plan(view=view, now_s=now_s):
             self._carry_out(action, views, now_s)
 
@@ -239,6 +247,15 @@
         self._control.order(to=views[to].instance, order=order, done=done)
 
 
+def _serving(views: dict[InstanceId, InstanceView]) -> Iterator[HeadNews]:
+    """Return the live heads that accept requests."""
+    for seen in views.values():
+        instance = seen.instance
+        if instance.serving_head and not seen.dead and instance.models:
+            place = instance.membership
+            yield HeadNews(instance.id, place.group, place.epoch, instance.models[0])
+
+
 def _load_part(engine: EngineSpec, domains: int) -> float:
     """Return the loads that one of ``domains`` domains may begin in a window."""
     return engine.loads_per_s * LOAD_WINDOW_S / max(domains, 1)
@@ -278,6 +295,14 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def heads(self) -> tuple[HeadNews, ...]:
+        """Return the groups that serve in the domains whose leases are held."""
+        return tuple(
+            head
+            for controller in self._controllers.values()
+            for head in controller.heads
+        )
+
     @property
     def held(self) -> int:
         """Return how many domains this entry decides on."""
--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -19,6 +19,8 @@
 
 # Entries that lapsed while the list could not be read come back within this time.
 RELIST_S = 2.2
+# Entries of the list lag behind what an entry was told of a group.
+TOLD_S = 2.0
 
 
 class Phase(Enum):
@@ -62,6 +64,14 @@
         return seen is not None and seen.rank == 0 and seen.phase is Phase.OPEN
 
 
+class Told(msgspec.Struct, frozen=True):
+    """What another entry said of an instance's group."""
+
+    membership: Membership
+    models: tuple[ModelName, ...]
+    heard_s: float
+
+
 class Fleet:
     """The instances that are known now, by service.
 
@@ -75,6 +85,7 @@
         self._by_service: dict[ApplicationName, dict[InstanceId, FleetInstance]] = {}
         self._heard_s: dict[InstanceId, float] = {}
         self._missing: dict[InstanceId, float] = {}
+        self._told: dict[InstanceId, Told] = {}
         self._outage = False
         self._outage_ended_s = float("-inf")
         self.loaded = False
@@ -100,6 +111,11 @@
         """Return whether an instance is kept though its entry is not there."""
         return instance in self._missing
 
+    @property
+    def in_outage(self) -> bool:
+        """Return whether the list could not be read last."""
+        return self._outage
+
     def outage(self, *, now_s: float) -> None:
         """Take note that the list could not be read."""
         self._outage = True
@@ -109,6 +125,35 @@
         """Take the present entry of an instance."""
         self._heard_s[instance.id] = now_s
         self._missing.pop(instance.id, None)
+        self._put(self._with_told(instance, now_s))
+
+    def told(self, instance: InstanceId, news: Told) -> None:
+        """Take what the entry that decides on a group says of its head."""
+        known = self._instances.get(instance)
+        if known is None:
+            return
+        place = known.membership
+        if place is not None and place.epoch > news.membership.epoch:
+            return
+        self._told[instance] = news
+        self._put(self._with_told(known, news.heard_s))
+
+    def _with_told(self, instance: FleetInstance, now_s: float) -> FleetInstance:
+        news = self._told.get(instance.id)
+        if news is None:
+            return instance
+        place = instance.membership
+        older = place is None or place.epoch < news.membership.epoch
+        unopened = place is not None and place.phase in (Phase.JOINING, Phase.READY)
+        same = place is not None and place.epoch == news.membership.epoch
+        if now_s - news.heard_s > TOLD_S or not (older or (same and unopened)):
+            del self._told[instance.id]
+            return instance
+        return msgspec.structs.replace(
+            instance, membership=news.membership, models=news.models
+        )
+
+    def _put(self, instance: FleetInstance) -> None:
         known = self._instances.get(instance.id)
         if known == instance:
             return
@@ -147,6 +192,7 @@
         self.version += 1
         self._missing.pop(instance, None)
         self._heard_s.pop(instance, None)
+        self._told.pop(instance, None)
         known = self._instances.pop(instance, None)
         if known is not None:
             self._by_service[known.service].pop(instance, None)
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -55,12 +55,14 @@
         now_s = self._desk.clock.now()
         service = self._pick(route)
         spec = table.services.get(service)
+        engine = None if spec is None else spec.engine
         model = None
-        if spec is not None and spec.engine is not None:
+        if engine is not None:
             model = ModelName(req.headers.get(self._desk.names.model, ""))
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
+        left_s = self._deadline_s(req, route)
         task = Task(
             req=req,
             route=route,
@@ -68,9 +70,11 @@
             customer=None if customer is None else customer.name,
             model=model,
             received_s=now_s,
-            deadline_s=now_s + self._deadline_s(req, route),
+            deadline_s=now_s + left_s,
             config_version=table.version,
             priority=priority,
+            spent_s=self._desk.spent_s(route=route, left_s=left_s),
+            engine=engine,
         )
         stream = route.kind is RequestKind.STREAM
         kind = StreamExchange if stream else WholeExchange
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -5,10 +5,13 @@
 
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import EntryId, InstanceId
-from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.fabrics import Fabrics
+from citronpin.gateway.fleets import Fleet, Membership, Phase, Told
+from citronpin.gateway.loadbooks import PEER_NEWS_S, LoadBook
+from citronpin.gateway.ports import DomainLeases
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
-from citronpin.peers.messages import LoadNews, Message
+from citronpin.peers.messages import HeadNews, LoadNews, Message
 
 logger = logging.getLogger(__name__)
 
@@ -26,17 +29,20 @@
         addresses: Callable[[], dict[EntryId, str]],
         loads: LoadBook,
         suspects: Suspects,
+        fleet: Fleet,
+        fabrics: Fabrics,
+        leases: DomainLeases,
         clock: Clock,
-        traffic: Callable[[], bool],
-        heard_traffic: Callable[[], None],
     ) -> None:
         self._links = links
         self._addresses = addresses
         self._loads = loads
         self._suspects = suspects
+        self._fleet = fleet
+        self._fabrics = fabrics
+        self._leases = leases
         self._clock = clock
-        self._traffic = traffic
-        self._heard_traffic = heard_traffic
+        self._store_lost: dict[EntryId, tuple[float, bool]] = {}
         self._connected: set[str] = set()
         self._last: LoadNews | None = None
         self._sent_s = float("-inf")
@@ -59,8 +65,13 @@
         self._connect()
         self._loads.expire(now_s=now_s)
         suspects = self._suspects.recent(since_s=now_s - 2 * NEWS_INTERVAL_S)
+        self._leases.extend(self._nobody_reaches_the_store(now_s))
         news = LoadNews(
-            loads=self._loads.own(), suspects=suspects, traffic=self._traffic()
+            loads=self._loads.own(),
+            suspects=suspects,
+            traffic=self._fabrics.traffic_began,
+            store_lost=self._leases.lost,
+            heads=self._fabrics.heads(),
         )
         if news == self._last and now_s - self._sent_s < QUIET_NEWS_S:
             return
@@ -69,6 +80,15 @@
         for address in self._connected:
             self._links.send(address, news)
 
+    def _nobody_reaches_the_store(self, now_s: float) -> bool:
+        """Return whether every entry that was heard lately has lost the store."""
+        heard = [
+            lost
+            for heard_s, lost in self._store_lost.values()
+            if now_s - heard_s <= PEER_NEWS_S
+        ]
+        return bool(heard) and all(heard)
+
     def _connect(self) -> None:
         wanted = {f"tcp://{at}" for at in self._addresses().values()}
         for address in wanted - self._connected:
@@ -85,4 +105,12 @@
         for instance in message.suspects:
             self._suspects.hinted(InstanceId(instance), now_s=now_s)
         if message.traffic:
-            self._heard_traffic()
+            self._fabrics.traffic_began = True
+        self._store_lost[sender] = (now_s, message.store_lost)
+        for head in message.heads:
+            self._fleet.told(head.instance, _told(head, now_s))
+
+
+def _told(head: HeadNews, now_s: float) -> Told:
+    place = Membership(group=head.group, epoch=head.epoch, rank=0, phase=Phase.OPEN)
+    return Told(place, (head.model,), now_s)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -20,6 +20,7 @@
 from citronpin.gateway.fronts import Front
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.overloads import FirstEventTimes, ObjectiveRoom
 from citronpin.gateway.placers import LeastLoaded
 from citronpin.gateway.ports import DomainLeases, HeaderNames, InstanceControl
 from citronpin.gateway.request_logs import RequestLog
@@ -42,7 +43,6 @@
 STOP_TICK_S = 0.1
 LEAVE_ROTATION_S = 2.6  # the balancer asks every second and believes the second miss
 STOP_MARGIN_S = 0.4  # before the process is killed
-QUEUE = 4  # requests that wait at a full group before others are refused
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -113,7 +113,6 @@
         self.metrics = Metrics()
         self._rng = rng or random.Random()
         self._stopping_s: float | None = None
-        self._traffic = False
         self._fleet_seen = False
         self.gossip: Gossip | None = None
         EPoll().register(self)
@@ -134,13 +133,14 @@
         clock.call_later(0.0, self._begin)
 
     def _make_desk(self) -> Desk:
+        times = FirstEventTimes()
         placer = LeastLoaded(
             fleet=self.fleet,
             loads=self.loads,
             suspects=self.suspects,
             failure_domain=self.cfg.failure_domain,
             rng=self._rng,
-            queue=QUEUE,
+            rooms=ObjectiveRoom(times=times),
         )
         return Desk(
             clock=self.clock,
@@ -150,6 +150,7 @@
             placer=placer,
             loads=self.loads,
             suspects=self.suspects,
+            times=times,
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
             make_budget=self._make_budget,
@@ -228,9 +229,10 @@
             addresses=self.adapter.peer_addresses,
             loads=self.loads,
             suspects=self.suspects,
+            fleet=self.fleet,
+            fabrics=self.fabrics,
+            leases=self.adapter.leases,
             clock=self.clock,
-            traffic=lambda: self._traffic,
-            heard_traffic=self._note_traffic,
         )
         self.gossip.start()
 
@@ -238,19 +240,16 @@
         known = len(self.adapter.peer_addresses())
         self.desk.entries = max(known, self.loads.peers()) + 1
 
-    def _note_traffic(self) -> None:
-        self._traffic = True
-        self.fabrics.traffic_began = True
-
     def _check_stalls(self) -> None:
         self.clock.call_later(STALL_CHECK_S, self._check_stalls)
         now_s = self.clock.now()
         if not self._fleet_seen and self.fleet.loaded:
             self._fleet_seen = True
             if any(instance.serving_head for instance in self.fleet.all()):
-                self._note_traffic()  # groups serve: this is no first start
-        if self.desk.open and not self._traffic:
-            self._note_traffic()
+                # Groups serve, so this is no first start.
+                self.fabrics.traffic_began = True
+        if self.desk.open:
+            self.fabrics.traffic_began = True
         for exchange in list(self.desk.open):
             if isinstance(exchange, StreamExchange):
                 exchange.check(now_s)
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -7,14 +7,11 @@
 
 import msgspec
 
-from citronpin.basics.ids import (
-    ApplicationName,
-    FailureDomainName,
-    InstanceId,
-    ModelName,
-)
+from citronpin.basics.ids import FailureDomainName, InstanceId, ModelName
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.overloads import Pending, RoomPolicy
+from citronpin.gateway.routings import EngineSpec
 from citronpin.gateway.suspects import Suspects
 
 logger = logging.getLogger(__name__)
@@ -25,10 +22,9 @@
 class Demand(msgspec.Struct, frozen=True, kw_only=True):
     """A request that looks for an instance."""
 
-    service: ApplicationName
-    model: ModelName | None = None
+    pending: Pending
+    engine: EngineSpec | None = None
     excluded: Collection[InstanceId] = ()
-    urgent: bool = False  # may take a place in the queue of a full instance
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,14 +69,14 @@
         suspects: Suspects,
         failure_domain: FailureDomainName,
         rng: random.Random,
-        queue: int,
+        rooms: RoomPolicy,
     ) -> None:
         self._fleet = fleet
         self._loads = loads
         self._suspects = suspects
         self._failure_domain = failure_domain
         self._rng = rng
-        self._queue = queue
+        self._rooms = rooms
 
     def place(self, *, demand: Demand, now_s: float) -> Placement | NoPlace:
         usable = self._candidates(demand)
@@ -93,7 +89,9 @@
         ]
         chosen = self._least(sound or usable)
         load = self._loads.load(chosen.id)
-        room = chosen.slots + (2 * self._queue if demand.urgent else self._queue)
+        room = self._rooms.room(
+            pending=demand.pending, slots=chosen.slots, engine=demand.engine
+        )
         if load >= room:
             return NoPlace(
                 reason="all instances are full", candidates=len(usable), load=load
@@ -103,11 +101,11 @@
     def _candidates(self, demand: Demand) -> list[FleetInstance]:
         return [
             instance
-            for instance in self._fleet.of_service(demand.service)
+            for instance in self._fleet.of_service(demand.pending.service)
             if not instance.draining
             and instance.id not in demand.excluded
             and not self._fleet.is_missing(instance.id)
-            and serves(instance, demand.model)
+            and serves(instance, demand.pending.model)
         ]
 
     def _least(self, instances: Sequence[FleetInstance]) -> FleetInstance:
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -102,6 +102,15 @@
     def generation(self) -> int:
         """Return a number that rises whenever a lease changes its holder."""
 
+    @property
+    @abstractmethod
+    def lost(self) -> bool:
+        """Return whether the store that deals the leases does not answer."""
+
+    @abstractmethod
+    def extend(self, allowed: bool) -> None:
+        """Let leases go on while the store answers none of the known entries."""
+
 
 class PeerDirectory(ABC):
     """Knows the other entries."""
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -24,6 +24,7 @@
         outcome: str,
         status: int,
         attempts: Sequence[Attempt],
+        reason: str,
         now_s: float,
     ) -> None:
         """Write the line of a request that has its final answer."""
@@ -46,6 +47,7 @@
                 "config": task.config_version,
                 "outcome": outcome,
                 "status": status,
+                "reason": reason,
                 "ms": round(duration_s * MS_PER_S),
                 "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
                 "attempts": [attempt.summary() for attempt in attempts],
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -44,6 +44,10 @@
             return {}
         return {names.last_event: str(self._last_number), names.urgency: "0"}
 
+    @property
+    def _midway(self) -> bool:
+        return self._started
+
     def attempt_head(self, attempt: Attempt) -> None:
         self._splitter = EventSplitter()
         self._parts = []
@@ -81,16 +85,28 @@
                 return False
         if number is not None:
             self._last_number = number
+        if attempt.events == 0:
+            self._learn(attempt)
+        attempt.events += 1
         if not self._started:
             self._started = True
             headers = passed_on(attempt.headers)
             content_type = headers.pop("content-type", "text/event-stream")
             self._reply.start(OK, content_type, headers)
         self._last_event_s = self._desk.clock.now()
-        self._desk.suspects.succeeded(attempt.instance.id)
+        self._desk.suspects.succeeded(attempt.instance.id, now_s=self._last_event_s)
         self._reply.push(event.data)
         return True
 
+    def _learn(self, attempt: Attempt) -> None:
+        self._desk.times.observed(
+            service=self._task.service,
+            model=self._task.model,
+            first_s=self._desk.clock.now() - attempt.sent_s,
+            load=attempt.load,
+            slots=attempt.instance.slots,
+        )
+
     def attempt_ended(self, attempt: Attempt) -> None:
         self._desk.loads.ended(attempt.instance.id)
         fault = self._fault_of(attempt)
@@ -159,18 +175,19 @@
         if self._done or last is None or last.over:
             return
         since_s = max(last.sent_s, self._last_event_s)
+        if last.first_s is None:
+            # Behind others it waits; while these go on, its instance is sound.
+            since_s = max(since_s, self._desk.suspects.alive_s(last.instance.id))
         if now_s - since_s < self._patience_s(last, now_s):
             return
-        if (
-            not self._task.route.repeatable
-            or self.runs >= self._task.route.max_attempts
-        ):
-            self._desk.suspects.stalled(last.instance.id, now_s=now_s)
-            return
+        self._desk.suspects.stalled(last.instance.id, now_s=now_s)
         found = self._desk.placer.place(demand=self._demand(), now_s=now_s)
-        if isinstance(found, NoPlace):
+        if isinstance(found, NoPlace) or found.load >= found.instance.slots:
             return
-        self._abandon(last, Fault.STALLED, f"silent for {now_s - since_s:.2f} s")
+        if self._may_repeat(Fault.STALLED, midway=self._started):
+            last.cancel(Fault.STALLED, f"silent for {now_s - since_s:.2f} s")
+            self._desk.loads.ended(last.instance.id)
+            self._send_next()
 
     def _patience_s(self, attempt: Attempt, now_s: float) -> float:
         if attempt.first_s is not None:
--- a/citronpin/gateway/suspects.py
+++ b/citronpin/gateway/suspects.py
@@ -13,6 +13,8 @@
 STALL_MEMORY_S = 5.5  # a stalled head refuses by then
 UNREACHABLE_MEMORY_S = 1.5  # until a refused connection is tried again
 HINT_MEMORY_S = 1.0
+# A head that refuses though it has room does not serve; the list tells within a second.
+REFUSAL_MEMORY_S = 0.8
 
 
 class Standing(msgspec.Struct):
@@ -21,6 +23,7 @@
     failing: float = 0.0  # smoothed share, 0 to 1
     avoid_until_s: float = 0.0
     suspected_s: float = 0.0
+    alive_s: float = float("-inf")  # when any answer of it last went on
 
 
 class Suspects:
@@ -32,12 +35,23 @@
     def _of(self, instance: InstanceId) -> Standing:
         return self._standings.setdefault(instance, Standing())
 
-    def succeeded(self, instance: InstanceId) -> None:
+    def succeeded(self, instance: InstanceId, *, now_s: float) -> None:
         """Take a sound answer, or a sign that an answer goes on."""
+        standing = self._of(instance)
+        standing.failing *= 1.0 - FAILURE_WEIGHT
+        standing.avoid_until_s = 0.0
+        standing.alive_s = now_s
+
+    def alive_s(self, instance: InstanceId) -> float:
+        """Return when any answer of an instance last went on."""
         standing = self._standings.get(instance)
-        if standing is not None:
-            standing.failing *= 1.0 - FAILURE_WEIGHT
-            standing.avoid_until_s = 0.0
+        return float("-inf") if standing is None else standing.alive_s
+
+    def refused(self, instance: InstanceId, *, now_s: float) -> None:
+        """Take the refusal of an instance that seemed to have room."""
+        standing = self._of(instance)
+        until_s = now_s + REFUSAL_MEMORY_S
+        standing.avoid_until_s = max(standing.avoid_until_s, until_s)
 
     def failed(self, instance: InstanceId) -> None:
         """Take an answer that was lost, spoilt or an error."""
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -105,6 +105,8 @@
         seen = self._watched.get(instance.id)
         if seen is None or seen.misses < DEAD_MISSES:
             return False
+        if self._fleet.in_outage:
+            return seen.misses >= CERTAIN_MISSES  # the list tells nothing now
         now_s = self._clock.now()
         silent = now_s - self._fleet.heard_s(instance.id) > self._silent_s
         place = self.overlay(instance).membership
--- a/citronpin/gateway/whole_exchanges.py
+++ b/citronpin/gateway/whole_exchanges.py
@@ -47,7 +47,8 @@
         self._desk.loads.ended(attempt.instance.id)
         fault = self._fault_of(attempt)
         if fault is None:
-            self._desk.suspects.succeeded(attempt.instance.id)
+            now_s = self._desk.clock.now()
+            self._desk.suspects.succeeded(attempt.instance.id, now_s=now_s)
             self._deliver_whole(attempt, b"".join(self._parts))
             return
         attempt.fault = fault
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -10,6 +10,7 @@
     Fence,
     GroupId,
     InstanceId,
+    ModelName,
     Offset,
     ShardNumber,
     StreamName,
@@ -182,12 +183,23 @@
     tokens: tuple[CustomerRate, ...] = ()
 
 
+class HeadNews(msgspec.Struct, frozen=True, array_like=True):
+    """A group that serves, as the entry found it that decides on its domain."""
+
+    instance: InstanceId  # the head
+    group: GroupId
+    epoch: int
+    model: ModelName
+
+
 class LoadNews(Message, tag=18):
-    """What the sender has in progress, and which instances it suspects."""
+    """What the sender has in progress, whom it suspects, which groups serve."""
 
     loads: dict[InstanceId, int] = {}
     suspects: tuple[InstanceId, ...] = ()
     traffic: bool = False  # whether it has ever taken a request
+    store_lost: bool = False  # whether the platform's store does not answer it
+    heads: tuple[HeadNews, ...] = ()  # in the domains whose leases it holds
 
 
 AnyMessage = (
--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -14,9 +14,12 @@
 
 GROUP = "citronpin.control"
 TOPIC = "citronpin.control"
-TTL_S = 1.6  # a killed holder is followed within it
+TTL_S = 1.8  # a killed holder is followed within it
 RENEW_S = 0.4
 MARGIN_S = 0.3  # a holder stops this long before the store may deal anew
+# One renewal without an answer. All entries know of an outage, and of each other's
+# loss, before the first lease lapses: 0.6 + 0.4 + two messages of 0.15.
+LOST_S = 0.6
 
 
 class PartitionLeases(DomainLeases):
@@ -26,6 +29,9 @@
     without it, has left, or has sent nothing for the time to live. So the lease
     counts from the moment at which the last answered join was *sent*, on a clock
     that goes on while the machine is suspended.
+
+    While the store answers no entry, nobody can be dealt a partition, and the last
+    holder goes on; it stops as soon as any other entry reaches the store.
     """
 
     def __init__(
@@ -40,6 +46,8 @@
         self._generation = 0
         self._until_s = float("-inf")
         self._timer: TimerHandle | None = None
+        self._answered_s = clock.elapsed()
+        self._extended = False
         self._left = False
 
     def start(self) -> None:
@@ -49,6 +57,7 @@
     def stop(self) -> None:
         """Give the leases back, so that others need not wait."""
         self._left = True
+        self._extended = False
         self._until_s = float("-inf")
         if self._timer is not None:
             self._timer.cancel()
@@ -56,7 +65,20 @@
 
     def holds(self, domain: DomainName) -> bool:
         part = zlib.crc32(domain.encode()) % self._parts
-        return part in self._held and self._clock.elapsed() < self._until_s
+        if part not in self._held:
+            return False
+        return self._extended or self._clock.elapsed() < self._until_s
+
+    @property
+    def lost(self) -> bool:
+        return self._clock.elapsed() - self._answered_s > LOST_S
+
+    def extend(self, allowed: bool) -> None:
+        valid = self._clock.elapsed() < self._until_s or self._extended
+        extended = allowed and self.lost and valid and not self._left
+        if extended is not self._extended:
+            logger.info("leases extended" if extended else "leases not extended")
+        self._extended = extended
 
     @property
     def generation(self) -> int:
@@ -75,6 +97,7 @@
                 )
                 return
             share: Share = result.ok_value
+            self._answered_s = self._clock.elapsed()
             if share.generation < self._generation:
                 return  # an answer that a later one overtook
             if share.parts != self._held:
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -17,6 +17,7 @@
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.fronts import Front
 from citronpin.gateway.loadbooks import LoadBook
+from citronpin.gateway.overloads import FirstEventTimes, ObjectiveRoom
 from citronpin.gateway.placers import LeastLoaded
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.stream_exchanges import StreamExchange
@@ -119,6 +120,7 @@
         for number in range(books):
             self.add(f"b{number}", "book")
         rng = random.Random(7)
+        times = FirstEventTimes()
         self.desk = Desk(
             clock=clock,
             client=self.client,
@@ -130,10 +132,11 @@
                 suspects=self.suspects,
                 failure_domain=FailureDomainName("a"),
                 rng=rng,
-                queue=4,
+                rooms=ObjectiveRoom(times=times),
             ),
             loads=self.loads,
             suspects=self.suspects,
+            times=times,
             log=RequestLog(metrics=Metrics()),
             rng=rng,
             make_budget=lambda: RepeatBudget(ratio=0.2, slack=100, window_s=10),
