Replay overload in an emulator; repeat unanswered joins under their epoch

A holder that stops while nobody reaches the store decides on until its end. Tests for both, for news between entries, and for refusals under a replayed burst against queues of fixed and of unbounded length.

--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -3,6 +3,8 @@
 import logging
 from collections.abc import Iterator
 
+import msgspec
+
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import (
     ApplicationName,
@@ -40,6 +42,7 @@
 EPOCHS_PER_GENERATION = 1 << 20  # epochs of a later holder are always higher
 LOAD_WINDOW_S = 5.0
 BUSY_AFTER_ORDER_S = 2.5  # reports are asked for often while something changes
+ORDER_SENDS = 5  # until an order that gets no answer is given up
 SETTLE_S = 0.4  # a holder that had extended its lease has heard of the new one by then
 STAGE_AGAIN_S = 40.0  # loads that share the store take up to half of it
 
@@ -226,6 +229,7 @@
         order: Order,
         views: dict[InstanceId, InstanceView],
         reason: str = "",
+        sends: int = 1,
     ) -> None:
         def done(result: OrderResult) -> None:
             logger.info(
@@ -239,13 +243,41 @@
                     "members": list(order.members),
                     "reason": reason,
                     "result": result.value,
+                    "sends": sends,
                 },
             )
-            if order.kind is OrderKind.STAGE and result is not OrderResult.BEGUN:
-                self._stages.pop(to, None)
+            if result is OrderResult.UNKNOWN and self._wanted(order, sends):
+                # An order that was carried out already is answered so.
+                self._send(to, order, views, reason, sends + 1)
+            else:
+                self._settle(to, order, result)
 
         self._control.order(to=views[to].instance, order=order, done=done)
 
+    def _wanted(self, order: Order, sends: int) -> bool:
+        """Return whether an order without an answer is sent again."""
+        formation = self._formations.get(order.group)
+        return (
+            order.kind is OrderKind.JOIN
+            and sends < ORDER_SENDS
+            and formation is not None
+            and formation.epoch == order.epoch
+            and self._leases.holds(self.domain)
+        )
+
+    def _settle(self, to: InstanceId, order: Order, result: OrderResult) -> None:
+        """Take the final result of an order."""
+        carried_out = result in (OrderResult.BEGUN, OrderResult.HOLDS)
+        if order.kind is OrderKind.STAGE and not carried_out:
+            self._stages.pop(to, None)
+        formation = self._formations.get(order.group)
+        if order.kind is not OrderKind.JOIN or carried_out or formation is None:
+            return
+        if formation.epoch == order.epoch:
+            self._formations[order.group] = msgspec.structs.replace(
+                formation, refused=formation.refused | {to}
+            )
+
 
 def _serving(views: dict[InstanceId, InstanceView]) -> Iterator[HeadNews]:
     """Return the live heads that accept requests."""
--- a/citronpin/gateway/formers.py
+++ b/citronpin/gateway/formers.py
@@ -13,7 +13,7 @@
 
 logger = logging.getLogger(__name__)
 
-CONFIRM_S = 1.0  # an order that was not lost shows in the reports by then
+CONFIRM_S = 2.2  # an order that is repeated when unanswered shows by then
 CLOSE_WAIT_S = 0.6  # a head that can still act has closed by then
 REPEAT_ORDER_S = 0.6  # until an order that changed nothing is given again
 JOIN_SLACK_S = 3.0  # beyond the stated time of a load
@@ -41,6 +41,7 @@
     model: ModelName
     members: tuple[InstanceId, ...]  # by rank; the head is first
     ordered_s: float
+    refused: frozenset[InstanceId] = frozenset()  # members that will not join
 
 
 class DomainView(msgspec.Struct, frozen=True, kw_only=True):
@@ -102,6 +103,7 @@
     spec: ModelSpec
     members: tuple[InstanceId | None, ...]  # by rank; ``None`` was not found
     ordered_s: float | None = None
+    refused: frozenset[InstanceId] = frozenset()
 
 
 class Former(ABC):
@@ -139,6 +141,7 @@
             spec=spec,
             members=formation.members,
             ordered_s=formation.ordered_s,
+            refused=formation.refused,
         )
     ranks: dict[int, FleetInstance] = {}
     for seen in view.instances.values():
@@ -266,9 +269,11 @@
             return None
         return place
 
-    def _pending(self, group: GroupView) -> bool:
-        """Return whether the join was ordered so lately that it may not show yet."""
+    def _pending(self, group: GroupView, member: InstanceId) -> bool:
+        """Return whether a join was ordered so lately that it may not show yet."""
         ordered_s = group.ordered_s
+        if member in group.refused:
+            return False
         return ordered_s is not None and self._now_s - ordered_s < CONFIRM_S
 
     def kept(self, group: GroupView) -> list[InstanceId]:
@@ -278,7 +283,7 @@
             for member in group.members
             if (seen := self._seen(member)) is not None
             and seen.usable
-            and (self._place(group, member) is not None or self._pending(group))
+            and (self._place(group, member) is not None or self._pending(group, member))
         ]
 
     def _lost(self, group: GroupView) -> bool:
@@ -286,7 +291,7 @@
             seen = self._seen(member)
             if seen is None or seen.dead:
                 return True
-            if self._place(group, member) is None and not self._pending(group):
+            if self._place(group, member) is None and not self._pending(group, member):
                 return True
         return False
 
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -113,6 +113,7 @@
         self.metrics = Metrics()
         self._rng = rng or random.Random()
         self._stopping_s: float | None = None
+        self._handed_over = False
         self._fleet_seen = False
         self.gossip: Gossip | None = None
         EPoll().register(self)
@@ -279,9 +280,17 @@
         self._stopping_s = self.clock.now()
         logger.info("stop", extra={"in_progress": len(self.desk.open)})
         self.front.stopping = True
+        if not self.adapter.leases.lost:
+            self._hand_over()
+        self._wait_until_drained()
+
+    def _hand_over(self) -> None:
+        """Leave the leases to others; without the store nobody could take them."""
+        if self._handed_over:
+            return
+        self._handed_over = True
         self.fabrics.stop()
         self.adapter.leave()
-        self._wait_until_drained()
 
     def _wait_until_drained(self) -> None:
         waited_s = self.clock.now() - self._stopping_s
@@ -296,6 +305,7 @@
         self.clock.call_later(STOP_TICK_S, self._wait_until_drained)
 
     def _finish(self) -> None:
+        self._hand_over()
         self.adapter.stop()
         if self.gossip is not None:
             self.gossip.stop()
--- a/citronpin/platform/orders.py
+++ b/citronpin/platform/orders.py
@@ -22,7 +22,7 @@
 
 ORDER_PATH = "/v1/order"
 REPORT_PATH = "/v1/report"
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.4  # an answer takes some ms; unanswered orders are repeated
 REPORT_TIMEOUT_S = 0.35  # twice the longest way of a resent packet
 CONNECT_TIMEOUT_S = 0.35
 OK = 200
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -1,10 +1,14 @@
 """Controllers of fabric domains over a stand-in of the platform, on a paused clock."""
 
+import json
+
 import pytest
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from citronpin.gateway import formers
 from citronpin.gateway.formers import composition
+from citronpin.platform.leases import PartitionLeases
 from citronpin.tests.platforms.worlds import World, table_of
 
 SETTLE_S = 8.0
@@ -119,6 +123,83 @@
     assert not world.platform.violations
 
 
+def test_an_unanswered_join_is_sent_again_under_the_same_epoch(world):
+    spares = [m for m in world.platform.instances.values() if m.member is None]
+    for spare in spares:
+        spare.late_orders = 1
+    head = serving(world, "big")
+    epoch = head.member.epoch
+    other_member(world, head).kill()
+    world.advance(6.0)
+    assert world.open_models() == {"big": 1, "small": 2}
+    joins = [
+        exchange
+        for controller in world.controllers.values()
+        for exchange in controller.client.sent
+        if b'"join"' in exchange.body and head.member.group.encode() in exchange.body
+    ]
+    epochs = {json.loads(exchange.body)["epoch"] for exchange in joins}
+    assert len(epochs - {epoch}) == 1
+
+
+def cut_all(world):
+    for controller in world.controllers.values():
+        controller.cut_from_store = True
+
+
+def test_the_last_holder_goes_on_while_nobody_reaches_the_store(world):
+    holder = world.holder()
+    cut_all(world)
+    for _ in range(60):
+        world.advance(0.05)
+        holder.leases.extend(holder.leases.lost)
+    other_member(world, serving(world, "small")).kill()
+    for _ in range(160):
+        world.advance(0.05)
+        holder.leases.extend(holder.leases.lost)
+    assert world.open_models() == {"big": 1, "small": 2}
+    assert not world.platform.violations
+
+
+def test_an_extension_ends_when_another_entry_reaches_the_store(world):
+    holder = world.holder()
+    cut_all(world)
+    for _ in range(60):
+        world.advance(0.05)
+        holder.leases.extend(True)
+    assert world.holder() is holder
+    holder.leases.extend(False)
+    assert world.holder() is None
+
+
+def test_a_lease_that_lapsed_is_not_extended(world):
+    holder = world.holder()
+    cut_all(world)
+    world.advance(3.0)
+    holder.leases.extend(True)
+    assert world.holder() is None
+
+
+def test_the_checks_find_a_group_that_opens_too_early(monkeypatch):
+    monkeypatch.setattr(formers._Plan, "_all_ready", lambda self, group: True)
+    made = World()
+    made.platform.add("i-late", "d0")
+    made.advance(1.0)
+    made.begin_traffic()
+    made.advance(1.0)
+    for name in ("i-d0-0", "i-d0-9"):
+        made.platform.instances[name].kill()
+        made.advance(5.0)
+    assert made.platform.violations
+
+
+def test_the_checks_find_two_holders(monkeypatch):
+    monkeypatch.setattr(PartitionLeases, "holds", lambda self, domain: True)
+    made = World()
+    with pytest.raises(AssertionError):
+        made.holder()
+
+
 def test_a_head_that_is_only_cut_from_the_store_is_closed_before_its_members_move(
     world,
 ):
--- /dev/null
+++ b/citronpin/tests/test_gossips.py
@@ -0,0 +1,171 @@
+"""News between entries: loads, suspects, groups, and a store that all have lost."""
+
+import pytest
+
+from citronpin.basics.ids import EntryId, GroupId, InstanceId, ModelName
+from citronpin.gateway.fleets import (
+    TOLD_S,
+    Fleet,
+    FleetInstance,
+    Membership,
+    Phase,
+    Told,
+)
+from citronpin.gateway.gossips import Gossip
+from citronpin.gateway.loadbooks import PEER_NEWS_S, LoadBook
+from citronpin.gateway.suspects import Suspects
+from citronpin.peers.messages import HeadNews
+from citronpin.tests.meshes import MemoryLinks, Network
+
+HEAD = InstanceId("i-1")
+
+
+class FakeLeases:
+    def __init__(self):
+        self.lost = False
+        self.extended = False
+
+    def extend(self, allowed):
+        self.extended = allowed
+
+
+class FakeFabrics:
+    def __init__(self):
+        self.traffic_began = False
+        self.found = ()
+
+    def heads(self):
+        return self.found
+
+
+class Node:
+    def __init__(self, name, network, clock):
+        self.name = EntryId(name)
+        self.loads = LoadBook()
+        self.suspects = Suspects()
+        self.fleet = Fleet()
+        self.fleet.listed(listed(), now_s=0.0)
+        self.leases = FakeLeases()
+        self.fabrics = FakeFabrics()
+        self.links = MemoryLinks(entry=self.name, network=network)
+        self.peers = {}
+        self.gossip = Gossip(
+            links=self.links,
+            addresses=lambda: self.peers,
+            loads=self.loads,
+            suspects=self.suspects,
+            fleet=self.fleet,
+            fabrics=self.fabrics,
+            leases=self.leases,
+            clock=clock,
+        )
+
+
+def listed(place=None):
+    return FleetInstance(
+        id=HEAD,
+        service="engines",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        slots=9,
+        membership=place,
+    )
+
+
+def place(epoch, phase=Phase.OPEN):
+    return Membership(group=GroupId("g"), epoch=epoch, rank=0, phase=phase)
+
+
+@pytest.fixture
+def nodes(paused_clock):
+    network = Network(clock=paused_clock)
+    made = [Node(f"n{number}", network, paused_clock) for number in range(3)]
+    for node in made:
+        node.peers = {o.name: str(o.name) for o in made if o is not node}
+        node.gossip.start()
+    paused_clock.advance(0.5)
+    return made
+
+
+def test_entries_add_each_others_requests(paused_clock, nodes):
+    nodes[0].loads.started(HEAD)
+    nodes[1].loads.started(HEAD)
+    paused_clock.advance(0.5)
+    assert [node.loads.load(HEAD) for node in nodes] == [2, 2, 2]
+
+
+def test_requests_of_an_entry_that_fell_silent_are_dropped(paused_clock, nodes):
+    nodes[0].loads.started(HEAD)
+    paused_clock.advance(0.5)
+    nodes[0].gossip.stop()
+    paused_clock.advance(PEER_NEWS_S + 0.5)
+    assert nodes[1].loads.load(HEAD) == 0
+
+
+def test_a_suspicion_is_passed_on_for_a_short_time(paused_clock, nodes):
+    nodes[0].suspects.stalled(HEAD, now_s=paused_clock.now())
+    paused_clock.advance(0.5)
+    assert nodes[1].suspects.avoided(HEAD, now_s=paused_clock.now())
+    paused_clock.advance(2.0)
+    assert not nodes[1].suspects.avoided(HEAD, now_s=paused_clock.now())
+    assert nodes[0].suspects.avoided(HEAD, now_s=paused_clock.now())
+
+
+def test_a_new_group_is_known_before_the_list_shows_it(paused_clock, nodes):
+    news = HeadNews(HEAD, GroupId("g"), 4, ModelName("small"))
+    nodes[0].fabrics.found = (news,)
+    paused_clock.advance(0.5)
+    assert nodes[1].fleet.get(HEAD).serving_head
+    assert nodes[1].fleet.get(HEAD).models == ("small",)
+
+
+def test_the_store_is_given_up_only_when_all_have_lost_it(paused_clock, nodes):
+    for node in nodes[:2]:
+        node.leases.lost = True
+    paused_clock.advance(1.0)
+    assert not nodes[0].leases.extended
+    nodes[2].leases.lost = True
+    paused_clock.advance(1.0)
+    assert nodes[0].leases.extended
+    nodes[2].leases.lost = False
+    paused_clock.advance(0.5)
+    assert not nodes[0].leases.extended
+
+
+def test_an_entry_that_hears_nobody_does_not_take_the_store_for_lost(
+    paused_clock, nodes
+):
+    nodes[0].leases.lost = True
+    for node in nodes[1:]:
+        node.gossip.stop()
+    paused_clock.advance(PEER_NEWS_S + 0.5)
+    assert not nodes[0].leases.extended
+
+
+@pytest.fixture
+def fleet():
+    made = Fleet()
+    made.listed(listed(place(3, Phase.READY)), now_s=0.0)
+    made.told(HEAD, Told(place(4), (ModelName("small"),), 1.0))
+    return made
+
+
+def test_an_older_entry_does_not_hide_what_was_told(fleet):
+    fleet.listed(listed(place(3, Phase.READY)), now_s=1.5)
+    assert fleet.get(HEAD).serving_head
+
+
+def test_a_newer_entry_goes_before_what_was_told(fleet):
+    fleet.listed(listed(place(4, Phase.BROKEN)), now_s=1.5)
+    assert not fleet.get(HEAD).serving_head
+
+
+def test_what_was_told_expires(fleet):
+    fleet.listed(listed(place(3, Phase.READY)), now_s=1.1 + TOLD_S)
+    assert not fleet.get(HEAD).serving_head
+
+
+def test_old_news_does_not_bring_back_an_earlier_group(fleet):
+    fleet.listed(listed(place(9, Phase.READY)), now_s=1.5)
+    fleet.told(HEAD, Told(place(4), (ModelName("small"),), 1.6))
+    assert not fleet.get(HEAD).serving_head
--- /dev/null
+++ b/citronpin/tests/test_overloads.py
@@ -0,0 +1,152 @@
+"""Refusal and return under load, replayed over the real placement code."""
+
+import pytest
+
+from citronpin.benches.bench_overload import (
+    ENGINE,
+    MODEL,
+    SERVICE,
+    OverloadCase,
+    OverloadRun,
+)
+from citronpin.gateway.budgets import RepeatBudget, SlidingCount
+from citronpin.gateway.overloads import (
+    HONOURED_SHARE,
+    MAX_QUEUE,
+    RESUME_QUEUE,
+    FirstEventTimes,
+    ObjectiveRoom,
+    Pending,
+    ReturnTimes,
+    place_s,
+)
+
+SLOTS = ENGINE.slots
+
+
+def replay(rooms, **case):
+    run = OverloadRun(case=OverloadCase(**case), rooms=rooms, seed=3)
+    run.run()
+    values = [caller.value() for caller in run.callers]
+    return sum(values) / len(values), min(run.windows())
+
+
+def test_a_burst_on_groups_that_come_and_go_is_served_better_than_by_queues():
+    value, worst = replay("objective")
+    for baseline in ("fixed", "unbounded"):
+        other_value, other_worst = replay(baseline)
+        assert value > other_value and worst > other_worst
+
+
+def test_without_pressure_nobody_is_refused():
+    run = OverloadRun(
+        case=OverloadCase(rate=30.0, burst=1.0, loss_every_s=1e6),
+        rooms="objective",
+        seed=3,
+    )
+    run.run()
+    assert run.refused == 0 and all(caller.done for caller in run.callers)
+
+
+def pending(spent_s=0.0, midway=False, objective_s=0.3):
+    return Pending(
+        service=SERVICE,
+        model=MODEL,
+        objective_s=objective_s,
+        spent_s=spent_s,
+        midway=midway,
+    )
+
+
+@pytest.fixture
+def rooms():
+    return ObjectiveRoom(times=FirstEventTimes())
+
+
+def room(rooms, **fields):
+    return rooms.room(pending=pending(**fields), slots=SLOTS, engine=ENGINE)
+
+
+def test_a_request_waits_only_while_it_can_be_in_time(rooms):
+    assert SLOTS < room(rooms) < SLOTS + 2
+    assert room(rooms, spent_s=0.29) == SLOTS
+    assert room(rooms, objective_s=10.0) == SLOTS + MAX_QUEUE
+
+
+def test_what_is_late_takes_free_places_only(rooms):
+    assert room(rooms, spent_s=0.5) < SLOTS
+
+
+def test_a_caller_midway_goes_before_others(rooms):
+    assert room(rooms, spent_s=3.0, midway=True) == SLOTS + RESUME_QUEUE
+
+
+def test_first_events_are_learnt_where_nothing_waits():
+    times = FirstEventTimes()
+    for load, first_s in [(1, 0.2), (9, 5.0), (2, 0.2)]:
+        times.observed(
+            service=SERVICE, model=MODEL, first_s=first_s, load=load, slots=SLOTS
+        )
+    assert times.usual_s(SERVICE, MODEL) == pytest.approx(0.2)
+
+
+def test_a_place_becomes_free_by_the_engine_model():
+    # 0.6 x 175 tokens x (7.8 ms + 9 x 0.179 ms and context), over 9 places
+    assert place_s(ENGINE, ENGINE.models[0]) == pytest.approx(0.1115, rel=0.02)
+
+
+def test_callers_return_the_later_the_more_are_refused():
+    calm, full = ReturnTimes(), ReturnTimes()
+    for number in range(100):
+        calm.asked(now_s=number / 100)
+        full.asked(now_s=number / 100)
+        full.refuse(left_s=9.0, draw=0.0, now_s=number / 100)
+    short = calm.refuse(left_s=9.0, draw=0.0, now_s=1.0)
+    long = full.refuse(left_s=9.0, draw=0.0, now_s=1.0)
+    assert short < 0.5 < 2.0 < long
+
+
+def test_returns_are_spread_and_within_what_callers_honour():
+    returns = ReturnTimes()
+    waits = [
+        returns.refuse(left_s=1.5, draw=draw / 10, now_s=0.0) for draw in range(10)
+    ]
+    assert len(set(waits)) == 10 and max(waits) <= 1.5 * HONOURED_SHARE
+
+
+def test_a_sliding_count_never_forgets_too_early():
+    count = SlidingCount(window_s=5.0)
+    for step in range(100):
+        now_s = step * 0.3
+        count.add(1.0, now_s=now_s)
+        exact = sum(now_s - other * 0.3 <= 5.0 for other in range(step + 1))
+        assert exact <= count.total(now_s=now_s) <= exact + 3
+
+
+def test_repeats_of_all_entries_keep_to_the_common_budget():
+    ratio, slack, window_s, entries = 0.2, 109.0, 10.0, 9
+    budgets = [
+        RepeatBudget(ratio=ratio, slack=slack, window_s=window_s)
+        for _ in range(entries)
+    ]
+    requests, repeats = [], []
+    for step in range(600):
+        now_s = step * 0.05
+        budget = budgets[step % entries]
+        budget.request(now_s=now_s)
+        requests.append(now_s)
+        for _ in range(5):
+            if budget.take(entries=entries, midway=step % 2 == 0, now_s=now_s):
+                repeats.append(now_s)
+    for end_s in [5.0, 9.0, 12.3, 20.0, 29.9]:
+        begin_s = end_s - window_s
+        spent = sum(begin_s <= at <= end_s for at in repeats)
+        allowed = ratio * sum(begin_s <= at <= end_s for at in requests) + slack
+        assert spent <= allowed
+
+
+def test_a_part_of_the_budget_is_kept_for_callers_midway():
+    budget = RepeatBudget(ratio=0.2, slack=20.0, window_s=10.0)
+    while budget.take(entries=1, midway=False, now_s=1.0):
+        pass
+    assert budget.take(entries=1, midway=True, now_s=1.0)
