--- a/citronpin/backends/http_engines.py
+++ b/citronpin/backends/http_engines.py
@@ -15,6 +15,7 @@
     Submission,
 )
 from citronpin.basics.clocks import Clock
+from citronpin.basics.decodings import bounded
 from citronpin.basics.errors import (
     BadSubmission,
     CitronpinError,
@@ -46,10 +47,10 @@
     detail: str = ""
 
 
-_decode_lines = msgspec.json.Decoder(Frame).decode_lines
-_decode_status = msgspec.json.Decoder(EngineStatus).decode
-_decode_events = msgspec.json.Decoder(list[CacheEvent]).decode
-_decode_problem = msgspec.json.Decoder(Problem).decode
+_decode_lines = bounded(msgspec.json.Decoder(Frame).decode_lines)
+_decode_status = bounded(msgspec.json.Decoder(EngineStatus).decode)
+_decode_events = bounded(msgspec.json.Decoder(list[CacheEvent]).decode)
+_decode_problem = bounded(msgspec.json.Decoder(Problem).decode)
 _encode = msgspec.json.Encoder().encode
 
 
--- a/citronpin/callers/chats.py
+++ b/citronpin/callers/chats.py
@@ -7,6 +7,7 @@
 
 from citronpin.backends.dispatches import AnswerSink
 from citronpin.backends.engines import Frame
+from citronpin.basics.decodings import decode_json
 from citronpin.basics.errors import CitronpinError, Outcome
 from citronpin.basics.ids import DeploymentName
 from citronpin.basics.refusals import BadBody, NotPermitted, UnknownModel
@@ -47,7 +48,7 @@
 def read_chat(body: bytes) -> dict:
     """Return the decoded body; fields that are not checked pass through."""
     try:
-        chat = msgspec.json.decode(body)
+        chat = decode_json(body)
     except msgspec.DecodeError as exc:
         raise BadBody(f"The body is not JSON: {exc}.") from None
     if not isinstance(chat, dict):
@@ -200,7 +201,7 @@
         if not self._end(Outcome.PARTIAL, error.status, error):
             return
         error.outcome = Outcome.PARTIAL
-        problem = msgspec.json.decode(self._ctx.problem(error))
+        problem = decode_json(self._ctx.problem(error))
         problem |= {"message": error.detail, "code": error.kind}
         self._push_event({"error": problem})
         self._ctx.reply.finish()
--- a/citronpin/commands/commands.py
+++ b/citronpin/commands/commands.py
@@ -57,10 +57,26 @@
     return "\n".join(lines)
 
 
+def command_help(command: type[Command], names: set[str]) -> str:
+    """Return the help of one command with the flags of these names."""
+    lines = [f"citronpin {command.name}: {command.summary}", "", "flags:"]
+    for name in sorted(names):
+        flag = FLAGS[name]
+        default = "none" if flag.default is None else flag.default_as_str
+        lines += [f"  --{name} (default {default})", f"      {flag.help}"]
+    if not names:
+        lines.append("  none")
+    return "\n".join([*lines, "", f"example: {command.example}"])
+
+
 def parse(argv: list[str]) -> list[str]:
     """Parse the flags of the command that ``argv`` names."""
     if len(argv) > 1 and argv[1] in COMMANDS:
+        known = set(FLAGS)
         COMMANDS[argv[1]]().define_flags()
+        if {"--help", "-h", "-help"} & set(argv[2:]):
+            print(command_help(COMMANDS[argv[1]], set(FLAGS) - known))
+            sys.exit(0)
     elif len(argv) < 2 or argv[1] in ("help", "--help", "-h"):
         print(usage())
         sys.exit(0 if len(argv) > 1 else EXIT_USAGE)
--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -14,6 +14,7 @@
     "commands_entries",
     "commands_gateway",
     "commands_standins",
+    "commands_stories",
 )
 # Imported alone, since the imports of all commands would double the time of a start.
 LEAN_COMMANDS = {"gateway": "commands_gateway"}
--- a/citronpin/peers/codecs.py
+++ b/citronpin/peers/codecs.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from citronpin.basics.decodings import bounded
 from citronpin.basics.errors import CitronpinError
 from citronpin.basics.ids import EntryId
 from citronpin.peers.messages import AnyMessage, Message
@@ -42,7 +43,7 @@
         self._key = hashlib.blake2b(key, digest_size=32).digest()
         self._max_bytes = max_bytes
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._decode = bounded(msgspec.msgpack.Decoder(Envelope).decode)
 
     def encode(
         self, *, sender: EntryId, sequence: int, message: Message
@@ -63,7 +64,7 @@
         if not hmac.compare_digest(frame[1:HEAD_BYTES], self._tag(body)):
             return Err(BadFrame("A frame has another key."))
         try:
-            return Ok(self._decoder.decode(body))
+            return Ok(self._decode(body))
         except (msgspec.MsgspecError, ValueError) as exc:
             return Err(BadFrame(f"A frame cannot be read: {exc}."))
 
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from citronpin.basics.clocks import MS_PER_S
+from citronpin.basics.decodings import bounded
 from citronpin.basics.errors import CitronpinError
 from citronpin.basics.ids import (
     ApplicationName,
@@ -165,15 +166,15 @@
     domain: str | int | None = None
 
 
-_CONFIG = msgspec.json.Decoder(WireConfig)
-_SERVER = msgspec.json.Decoder(WireServer)
-_REPORT = msgspec.json.Decoder(WireReport)
+_decode_config = bounded(msgspec.json.Decoder(WireConfig).decode)
+_decode_server = bounded(msgspec.json.Decoder(WireServer).decode)
+_decode_report = bounded(msgspec.json.Decoder(WireReport).decode)
 
 
 def decode_config(data: bytes) -> Result[GatewayConfig, Unreadable]:
     """Decode a whole configuration."""
     try:
-        wire = _CONFIG.decode(data)
+        wire = _decode_config(data)
         return Ok(
             GatewayConfig(
                 version=wire.version,
@@ -195,7 +196,7 @@
                 ),
             )
         )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+    except (msgspec.MsgspecError, ValueError) as exc:
         return Err(Unreadable(f"A configuration cannot be read: {exc}."))
 
 
@@ -266,7 +267,7 @@
 def decode_instance(name: str, data: bytes) -> Result[FleetInstance, Unreadable]:
     """Decode the entry of an instance, whose id is the key of the record."""
     try:
-        wire = _SERVER.decode(data)
+        wire = _decode_server(data)
         if wire.state not in STATES:
             raise ValueError(f"state {wire.state!r} is unknown")
         return Ok(
@@ -284,14 +285,14 @@
                 born_ms=wire.born,
             )
         )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+    except (msgspec.MsgspecError, ValueError) as exc:
         return Err(Unreadable(f"The entry of {name!r} cannot be read: {exc}."))
 
 
 def decode_report(data: bytes) -> Result[Report, Unreadable]:
     """Decode what an instance says of itself."""
     try:
-        wire = _REPORT.decode(data)
+        wire = _decode_report(data)
         return Ok(
             Report(
                 membership=_membership(wire.group),
@@ -303,7 +304,7 @@
                 pace=wire.pace,
             )
         )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+    except (msgspec.MsgspecError, ValueError) as exc:
         return Err(Unreadable(f"A report cannot be read: {exc}."))
 
 
--- a/citronpin/state/http_logs.py
+++ b/citronpin/state/http_logs.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from citronpin.basics.clocks import Clock
+from citronpin.basics.decodings import bounded
 from citronpin.basics.errors import CitronpinError, LogUnavailable, Outcome
 from citronpin.basics.ids import Offset, StreamName
 from citronpin.state.logs import LogClient, LogPage
@@ -20,8 +21,8 @@
 REFUSED_STATUSES = frozenset({400, 404, 405, 408, 413, 429, 503})
 MS_PER_S = 1_000
 
-_offset_decoder = msgspec.json.Decoder(dict[str, int])
-_page_decoder = msgspec.msgpack.Decoder(LogPage)
+_decode_offsets = bounded(msgspec.json.Decoder(dict[str, int]).decode)
+_decode_page = bounded(msgspec.msgpack.Decoder(LogPage).decode)
 
 
 class HttpLog(LogClient):
@@ -92,7 +93,7 @@
         if status != 200:
             return Err(_unavailable(f"The log answered {status}."))
         try:
-            return Ok(_page_decoder.decode(body))
+            return Ok(_decode_page(body))
         except msgspec.MsgspecError as fault:
             return Err(_unavailable(f"The log's answer cannot be read: {fault}."))
 
@@ -106,7 +107,7 @@
     if status != 200:
         return Err(_unavailable(f"The log answered {status}.", Outcome.UNKNOWN))
     try:
-        return Ok(Offset(_offset_decoder.decode(body)["offset"]))
+        return Ok(Offset(_decode_offsets(body)["offset"]))
     except (msgspec.MsgspecError, KeyError) as fault:
         detail = f"The log's answer cannot be read: {fault}."
         return Err(_unavailable(detail, Outcome.UNKNOWN))
@@ -118,7 +119,7 @@
     status, _, body = got
     try:
         if status == 200:
-            return Ok(_offset_decoder.decode(body))
+            return Ok(_decode_offsets(body))
     except msgspec.MsgspecError as fault:
         return Err(_unavailable(f"The log's answer cannot be read: {fault}."))
     return Err(_unavailable(f"The log answered {status}."))
--- a/citronpin/state/records.py
+++ b/citronpin/state/records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from citronpin.basics.decodings import bounded
 from citronpin.basics.ids import (
     NO_OFFSET,
     AdapterName,
@@ -241,9 +242,9 @@
     return msgspec.msgpack.encode(record)
 
 
-_decoder = msgspec.msgpack.Decoder(Record)
+_decode = bounded(msgspec.msgpack.Decoder(Record).decode)
 
 
 def decode_record(payload: bytes) -> Record:
     """Return the record of a payload; raises `msgspec.MsgspecError`."""
-    return _decoder.decode(payload)
+    return _decode(payload)
--- a/citronpin/state/snapshots.py
+++ b/citronpin/state/snapshots.py
@@ -8,6 +8,7 @@
 from immutables import Map
 from result import Err, Ok, Result
 
+from citronpin.basics.decodings import bounded
 from citronpin.basics.errors import ProtocolFault
 from citronpin.basics.ids import StreamName
 from citronpin.state.folds import encode_state, fold_for, state_digest
@@ -68,12 +69,16 @@
     return msgspec.msgpack.encode(snapshot)
 
 
+_decode_snapshot = bounded(msgspec.msgpack.Decoder(Snapshot).decode)
+_decode_fields = bounded(msgspec.msgpack.Decoder(dict[str, Any]).decode)
+
+
 def decode_snapshot(
     stream: StreamName, payload: bytes
 ) -> Result[StreamState, ProtocolFault]:
     """Return the state of a snapshot after checking its digest."""
     try:
-        snapshot = msgspec.msgpack.decode(payload, type=Snapshot)
+        snapshot = _decode_snapshot(payload)
     except msgspec.MsgspecError as exc:
         return Err(ProtocolFault(f"The snapshot cannot be read: {exc}."))
     if (snapshot.format, snapshot.stream) != (FORMAT_VERSION, stream):
@@ -89,7 +94,7 @@
         return Err(ProtocolFault(f"A state of {stream} differs from its digest."))
     kind = type(fold_for(stream).empty())
     try:
-        fields = msgspec.msgpack.decode(encoded, type=dict[str, Any])
+        fields = _decode_fields(encoded)
         for name, values in MAP_VALUES[kind].items():
             pairs = msgspec.convert(fields[name], list[tuple[str, values]])
             fields[name] = Map(pairs)
--- /dev/null
+++ b/citronpin/tests/test_stories.py
@@ -0,0 +1,41 @@
+"""From the id of a request to its cause, over the logs of several processes."""
+
+import json
+
+from citronpin.gateway.stories import read_lines, tell_story
+
+
+def line(second, entry, message, **fields):
+    time = f"2026-01-05 13:40:{second:06.3f}".replace(".", ",")
+    record = {"time": time, "level": "INFO", "logger": "x", "entry": entry}
+    return json.dumps(record | {"message": message} | fields)
+
+
+ATTEMPTS = [
+    {"instance": "i-1", "group": "d0.7/7", "fault": "stalled"},
+    {"instance": "i-2", "group": "d1.3/3", "status": 200},
+]
+LOG = [
+    line(10.0, "n2", "order", order="join", instance="i-9", group="d0.7"),
+    line(10.1, "n2", "order", order="join", instance="i-8", group="d4.1"),
+    "noise {not json",
+    line(11.0, "n1", "store lost", topic="t"),
+    line(11.0, "n3", "store lost", topic="t"),
+    line(12.0, "n1", "request", request="a1", ms=1500, attempts=ATTEMPTS),
+    line(12.1, "n1", "request", request="a2", ms=10, attempts=[]),
+    line(1.0, "n2", "order", order="open", instance="i-1", group="d0.7"),
+]
+
+
+def test_a_story_has_what_bears_on_the_request_in_order_of_time():
+    story = tell_story(read_lines(f"   9.9 n1 {text}" for text in LOG), "a1")
+    assert [(found.entry, found.message) for found in story] == [
+        ("n2", "order"),
+        ("n1", "store lost"),
+        ("n1", "request"),
+    ]
+    assert "instance=i-1" in story[-1].text()
+
+
+def test_an_unknown_request_has_no_story():
+    assert tell_story(read_lines(LOG), "a9") == []
--- a/citronpin/web/replies.py
+++ b/citronpin/web/replies.py
@@ -7,6 +7,8 @@
 import msgspec
 from circuits.web.wrappers import Response
 
+from citronpin.basics.decodings import decode_json
+
 logger = logging.getLogger(__name__)
 
 JSON_TYPE = "application/json"
@@ -46,7 +48,7 @@
 
     def json(self):
         """Return the decoded JSON body; raises `msgspec.DecodeError`."""
-        return msgspec.json.decode(self.body or b"null")
+        return decode_json(self.body or b"null")
 
 
 class StreamBody:
