--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -87,6 +87,9 @@
             for instance in usable
             if not self._suspects.avoided(instance.id, now_s=now_s)
         ]
+        if not sound and demand.pending.midway:
+            # Nothing is gained by another wait at an instance that does not answer.
+            return NoPlace(reason="no instance answers", candidates=len(usable))
         chosen = self._least(sound or usable)
         load = self._loads.load(chosen.id)
         room = self._rooms.room(
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -15,6 +15,8 @@
 MIDWAY_STALL_GAPS = 1.5  # objectives of the pause between events
 FIRST_STALL_S = 0.9  # a prompt behind a full batch takes up to 0.6 s
 SUSPECT_STALL_S = 0.3  # at an instance on which another answer stopped
+RESUME_WAIT_S = 1.4  # callers leave a stream that is silent for two seconds
+RESUME_RETRY_S = 0.1
 
 
 class StreamExchange(Exchange):
@@ -32,6 +34,7 @@
         self._last_number = self._asked_number()
         self._last_event_s = 0.0
         self._started = False
+        self._stuck_s: float | None = None  # since when no place was found
         self._sound = False  # the last attempt answers with a stream
 
     def _asked_number(self) -> int | None:
@@ -153,10 +156,22 @@
 
     def _no_place(self, found: NoPlace) -> None:
         last = self._last
-        if last is not None and last.fault is not None and self.runs:
-            self._end_with(last.fault)
-        else:
+        if last is None or last.fault is None or not self.runs:
             self._refuse_place(found)
+            return
+        now_s = self._desk.clock.now()
+        if self._stuck_s is None:
+            self._stuck_s = now_s
+        if not self._task.route.repeatable or now_s - self._stuck_s >= RESUME_WAIT_S:
+            self._end_with(last.fault)
+            return
+        # A place is soon free, and nothing else would complete the answer.
+        self._excluded.clear()
+        self._desk.clock.call_later(RESUME_RETRY_S, self._try_again)
+
+    def _try_again(self) -> None:
+        if not self._done and self._send_next():
+            self._stuck_s = None
 
     def _break_off(self) -> None:
         """End an answer that cannot be completed so that it does not look whole."""
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -220,6 +220,30 @@
     assert len(counter.client.sent) == 2  # no more than the route allows
 
 
+def test_a_broken_stream_waits_shortly_for_a_place(paused_clock):
+    counter = Counter(clock=paused_clock, engines=1)
+    counter.scripts["e0"] = Stream(clock=paused_clock, stop_after=4, then=reset)
+    reply = counter.send("/draft/1")
+    paused_clock.advance(0.3)
+    counter.suspects.stalled("e0", now_s=paused_clock.now())
+    paused_clock.advance(0.4)
+    assert not reply.ended
+    counter.scripts["e9"] = Stream(clock=paused_clock)
+    counter.add("e9", "engines", head=True)
+    paused_clock.advance(2.0)
+    assert reply.body == whole_stream() and not reply.aborted
+
+
+def test_a_broken_stream_ends_when_no_place_is_found(paused_clock):
+    counter = Counter(clock=paused_clock, engines=1)
+    counter.scripts["e0"] = Stream(clock=paused_clock, stop_after=4, then=reset)
+    reply = counter.send("/draft/1")
+    paused_clock.advance(0.3)
+    counter.suspects.stalled("e0", now_s=paused_clock.now())
+    paused_clock.advance(2.0)
+    assert reply.aborted
+
+
 def test_a_gap_between_events_is_never_passed_on(counter):
     def gap(exchange):
         exchange.head(200, sound(exchange))
