--- a/citronpin/gateway/answers.py
+++ b/citronpin/gateway/answers.py
@@ -33,6 +33,13 @@
         remedy="Try again after Retry-After.",
         retry_after_s=0.5,
     )
+    STOPPING = Refusal(
+        status=503,
+        kind="stopping",
+        detail="The request was not run: the entry stops before it could end.",
+        remedy="Try again on a new connection, which leads to another entry.",
+        retry_after_s=0.05,
+    )
     NO_ROUTE = Refusal(
         status=404,
         kind="no-route",
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -313,12 +313,18 @@
         """Answer when the time is over."""
         self._answer_after(Fault.TIMED_OUT)
 
-    def _caller_left(self) -> None:
+    def cut(self) -> None:
+        """End at once, since the process ends; the answer does not look whole."""
+        if not self._done:
+            self._caller_left("process-ends")
+            self._reply.abort()
+
+    def _caller_left(self, outcome: str = "caller-left") -> None:
         last = self._last
         if last is not None and not last.over:
-            last.cancel(Fault.LOST, "the caller left")
+            last.cancel(Fault.LOST, outcome)
             self._desk.loads.ended(last.instance.id)
-        self._close("caller-left", 0)
+        self._close(outcome, 0)
 
     def _close(self, outcome: str, status: int) -> None:
         self._done = True
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -13,16 +13,37 @@
 
 logger = logging.getLogger(__name__)
 
+TAKE_WHILE_STOPPING_S = 3.0  # the balancer sends new callers for about two seconds
+
 
 class Front(HttpHandler):
     """Finds out what a request is and begins its exchange."""
 
     def __init__(self, *, desk: Desk) -> None:
         self._desk = desk
-        self.stopping = False
+        self._stopping_s: float | None = None
+        self._end_s = 0.0
+
+    def stop_by(self, end_s: float) -> None:
+        """Take only requests that can end before the process does, at ``end_s``."""
+        self._stopping_s = self._desk.clock.now()
+        self._end_s = end_s
+
+    def _too_late_for(self, route: Route) -> bool:
+        """Return whether a request of a route could be cut by the end.
+
+        Where few entries of a failure domain are left, the balancer sends callers
+        also to those that stop.
+        """
+        if self._stopping_s is None:
+            return False
+        now_s = self._desk.clock.now()
+        if now_s - self._stopping_s <= TAKE_WHILE_STOPPING_S:
+            return False
+        return self._end_s - now_s < route.timeout_s
 
     def handle(self, req: HttpRequest, reply: Reply) -> None:
-        if self.stopping:
+        if self._stopping_s is not None:
             reply.close_after()
         table = self._desk.table
         if table is None:
@@ -42,6 +63,9 @@
             if customer is None:
                 self._refuse(req, reply, RefusalKind.NO_CUSTOMER.value)
                 return
+        if self._too_late_for(route):
+            self._refuse(req, reply, RefusalKind.STOPPING.value)
+            return
         self._begin(req, reply, table, route, customer)
 
     def _begin(
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -279,7 +279,7 @@
             return
         self._stopping_s = self.clock.now()
         logger.info("stop", extra={"in_progress": len(self.desk.open)})
-        self.front.stopping = True
+        self.front.stop_by(self._stopping_s + self.cfg.grace_s - STOP_MARGIN_S)
         if not self.adapter.leases.lost:
             self._hand_over()
         self._wait_until_drained()
@@ -306,6 +306,8 @@
 
     def _finish(self) -> None:
         self._hand_over()
+        for exchange in list(self.desk.open):
+            exchange.cut()
         self.adapter.stop()
         if self.gossip is not None:
             self.gossip.stop()
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -90,9 +90,10 @@
 
     def leave(self) -> None:
         self.leases.stop()
-        self._directory.withdraw()
 
     def stop(self) -> None:
+        # Until the end this entry places requests, for which it needs others' loads.
+        self._directory.withdraw()
         for feed in self._feeds:
             feed.stop()
 
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -274,9 +274,37 @@
     assert all(reply.outcome == "not-run" for reply in refused)
 
 
+def stop_after(counter, waited_s, grace_s=7.6):
+    counter.front.stop_by(counter.clock.now() + grace_s)
+    counter.clock.advance(waited_s)
+
+
 def test_a_stopping_front_serves_and_closes(counter):
-    counter.front.stopping = True
+    stop_after(counter, 0.0)
     counter.scripts["*"] = ok
     reply = counter.send("/swap/1")
     counter.clock.advance(0.1)
     assert reply.closes and reply.status == 200
+
+
+def test_a_stopping_front_refuses_what_its_end_could_cut(counter):
+    # Incident inc-47ff: callers sent streams until the last moment, which were cut.
+    counter.scripts["*"] = Stream(clock=counter.clock)
+    stop_after(counter, 3.1)
+    reply = counter.send("/draft/1")
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert reply.closes and float(reply.headers["retry-after"]) > 0
+    counter.scripts["*"] = ok
+    short = counter.send("/swap/1")
+    counter.clock.advance(0.1)
+    assert short.status == 200
+
+
+def test_the_end_of_the_process_cuts_without_another_attempt(counter):
+    counter.scripts["*"] = Stream(clock=counter.clock, last=1000)
+    reply = counter.send("/draft/1")
+    counter.clock.advance(0.3)
+    for exchange in list(counter.desk.open):
+        exchange.cut()
+    assert reply.aborted and not counter.desk.open
+    assert len(counter.client.sent) == 1
