Claim a lease that every entry has stepped down from

Cause: an entry that finds a domain dark hands its lease over and rests for 300 s; after each had done so, the domain had no holder, and a group that lost a member then was listed as serving. Ruled out: the detector (it called the member dead within 10 s on each entry). A resting entry now claims a lease that stays vacant for 6 s, and does not step down again before its rest is over.

--- a/citronpin/control/leases.py
+++ b/citronpin/control/leases.py
@@ -18,6 +18,7 @@
 MAX_HEAD_AGE_S = 4.0  # a holder with an older view of the log does not act
 CONFIRM_S = 1.5  # a holder has the head confirmed this often
 STEP_DOWN_S = 300.0  # a holder that stepped down does not claim again before
+REST_CLAIM_S = 6.0  # a vacant lease was claimed by then if an entry does not rest
 
 Alive = Callable[[], frozenset[EntryId]]
 
@@ -60,6 +61,7 @@
         self._boot: Offset | None = None
         self._leaving = False
         self._rests_until_s = 0.0
+        self._steps_down_after_s = 0.0
         self._vacant: tuple[Fence, float] | None = None  # lease, since when
         self._known: Lease | None = None
 
@@ -88,11 +90,12 @@
     def step_down(self, reason: str) -> bool:
         """Hand the lease over if another entry can take it."""
         others = self._alive() - {self._entry}
-        if not others or self._clock.now() < self._rests_until_s:
+        now = self._clock.now()
+        if not others or now < max(self._rests_until_s, self._steps_down_after_s):
             return False
         if self.fence is None:
             return False
-        self._rests_until_s = self._clock.now() + STEP_DOWN_S
+        self._rests_until_s = self._steps_down_after_s = now + STEP_DOWN_S
         self._hand_over(reason)
         return True
 
@@ -104,6 +107,8 @@
         if self._leaving or self._resting():
             if self._owns(lease):
                 self._hand_over("not handed over yet")
+            elif not self._leaving:
+                self._end_rest(lease)
             return
         if self._owns(lease):
             self._vacant = None
@@ -112,9 +117,26 @@
         if wait_s is None:
             self._vacant = None
             return
+        if self._vacant_for_s(lease) >= wait_s:
+            self._claim(lease)
+
+    def _vacant_for_s(self, lease: Lease) -> float:
+        """Return for how long this entry has known a lease as vacant."""
         if self._vacant is None or self._vacant[0] != lease.fence:
             self._vacant = (lease.fence, self._clock.now())
-        if self._clock.now() - self._vacant[1] >= wait_s:
+        return self._clock.now() - self._vacant[1]
+
+    def _end_rest(self, lease: Lease) -> None:
+        """Claim a lease that nobody wants: all entries have stepped down.
+
+        A domain that was dark for each of them in turn would else be without a
+        holder for ``STEP_DOWN_S``.
+        """
+        wait_s = self._wait_s(lease)
+        if lease.holder or wait_s is None:
+            self._vacant = None
+        elif self._vacant_for_s(lease) >= REST_CLAIM_S + wait_s:
+            self._rests_until_s = 0.0
             self._claim(lease)
 
     def _wait_s(self, lease: Lease) -> float | None:
--- a/citronpin/tests/test_controls.py
+++ b/citronpin/tests/test_controls.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from citronpin.basics.ids import CONFIG_STREAM, control_stream
+from citronpin.basics.settings import check_settings
 from citronpin.control import rollouts
 from citronpin.control.domains import DomainFacts
 from citronpin.control.drains import Drains
@@ -20,6 +21,7 @@
 from citronpin.control.groups import Condition, GroupController
 from citronpin.control.readbacks import Readbacks
 from citronpin.policy import repairs
+from citronpin.policy.policies import make_detector, make_repair
 from citronpin.state.folds import ConfigFold, ControlFold
 from citronpin.state.instances import InstanceState
 from citronpin.state.records import LeaseClaim
@@ -240,6 +242,43 @@
         run(examples=20, steps=12)
 
 
+def graded_world(world_class=World):
+    """Return a world under the weighted policy and the graded detector."""
+    cfg = check_settings(
+        {"repair": {"policy": "weighted", "detector": "graded"}}, ("repair",)
+    ).unwrap()
+    return world_class(
+        repair=make_repair(cfg=cfg), detector=lambda: make_detector(cfg=cfg)
+    )
+
+
+def test_a_domain_that_was_dark_for_all_entries_gets_a_holder_again():
+    # Every entry handed the lease over in turn, and none claimed it for 300 s.
+    world = graded_world()
+    world.advance(16.0)
+    engines = [e for e in world.fabric.engines.values() if e.row.domain == "a"]
+    for _ in world.entries:
+        for engine in engines:
+            engine.pause()
+        world.advance(20.0)
+        for engine in engines:
+            engine.go_on()
+        world.advance(20.0)
+    assert world.truth[control_stream("a")].lease.holder
+    world.check_live()
+
+
+@pytest.mark.soak
+def test_everything_holds_under_faults_for_long_with_graded_detection(monkeypatch):
+    monkeypatch.setitem(globals(), "World", graded_world)
+    run(examples=300, steps=40, fixed=int(os.environ["CITRONPIN_SOAK_SEED"]))
+
+
+def test_everything_holds_under_faults_with_graded_detection(monkeypatch):
+    monkeypatch.setitem(globals(), "World", graded_world)
+    run(examples=8, steps=40, fixed=7)
+
+
 @pytest.mark.soak
 def test_everything_holds_under_faults_for_long():
     run(examples=300, steps=40, fixed=int(os.environ["CITRONPIN_SOAK_SEED"]))
