--- a/citronpin/benches/bench_overload.py
+++ b/citronpin/benches/bench_overload.py
@@ -8,7 +8,6 @@
 import logging
 import math
 import random
-from collections import deque
 
 import msgspec
 
@@ -31,6 +30,7 @@
     Pending,
     ReturnTimes,
     RoomPolicy,
+    urgency,
 )
 from citronpin.gateway.placers import Demand, LeastLoaded, Placement
 from citronpin.gateway.routings import EngineSpec, ModelSpec
@@ -89,18 +89,20 @@
 
     def __init__(self, *, clock: PausedClock) -> None:
         self._clock = clock
-        self.waiting: deque[Caller] = deque()
+        self.waiting: list[Caller] = []
         self.running: set[Caller] = set()
         self.up = True
 
     def take(self, caller: "Caller") -> None:
-        """Take a request."""
+        """Take a request; urgent ones are served first, equals in order."""
+        caller.urgency = urgency(caller.pending()).value
         self.waiting.append(caller)
+        self.waiting.sort(key=lambda waiting: waiting.urgency)
         self._begin()
 
     def _begin(self) -> None:
         while self.up and self.waiting and len(self.running) < ENGINE.slots:
-            caller = self.waiting.popleft()
+            caller = self.waiting.pop(0)
             self.running.add(caller)
             fill = len(self.running)
             step_s = ENGINE.step_s + fill * ENGINE.step_per_writer_s
@@ -172,6 +174,7 @@
         self.entry: EmulatedEntry | None = None
         self.load = 0
         self.sent_s = 0.0
+        self.urgency = 0
 
     def send(self) -> None:
         """Ask an entry."""
@@ -180,7 +183,9 @@
         self.entry = run.rng.choice(run.entries)
         entry = self.entry
         entry.returns.asked(now_s=now_s)
-        found = entry.placer.place(demand=self._demand(now_s), now_s=now_s)
+        found = entry.placer.place(
+            demand=Demand(pending=self.pending(), engine=ENGINE), now_s=now_s
+        )
         if isinstance(found, Placement):
             self.load = found.load
             self.sent_s = now_s
@@ -193,15 +198,15 @@
         if self.visits <= RETURNS:
             run.clock.call_later(wait_s, self.send)
 
-    def _demand(self, now_s: float) -> Demand:
-        pending = Pending(
+    def pending(self) -> Pending:
+        """Return what an admission rule looks at."""
+        return Pending(
             service=SERVICE,
             model=MODEL,
             objective_s=self.run.case.objective_s,
-            spent_s=now_s - self.began_s,
+            spent_s=self.run.clock.now() - self.began_s,
             midway=self.first_s is not None,
         )
-        return Demand(pending=pending, engine=ENGINE)
 
     def first(self, group: EmulatedGroup) -> None:
         """Take the first event."""
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -13,7 +13,12 @@
 from citronpin.gateway.budgets import RepeatBudget
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.loadbooks import LoadBook
-from citronpin.gateway.overloads import FirstEventTimes, Pending, ReturnTimes
+from citronpin.gateway.overloads import (
+    FirstEventTimes,
+    Pending,
+    ReturnTimes,
+    urgency,
+)
 from citronpin.gateway.placers import Demand, NoPlace, Placer
 from citronpin.gateway.ports import HeaderNames
 from citronpin.gateway.request_logs import RequestLog
@@ -149,20 +154,23 @@
         return self._attempts[-1] if self._attempts else None
 
     def _demand(self) -> Demand:
-        task = self._task
-        waited_s = self._desk.clock.now() - task.received_s
         return Demand(
-            pending=Pending(
-                service=task.service,
-                model=task.model,
-                objective_s=task.route.objective_s,
-                spent_s=task.spent_s + waited_s,
-                midway=self._midway,
-            ),
-            engine=task.engine,
+            pending=self._pending(),
+            engine=self._task.engine,
             excluded=self._excluded,
         )
 
+    def _pending(self) -> Pending:
+        task = self._task
+        waited_s = self._desk.clock.now() - task.received_s
+        return Pending(
+            service=task.service,
+            model=task.model,
+            objective_s=task.route.objective_s,
+            spent_s=task.spent_s + waited_s,
+            midway=self._midway,
+        )
+
     @property
     def _midway(self) -> bool:
         """Return whether the caller has a part of the answer."""
@@ -214,6 +222,8 @@
         headers.append((names.expect_instance, attempt.instance.id))
         if self._task.customer is not None:
             headers.append((names.customer, self._task.customer))
+        if self._task.engine is not None:
+            headers.append((names.urgency, str(urgency(self._pending()).value)))
         return (*headers, *self._own_headers().items())
 
     def _own_headers(self) -> dict[str, str]:
--- a/citronpin/gateway/overloads.py
+++ b/citronpin/gateway/overloads.py
@@ -5,6 +5,7 @@
 
 import logging
 from abc import ABC, abstractmethod
+from enum import Enum
 
 import msgspec
 
@@ -37,6 +38,22 @@
     midway: bool = False  # its answer has begun
 
 
+class Urgency(Enum):
+    """The order in which an instance takes waiting requests; 0 is first."""
+
+    MIDWAY = 0
+    IN_TIME = 3
+    LATE = 7
+
+
+def urgency(pending: Pending) -> Urgency:
+    """Return how urgent a request is: what is late waits behind what is not."""
+    if pending.midway:
+        return Urgency.MIDWAY
+    late = pending.spent_s >= pending.objective_s > 0
+    return Urgency.LATE if late else Urgency.IN_TIME
+
+
 class FirstEventTimes:
     """Learns how long a first event takes where no request waits for a place."""
 
@@ -100,7 +117,8 @@
     The load it answers: demand beyond the places for seconds, after groups were lost
     or in a burst. A request that waits too long is late, and so is every one behind
     it; refused at once, it comes back later and the places serve others in time. What
-    is late already takes places that are free, but none that others wait for.
+    is late already takes places that are free, but none that others wait for, and
+    waits behind them (`urgency`).
     """
 
     def __init__(self, *, times: FirstEventTimes) -> None:
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -45,7 +45,7 @@
         names = self._desk.names
         if not self._started or self._last_number is None:
             return {}
-        return {names.last_event: str(self._last_number), names.urgency: "0"}
+        return {names.last_event: str(self._last_number)}
 
     @property
     def _midway(self) -> bool:
--- a/citronpin/tests/test_overloads.py
+++ b/citronpin/tests/test_overloads.py
@@ -19,6 +19,7 @@
     Pending,
     ReturnTimes,
     place_s,
+    urgency,
 )
 
 SLOTS = ENGINE.slots
@@ -73,8 +74,10 @@
     assert room(rooms, objective_s=10.0) == SLOTS + MAX_QUEUE
 
 
-def test_what_is_late_takes_free_places_only(rooms):
+def test_what_is_late_takes_free_places_only_and_waits_behind_what_is_not(rooms):
     assert room(rooms, spent_s=0.5) < SLOTS
+    order = [pending(midway=True), pending(), pending(spent_s=0.5)]
+    assert sorted(order, key=lambda one: urgency(one).value) == order
 
 
 def test_a_caller_midway_goes_before_others(rooms):
