--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -155,6 +155,12 @@
 
     def _serving(self, views: dict[InstanceId, InstanceView]) -> Iterator[HeadNews]:
         """Return the live heads that accept requests."""
+        paces: dict[GroupId, float] = {}
+        for member, seen in views.items():
+            group = _group_of(seen.instance)
+            if group is not None:
+                pace = max(self._watch.pace(member), paces.get(group, 1.0))
+                paces[group] = round(pace, 1)
         for seen in views.values():
             instance = seen.instance
             if not instance.serving_head or seen.dead or not instance.models:
@@ -166,6 +172,7 @@
                 epoch=place.epoch,
                 model=instance.models[0],
                 load=self._watch.load(instance.id),
+                pace=paces[place.group],
             )
 
     def _loads_left(self, engine: EngineSpec, domains: int, now_s: float) -> int:
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -77,6 +77,8 @@
         self._leases.extend(self._nobody_reaches_the_store(now_s))
         mesh = len(self._addresses()) < MESH_ENTRIES
         heads = self._fabrics.heads()
+        for head in heads:
+            self._loads.paced(head.instance, pace=head.pace, now_s=now_s)
         self._connect(self._audience(mesh, bool(heads), now_s))
         news = LoadNews(
             loads=self._loads.own() if mesh else {},
@@ -141,6 +143,7 @@
             self._holders[sender] = now_s
         for head in message.heads:
             self._fleet.told(head.instance, _told(head, now_s))
+            self._loads.paced(head.instance, pace=head.pace, now_s=now_s)
             if head.load >= 0:
                 self._loads.reported(head.instance, load=head.load, now_s=now_s)
 
--- a/citronpin/gateway/loadbooks.py
+++ b/citronpin/gateway/loadbooks.py
@@ -36,6 +36,7 @@
 
     def __init__(self) -> None:
         self._reports: dict[InstanceId, ReportedLoad] = {}
+        self._paces: dict[InstanceId, tuple[float, float]] = {}  # heard, pace
         self._own: Counter[InstanceId] = Counter()
         self._peers: dict[EntryId, PeerLoad] = {}
         self._others: Counter[InstanceId] = Counter()
@@ -67,6 +68,14 @@
         """Take what an instance reported of itself."""
         self._reports[instance] = ReportedLoad(now_s, load, self._own[instance])
 
+    def paced(self, instance: InstanceId, *, pace: float, now_s: float) -> None:
+        """Take how slow a group is."""
+        self._paces[instance] = (now_s, pace)
+
+    def pace(self, instance: InstanceId) -> float:
+        """Return the factor on the times of a group, 1 when nothing is known."""
+        return self._paces.get(instance, (0.0, 1.0))[1]
+
     def heard(
         self, *, entry: EntryId, loads: dict[InstanceId, int], now_s: float
     ) -> None:
@@ -80,6 +89,9 @@
         for instance, report in list(self._reports.items()):
             if now_s - report.heard_s > PEER_NEWS_S:
                 del self._reports[instance]
+        for instance, (heard_s, _) in list(self._paces.items()):
+            if now_s - heard_s > PEER_NEWS_S:
+                del self._paces[instance]
 
     def _sum(self, now_s: float) -> None:
         for entry, news in list(self._peers.items()):
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -16,6 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
+SLOW_COST = 2.0  # requests for each multiple of the usual time
 REMOTE_COST = 0.35  # requests; a place nearby is taken first among equals
 
 
@@ -123,8 +124,11 @@
 
     def _cost(self, instance: FleetInstance) -> float:
         remote = instance.failure_domain != self._failure_domain
+        # At a slow group each request in progress, and this one, takes longer.
+        pace = self._loads.pace(instance.id)
+        waits = self._loads.load(instance.id) * pace + SLOW_COST * (pace - 1.0)
         return (
-            self._loads.load(instance.id)
+            waits
             + self._suspects.penalty(instance.id)
             + (REMOTE_COST if remote else 0.0)
         )
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -109,6 +109,11 @@
             return NO_LOAD
         return seen.report.running + seen.report.waiting
 
+    def pace(self, instance: InstanceId) -> float:
+        """Return how slow an instance reported to be last; 1 is its usual pace."""
+        seen = self._watched.get(instance)
+        return 1.0 if seen is None or seen.report is None else seen.report.pace
+
     def dead(self, instance: FleetInstance, *, suspected: bool = False) -> bool:
         """Return whether an instance is judged dead.
 
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -192,6 +192,7 @@
     epoch: int
     model: ModelName
     load: int = NO_LOAD  # requests that it reported last, running and waiting
+    pace: float = 1.0  # factor on its times by the slowest member, above 1 when slow
 
 
 class LoadNews(Message, tag=18):
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -255,6 +255,17 @@
     assert [reply.body for reply in replies] == [whole_stream()] * 3
 
 
+def test_a_slow_group_gets_less_work(counter):
+    # Incident inc-77fc: groups with a slow member were filled like the others.
+    counter.scripts["*"] = Stream(clock=counter.clock, last=10_000)
+    counter.loads.paced("e0", pace=5.0, now_s=0.0)
+    for _ in range(12):
+        counter.send("/draft/1")
+    counter.clock.advance(0.1)
+    loads = counter.loads.own()
+    assert loads.get("e0", 0) <= 1 and loads["e1"] >= 5 and loads["e2"] >= 5
+
+
 def test_a_stream_is_given_up_at_its_time_out(counter):
     counter.scripts["*"] = Stream(clock=counter.clock, last=10_000)
     reply = counter.send("/draft/1", **{HEADERS.deadline_ms: "60000"})
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -150,6 +150,16 @@
     assert nodes[1].fleet.get(HEAD).models == ("small",)
 
 
+def test_the_pace_of_a_group_is_told_and_forgotten(paused_clock, nodes):
+    slow = HeadNews(HEAD, GroupId("g"), 4, ModelName("small"), pace=5.0)
+    nodes[0].fabrics.found = (slow,)
+    paused_clock.advance(0.5)
+    assert [node.loads.pace(HEAD) for node in nodes] == [5.0, 5.0, 5.0]
+    nodes[0].fabrics.found = ()
+    paused_clock.advance(PEER_NEWS_S + 0.5)
+    assert [node.loads.pace(HEAD) for node in nodes] == [1.0, 1.0, 1.0]
+
+
 def test_the_store_is_given_up_only_when_all_have_lost_it(paused_clock, nodes):
     for node in nodes[:2]:
         node.leases.lost = True
