Keep one spare for each model in large domains, and read the store less often

Reads of the list every 0.45 of the time in which leaving instances have to be known (0.35 before), of the configuration after 3.5 s (2 s).

--- a/citronpin/gateway/formers.py
+++ b/citronpin/gateway/formers.py
@@ -18,7 +18,7 @@
 REPEAT_ORDER_S = 0.6  # until an order that changed nothing is given again
 JOIN_SLACK_S = 3.0  # beyond the stated time of a load
 SLOW_LOAD = 4.0  # loads share the weight store and take several times as long
-SPARE_SHARE = 0.2  # of a domain; a sixth of the members is lost on a bad day
+SPARE_SHARE = 0.2  # of a small domain; a sixth of the members is lost on a bad day
 
 
 class InstanceView(msgspec.Struct, frozen=True, kw_only=True):
@@ -163,10 +163,11 @@
 ) -> dict[ModelName, int]:
     """Return how many groups of each model a domain of ``usable`` instances has.
 
-    Models get instances in proportion to their share of the work; the next group is
-    of the model that would then be least ahead of its share.
+    Spares are a share of a small domain and one for each model of a large one, where
+    more would stand idle. Models get instances in proportion to their share of the
+    work; the next group is of the model that would then be least ahead of its share.
     """
-    room = usable - round(spare_share * usable)
+    room = usable - min(round(spare_share * usable), len(engine.models))
     total = sum(spec.share for spec in engine.models) or 1.0
     counts = {spec.name: 0 for spec in engine.models}
     while True:
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -18,9 +18,9 @@
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 INSTANCES_TOPIC = "keyed.servers"
-CONFIG_WAIT_S = 2.0  # a silent connection is found while the bounds allow it
+CONFIG_WAIT_S = 3.5  # a silent connection is found while the bounds allow it
 CONFIG_PAUSE_S = 0.02
-INTERVAL_SHARE = 0.35  # of the time in which leaving instances have to be known
+INTERVAL_SHARE = 0.45  # of the time in which leaving instances have to be known
 RETRY_S = 0.25
 
 
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -251,6 +251,21 @@
     assert not world.platform.violations
 
 
+@pytest.mark.parametrize(
+    "usable, groups",
+    [
+        (10, {"big": 1, "small": 2}),
+        (18, {"big": 2, "small": 4}),
+        (7, {"big": 1, "small": 1}),
+        (3, {"big": 0, "small": 1}),
+        (0, {"big": 0, "small": 0}),
+    ],
+)
+def test_groups_take_a_domain_but_for_a_spare_of_each_model(usable, groups):
+    engine = table_of().services["engines"].engine
+    assert composition(engine, usable=usable, spare_share=0.2) == groups
+
+
 def test_loads_keep_to_the_common_rate():
     made = World(domains=("d0", "d1", "d2"))
     made.begin_traffic()
