Give work at once to a group that formed anew

A suspicion of a stalled head stood for 5.5 s, while its group was repaired within 3.5: entries kept away from a sound group. An instance with another epoch is no longer suspected. Found by looking for code that nothing called.

--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -1,7 +1,7 @@
 """What the platform lists: instances, their groups and the changes of both."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import msgspec
@@ -64,6 +64,10 @@
         return seen is not None and seen.rank == 0 and seen.phase is Phase.OPEN
 
 
+def _epoch(instance: FleetInstance) -> int | None:
+    return None if instance.membership is None else instance.membership.epoch
+
+
 class Told(msgspec.Struct, frozen=True):
     """What another entry said of an instance's group."""
 
@@ -80,7 +84,10 @@
     ``RELIST_S`` after the list could be read again.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, on_rejoined: Callable[[InstanceId], None] | None = None
+    ) -> None:
+        self._on_rejoined = on_rejoined  # told of an instance with another epoch
         self._instances: dict[InstanceId, FleetInstance] = {}
         self._by_service: dict[ApplicationName, dict[InstanceId, FleetInstance]] = {}
         self._heard_s: dict[InstanceId, float] = {}
@@ -157,6 +164,9 @@
         known = self._instances.get(instance.id)
         if known == instance:
             return
+        if known is not None and _epoch(known) != _epoch(instance):
+            if self._on_rejoined is not None:
+                self._on_rejoined(instance.id)
         if known is not None and known.service != instance.service:
             self._by_service[known.service].pop(known.id, None)
         self.version += 1
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -107,9 +107,9 @@
         self.cfg = cfg
         self.clock = clock
         self.adapter = adapter
-        self.fleet = Fleet()
-        self.loads = LoadBook()
         self.suspects = Suspects()
+        self.fleet = Fleet(on_rejoined=self.suspects.forget)
+        self.loads = LoadBook()
         self.metrics = Metrics()
         self._rng = rng or random.Random()
         self._stopping_s: float | None = None
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -128,8 +128,3 @@
             return False  # the list tells nothing now
         now_s = self._clock.now()
         return now_s - self._fleet.heard_s(instance.id) > self._silent_s
-
-    def confirmed(self, instance: FleetInstance) -> bool:
-        """Return whether an instance answered a moment ago."""
-        seen = self._watched.get(instance.id)
-        return seen is not None and seen.misses == 0 and seen.report is not None
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -111,10 +111,10 @@
     def __init__(self, *, clock, engines=3, books=2, **config):
         self.clock = clock
         self.client = MemoryClient(clock=clock)
-        self.fleet = Fleet()
+        self.suspects = Suspects()
+        self.fleet = Fleet(on_rejoined=self.suspects.forget)
         self.scripts = {}
         self.loads = LoadBook()
-        self.suspects = Suspects()
         for number in range(engines):
             self.add(f"e{number}", "engines", head=True)
         for number in range(books):
@@ -152,9 +152,9 @@
             if isinstance(exchange, StreamExchange):
                 exchange.check(self.clock.now())
 
-    def add(self, name, service, head=False):
+    def add(self, name, service, head=False, epoch=1):
         address = f"10.1.0.{len(self.client.handlers) + 1}:80"
-        place = Membership(group=GroupId(name), epoch=1, rank=0, phase=Phase.OPEN)
+        place = Membership(group=GroupId(name), epoch=epoch, rank=0, phase=Phase.OPEN)
         self.fleet.listed(
             FleetInstance(
                 id=InstanceId(name),
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -255,6 +255,18 @@
     assert [reply.body for reply in replies] == [whole_stream()] * 3
 
 
+def test_a_group_that_formed_anew_gets_work_at_once(paused_clock):
+    counter = Counter(clock=paused_clock, engines=2)
+    counter.scripts["*"] = Stream(clock=paused_clock, last=10_000)
+    counter.suspects.stalled("e0", now_s=0.0)
+    counter.send("/draft/1")
+    counter.send("/draft/1")
+    assert "e0" not in counter.loads.own()
+    counter.add("e0", "engines", head=True, epoch=2)
+    counter.send("/draft/1")
+    assert counter.loads.own()["e0"] == 1
+
+
 def test_a_slow_group_gets_less_work(counter):
     # Incident inc-77fc: groups with a slow member were filled like the others.
     counter.scripts["*"] = Stream(clock=counter.clock, last=10_000)
