--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -36,7 +36,7 @@
         return self not in (Fault.UNSENT, Fault.NOT_RUN)
 
 
-class Sending(msgspec.Struct, frozen=True, kw_only=True):
+class OutgoingRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What is sent, the same for every attempt but for some headers."""
 
     method: str
@@ -98,19 +98,19 @@
 
     def send(
         self,
-        sending: Sending,
+        outgoing: OutgoingRequest,
         headers: tuple[tuple[str, str], ...],
         max_idle_s: float,
     ) -> None:
         """Send the request; ``max_idle_s`` bounds the reuse of connections."""
-        self._id = sending.attempt_id
+        self._id = outgoing.attempt_id
         self._exchange = self._client.request(
             address=self.instance.address,
-            method=sending.method,
-            target=sending.target,
-            host=sending.host,
+            method=outgoing.method,
+            target=outgoing.target,
+            host=outgoing.host,
             headers=headers,
-            body=sending.body,
+            body=outgoing.body,
             sink=self,
             timeout_s=None,
             connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -9,7 +9,7 @@
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, CustomerName, InstanceId, ModelName
 from citronpin.gateway.answers import Refusal, RefusalKind, no_place, send_refusal
-from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, Sending
+from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, OutgoingRequest
 from citronpin.gateway.budgets import RepeatBudget
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.loadbooks import LoadBook
@@ -57,7 +57,7 @@
         return min(self.deadline_s, self.received_s + self.route.timeout_s)
 
 
-class Desk:
+class ExchangeContext:
     """What all exchanges of an entry share."""
 
     def __init__(
@@ -115,31 +115,31 @@
 
     FRESH_CONNECTION_S = 4.0  # a connection idle for longer may be closing
 
-    def __init__(self, *, task: Task, reply: Reply, desk: Desk) -> None:
+    def __init__(self, *, task: Task, reply: Reply, context: ExchangeContext) -> None:
         self._task = task
         self._reply = reply
-        self._desk = desk
+        self._context = context
         self._attempts: list[Attempt] = []
         self._excluded: set[InstanceId] = set()
         self._timer: TimerHandle | None = None
         self._done = False
         self._reason = ""  # of a refusal, for the log
-        self._sending = Sending(
+        self._outgoing = OutgoingRequest(
             method=task.req.method,
             target=task.req.target,
             host=task.req.headers.get("host", ""),
-            attempt_id=task.req.headers.get(desk.names.attempt, ""),
+            attempt_id=task.req.headers.get(context.names.attempt, ""),
             body=task.req.body,
         )
 
     def start(self) -> None:
         """Send the request, or refuse it at once."""
-        now_s = self._desk.clock.now()
-        self._desk.open.add(self)
+        now_s = self._context.clock.now()
+        self._context.open.add(self)
         self._reply.on_gone = self._caller_left
-        self._desk.budget(self._task.service).request(now_s=now_s)
-        self._desk.returns.asked(now_s=now_s)
-        self._timer = self._desk.clock.call_later(
+        self._context.budget(self._task.service).request(now_s=now_s)
+        self._context.returns.asked(now_s=now_s)
+        self._timer = self._context.clock.call_later(
             self._task.end_s - now_s, self._out_of_time
         )
         self._send_next()
@@ -162,7 +162,7 @@
 
     def _pending(self) -> Pending:
         task = self._task
-        waited_s = self._desk.clock.now() - task.received_s
+        waited_s = self._context.clock.now() - task.received_s
         return Pending(
             service=task.service,
             model=task.model,
@@ -178,8 +178,8 @@
 
     def _send_next(self) -> bool:
         """Send to the next instance; without one, answer and return false."""
-        now_s = self._desk.clock.now()
-        found = self._desk.placer.place(demand=self._demand(), now_s=now_s)
+        now_s = self._context.clock.now()
+        found = self._context.placer.place(demand=self._demand(), now_s=now_s)
         if isinstance(found, NoPlace):
             self._no_place(found)
             return False
@@ -187,21 +187,21 @@
             owner=self,
             instance=found.instance,
             load=found.load,
-            names=self._desk.names,
-            client=self._desk.client,
-            clock=self._desk.clock,
+            names=self._context.names,
+            client=self._context.client,
+            clock=self._context.clock,
         )
         self._attempts.append(attempt)
         self._excluded.add(found.instance.id)
-        self._desk.loads.started(found.instance.id)
-        attempt.send(self._sending, self._headers(attempt), self._max_idle_s())
+        self._context.loads.started(found.instance.id)
+        attempt.send(self._outgoing, self._headers(attempt), self._max_idle_s())
         return True
 
     def _max_idle_s(self) -> float:
         return self.FRESH_CONNECTION_S
 
     def _headers(self, attempt: Attempt) -> tuple[tuple[str, str], ...]:
-        names = self._desk.names
+        names = self._context.names
         dropped = {
             names.key,
             names.customer,
@@ -217,7 +217,7 @@
             for name, value in self._task.req.headers.items()
             if name not in HOP_BY_HOP and name not in dropped
         ]
-        left_s = self._task.end_s - self._desk.clock.now()
+        left_s = self._task.end_s - self._context.clock.now()
         headers.append((names.deadline_ms, str(max(int(left_s * MS_PER_S), 1))))
         headers.append((names.expect_instance, attempt.instance.id))
         if self._task.customer is not None:
@@ -238,16 +238,16 @@
         if fault.ran:
             if not task.route.repeatable or self.runs >= task.route.max_attempts:
                 return False
-        now_s = self._desk.clock.now()
+        now_s = self._context.clock.now()
         if fault is Fault.UNSENT:
             return True  # no instance has seen it, so it is no repeat
-        return self._desk.budget(task.service).take(
-            entries=self._desk.entries, midway=midway, now_s=now_s
+        return self._context.budget(task.service).take(
+            entries=self._context.entries, midway=midway, now_s=now_s
         )
 
     def _judge(self, attempt: Attempt, fault: Fault) -> None:
         """Let later placements know what came of an attempt."""
-        suspects, now_s = self._desk.suspects, self._desk.clock.now()
+        suspects, now_s = self._context.suspects, self._context.clock.now()
         if fault is Fault.UNSENT:
             suspects.unreachable(attempt.instance.id, now_s=now_s)
         elif fault is Fault.STALLED:
@@ -259,7 +259,7 @@
             suspects.failed(attempt.instance.id)
 
     def attempt_failed(self, attempt: Attempt, fault: Fault) -> None:
-        self._desk.loads.ended(attempt.instance.id)
+        self._context.loads.ended(attempt.instance.id)
         self._judge(attempt, fault)
         self._after_fault(fault)
 
@@ -277,10 +277,10 @@
 
     def _refuse(self, reason: str) -> None:
         """Answer that the request did not run, and when a place is expected."""
-        now_s = self._desk.clock.now()
-        wait_s = self._desk.returns.refuse(
+        now_s = self._context.clock.now()
+        wait_s = self._context.returns.refuse(
             left_s=self._task.deadline_s - now_s,
-            draw=self._desk.rng.random(),
+            draw=self._context.rng.random(),
             now_s=now_s,
         )
         self._answer(no_place(reason=reason, wait_s=wait_s))
@@ -293,7 +293,7 @@
         send_refusal(self._reply, refusal, self._echo())
 
     def _echo(self) -> dict[str, str]:
-        return {self._desk.names.attempt: self._sending.attempt_id}
+        return {self._context.names.attempt: self._outgoing.attempt_id}
 
     def _answer_after(self, fault: Fault) -> None:
         """Answer when a fault cannot be mended by another attempt."""
@@ -315,7 +315,7 @@
         last = self._last
         if last is not None and not last.over:
             last.cancel(Fault.TIMED_OUT, "the time of the request is over")
-            self._desk.loads.ended(last.instance.id)
+            self._context.loads.ended(last.instance.id)
             self._judge(last, Fault.TIMED_OUT)
         self._give_up()
 
@@ -333,22 +333,22 @@
         last = self._last
         if last is not None and not last.over:
             last.cancel(Fault.LOST, outcome)
-            self._desk.loads.ended(last.instance.id)
+            self._context.loads.ended(last.instance.id)
         self._close(outcome, 0)
 
     def _close(self, outcome: str, status: int) -> None:
         self._done = True
         if self._timer is not None:
             self._timer.cancel()
-        self._desk.open.discard(self)
-        self._desk.log.ended(
+        self._context.open.discard(self)
+        self._context.log.ended(
             task=self._task,
-            request=self._sending.attempt_id,
+            request=self._outgoing.attempt_id,
             outcome=outcome,
             status=status,
             attempts=self._attempts,
             reason=self._reason,
-            now_s=self._desk.clock.now(),
+            now_s=self._context.clock.now(),
         )
 
 
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -14,13 +14,13 @@
 )
 from citronpin.gateway.budgets import SlidingCount
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
-from citronpin.gateway.formers import (
+from citronpin.gateway.planners import (
     Action,
     Close,
     DomainView,
     Form,
     Formation,
-    Former,
+    GroupPlanner,
     InstanceView,
     Open,
     Stage,
@@ -35,7 +35,7 @@
 from citronpin.gateway.routings import EngineSpec, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.watches import MemberWatch
-from citronpin.peers.messages import HeadNews
+from citronpin.peers.messages import HeadStatus
 
 logger = logging.getLogger(__name__)
 
@@ -57,7 +57,7 @@
         service: ApplicationName,
         domain: DomainName,
         fleet: Fleet,
-        former: Former,
+        planner: GroupPlanner,
         control: InstanceControl,
         leases: DomainLeases,
         suspects: Suspects,
@@ -68,7 +68,7 @@
         self.service = service
         self.domain = domain
         self._fleet = fleet
-        self._former = former
+        self._planner = planner
         self._control = control
         self._leases = leases
         self._clock = clock
@@ -83,7 +83,7 @@
         self._epoch = 0
         self._ordered_s = float("-inf")
         self._held_since_s: float | None = None
-        self.heads: tuple[HeadNews, ...] = ()  # groups that serve, as found last
+        self.heads: tuple[HeadStatus, ...] = ()  # groups that serve, as found last
 
     def release(self) -> None:
         """Forget what was ordered; another entry decides now."""
@@ -139,7 +139,7 @@
         self.heads = tuple(self._serving(views))
         if now_s - self._held_since_s < SETTLE_S and not bulk:
             return
-        for action in self._former.plan(view=view, now_s=now_s):
+        for action in self._planner.plan(view=view, now_s=now_s):
             self._carry_out(action, views, now_s)
 
     def _suspected(
@@ -153,7 +153,7 @@
             and self._suspects.avoided(instance.id, now_s=now_s)
         }
 
-    def _serving(self, views: dict[InstanceId, InstanceView]) -> Iterator[HeadNews]:
+    def _serving(self, views: dict[InstanceId, InstanceView]) -> Iterator[HeadStatus]:
         """Return the live heads that accept requests."""
         paces: dict[GroupId, float] = {}
         for member, seen in views.items():
@@ -166,7 +166,7 @@
             if not instance.serving_head or seen.dead or not instance.models:
                 continue
             place = instance.membership
-            yield HeadNews(
+            yield HeadStatus(
                 instance=instance.id,
                 group=place.group,
                 epoch=place.epoch,
@@ -393,7 +393,7 @@
         self,
         *,
         fleet: Fleet,
-        former: Former,
+        planner: GroupPlanner,
         control: InstanceControl,
         leases: DomainLeases,
         suspects: Suspects,
@@ -402,7 +402,7 @@
     ) -> None:
         self._suspects = suspects
         self._fleet = fleet
-        self._former = former
+        self._planner = planner
         self._control = control
         self._leases = leases
         self._clock = clock
@@ -422,7 +422,7 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def heads(self) -> tuple[HeadNews, ...]:
+    def heads(self) -> tuple[HeadStatus, ...]:
         """Return the groups that serve in the domains whose leases are held."""
         return tuple(
             head
@@ -453,7 +453,7 @@
                     service=service,
                     domain=domain,
                     fleet=self._fleet,
-                    former=self._former,
+                    planner=self._planner,
                     control=self._control,
                     leases=self._leases,
                     suspects=self._suspects,
--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -68,7 +68,7 @@
     return None if instance.membership is None else instance.membership.epoch
 
 
-class Told(msgspec.Struct, frozen=True):
+class GroupNews(msgspec.Struct, frozen=True):
     """What another entry said of an instance's group."""
 
     membership: Membership
@@ -92,7 +92,7 @@
         self._by_service: dict[ApplicationName, dict[InstanceId, FleetInstance]] = {}
         self._heard_s: dict[InstanceId, float] = {}
         self._missing: dict[InstanceId, float] = {}
-        self._told: dict[InstanceId, Told] = {}
+        self._told: dict[InstanceId, GroupNews] = {}
         self._outage = False
         self._outage_ended_s = float("-inf")
         self.loaded = False
@@ -134,7 +134,7 @@
         self._missing.pop(instance.id, None)
         self._put(self._with_told(instance, now_s))
 
-    def told(self, instance: InstanceId, news: Told) -> None:
+    def told(self, instance: InstanceId, news: GroupNews) -> None:
         """Take what the entry that decides on a group says of its head."""
         known = self._instances.get(instance)
         if known is None:
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -5,7 +5,7 @@
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.ids import ApplicationName, ModelName
 from citronpin.gateway.answers import Refusal, RefusalKind, send_refusal
-from citronpin.gateway.exchanges import Desk, Task
+from citronpin.gateway.exchanges import ExchangeContext, Task
 from citronpin.gateway.routings import RequestKind, Route, RoutingTable, Tenant
 from citronpin.gateway.stream_exchanges import StreamExchange
 from citronpin.gateway.whole_exchanges import WholeExchange
@@ -19,14 +19,14 @@
 class Front(HttpHandler):
     """Finds out what a request is and begins its exchange."""
 
-    def __init__(self, *, desk: Desk) -> None:
-        self._desk = desk
+    def __init__(self, *, context: ExchangeContext) -> None:
+        self._context = context
         self._stopping_s: float | None = None
         self._end_s = 0.0
 
     def stop_by(self, end_s: float) -> None:
         """Take only requests that can end before the process does, at ``end_s``."""
-        self._stopping_s = self._desk.clock.now()
+        self._stopping_s = self._context.clock.now()
         self._end_s = end_s
 
     def _too_late_for(self, route: Route) -> bool:
@@ -37,7 +37,7 @@
         """
         if self._stopping_s is None:
             return False
-        now_s = self._desk.clock.now()
+        now_s = self._context.clock.now()
         if now_s - self._stopping_s <= TAKE_WHILE_STOPPING_S:
             return False
         return self._end_s - now_s < route.timeout_s
@@ -45,7 +45,7 @@
     def handle(self, req: HttpRequest, reply: Reply) -> None:
         if self._stopping_s is not None:
             reply.close_after()
-        table = self._desk.table
+        table = self._context.table
         if table is None:
             self._refuse(req, reply, RefusalKind.NO_CONFIG.value)
             return
@@ -59,7 +59,7 @@
             return
         customer = None
         if table.needs_key and not route.public:
-            customer = table.customer(req.headers.get(self._desk.names.key, ""))
+            customer = table.customer(req.headers.get(self._context.names.key, ""))
             if customer is None:
                 self._refuse(req, reply, RefusalKind.NO_CUSTOMER.value)
                 return
@@ -76,13 +76,13 @@
         route: Route,
         customer: Tenant | None,
     ) -> None:
-        now_s = self._desk.clock.now()
+        now_s = self._context.clock.now()
         service = self._pick(route)
         spec = table.services.get(service)
         engine = None if spec is None else spec.engine
         model = None
         if engine is not None:
-            model = ModelName(req.headers.get(self._desk.names.model, ""))
+            model = ModelName(req.headers.get(self._context.names.model, ""))
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
@@ -97,30 +97,30 @@
             deadline_s=now_s + left_s,
             config_version=table.version,
             priority=priority,
-            spent_s=self._desk.spent_s(route=route, left_s=left_s),
+            spent_s=self._context.spent_s(route=route, left_s=left_s),
             engine=engine,
         )
         stream = route.kind is RequestKind.STREAM
         kind = StreamExchange if stream else WholeExchange
-        kind(task=task, reply=reply, desk=self._desk).start()
+        kind(task=task, reply=reply, context=self._context).start()
 
     def _pick(self, route: Route) -> ApplicationName:
         if len(route.targets) == 1:
             return route.targets[0].service
         weights = [target.weight for target in route.targets]
-        return self._desk.rng.choices(route.targets, weights)[0].service
+        return self._context.rng.choices(route.targets, weights)[0].service
 
     def _deadline_s(self, req: HttpRequest, route: Route) -> float:
-        text = req.headers.get(self._desk.names.deadline_ms, "")
+        text = req.headers.get(self._context.names.deadline_ms, "")
         return int(text) / MS_PER_S if text.isdigit() else route.timeout_s
 
     def _refuse(self, req: HttpRequest, reply: Reply, refusal: Refusal) -> None:
-        attempt = req.headers.get(self._desk.names.attempt, "")
-        version = self._desk.table.version if self._desk.table else 0
-        self._desk.log.refused(
+        attempt = req.headers.get(self._context.names.attempt, "")
+        version = self._context.table.version if self._context.table else 0
+        self._context.log.refused(
             request=attempt,
             reason=refusal.kind,
             status=refusal.status,
             config=version,
         )
-        send_refusal(reply, refusal, {self._desk.names.attempt: attempt})
+        send_refusal(reply, refusal, {self._context.names.attempt: attempt})
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -8,12 +8,12 @@
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import EntryId, InstanceId
 from citronpin.gateway.fabrics import Fabrics
-from citronpin.gateway.fleets import Fleet, Membership, Phase, Told
+from citronpin.gateway.fleets import Fleet, GroupNews, Membership, Phase
 from citronpin.gateway.loadbooks import PEER_NEWS_S, LoadBook
 from citronpin.gateway.ports import DomainLeases
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
-from citronpin.peers.messages import NO_LOAD, HeadNews, LoadNews, Message
+from citronpin.peers.messages import NO_LOAD, HeadStatus, Message, StatusUpdate
 
 logger = logging.getLogger(__name__)
 
@@ -55,7 +55,7 @@
         self._store_lost: dict[EntryId, tuple[float, bool]] = {}
         self._holders: dict[EntryId, float] = {}  # when heard last
         self._connected: set[str] = set()
-        self._last: LoadNews | None = None
+        self._last: StatusUpdate | None = None
         self._sent_s = float("-inf")
         self._timer: TimerHandle | None = None
 
@@ -80,7 +80,7 @@
         for head in heads:
             self._loads.paced(head.instance, pace=head.pace, now_s=now_s)
         self._connect(self._audience(mesh, bool(heads), now_s))
-        news = LoadNews(
+        news = StatusUpdate(
             loads=self._loads.own() if mesh else {},
             suspects=self._suspects.recent(since_s=now_s - 2 * NEWS_INTERVAL_S),
             traffic=self._fabrics.traffic_began,
@@ -105,7 +105,7 @@
             }
         return {f"tcp://{at}" for at in peers.values()}
 
-    def _due(self, news: LoadNews, mesh: bool, now_s: float) -> bool:
+    def _due(self, news: StatusUpdate, mesh: bool, now_s: float) -> bool:
         since_s = now_s - self._sent_s
         if since_s >= QUIET_NEWS_S:
             return True
@@ -130,7 +130,7 @@
         self._connected = wanted
 
     def _receive(self, sender: EntryId, message: Message) -> None:
-        if not isinstance(message, LoadNews):
+        if not isinstance(message, StatusUpdate):
             return
         now_s = self._clock.now()
         self._loads.heard(entry=sender, loads=message.loads, now_s=now_s)
@@ -148,10 +148,10 @@
                 self._loads.reported(head.instance, load=head.load, now_s=now_s)
 
 
-def _without_load(head: HeadNews) -> HeadNews:
+def _without_load(head: HeadStatus) -> HeadStatus:
     return msgspec.structs.replace(head, load=NO_LOAD)
 
 
-def _told(head: HeadNews, now_s: float) -> Told:
+def _told(head: HeadStatus, now_s: float) -> GroupNews:
     place = Membership(group=head.group, epoch=head.epoch, rank=0, phase=Phase.OPEN)
-    return Told(place, (head.model,), now_s)
+    return GroupNews(place, (head.model,), now_s)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -13,15 +13,15 @@
 from citronpin.basics.ids import EntryId, FailureDomainName
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RepeatBudget
-from citronpin.gateway.exchanges import Desk
+from citronpin.gateway.exchanges import ExchangeContext
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet
-from citronpin.gateway.formers import SpareFormer
 from citronpin.gateway.fronts import Front
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.loadbooks import LoadBook
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveRoom
 from citronpin.gateway.placers import LeastLoaded
+from citronpin.gateway.planners import SparePlanner
 from citronpin.gateway.ports import DomainLeases, HeaderNames, InstanceControl
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
@@ -120,11 +120,11 @@
         ClockTask(clock=clock).register(self)
         client.register(self)
         self.client = client
-        self.desk = self._make_desk()
-        self.front = Front(desk=self.desk)
+        self.context = self._make_context()
+        self.front = Front(context=self.context)
         self.fabrics = Fabrics(
             fleet=self.fleet,
-            former=SpareFormer(),
+            planner=SparePlanner(),
             control=adapter.control,
             leases=adapter.leases,
             suspects=self.suspects,
@@ -134,7 +134,7 @@
         self._add_servers()
         clock.call_later(0.0, self._begin)
 
-    def _make_desk(self) -> Desk:
+    def _make_context(self) -> ExchangeContext:
         times = FirstEventTimes()
         placer = LeastLoaded(
             fleet=self.fleet,
@@ -144,7 +144,7 @@
             rng=self._rng,
             rooms=ObjectiveRoom(times=times),
         )
-        return Desk(
+        return ExchangeContext(
             clock=self.clock,
             client=self.client,
             names=self.adapter.names,
@@ -194,13 +194,13 @@
     @property
     def ready(self) -> bool:
         """Return whether new callers may come."""
-        known = self.desk.table is not None and self.fleet.loaded
+        known = self.context.table is not None and self.fleet.loaded
         return known and self._stopping_s is None
 
     def apply_config(self, cfg: GatewayConfig) -> None:
         """Put a newer configuration in force."""
         table = RoutingTable(cfg=cfg)
-        self.desk.table = table
+        self.context.table = table
         self.fabrics.table = table
         self.server.http.set_limits(
             ServerLimits(
@@ -240,7 +240,7 @@
 
     def _count_entries(self) -> None:
         known = len(self.adapter.peer_addresses())
-        self.desk.entries = max(known, self.loads.peers()) + 1
+        self.context.entries = max(known, self.loads.peers()) + 1
 
     def _check_stalls(self) -> None:
         self.clock.call_later(STALL_CHECK_S, self._check_stalls)
@@ -250,9 +250,9 @@
             if any(instance.serving_head for instance in self.fleet.all()):
                 # Groups serve, so this is no first start.
                 self.fabrics.traffic_began = True
-        if self.desk.open:
+        if self.context.open:
             self.fabrics.traffic_began = True
-        for exchange in list(self.desk.open):
+        for exchange in list(self.context.open):
             if isinstance(exchange, StreamExchange):
                 exchange.check(now_s)
 
@@ -279,7 +279,7 @@
         if self._stopping_s is not None:
             return
         self._stopping_s = self.clock.now()
-        logger.info("stop", extra={"in_progress": len(self.desk.open)})
+        logger.info("stop", extra={"in_progress": len(self.context.open)})
         self.front.stop_by(self._stopping_s + self.cfg.grace_s - STOP_MARGIN_S)
         if not self.adapter.leases.lost:
             self._hand_over()
@@ -307,7 +307,7 @@
 
     def _finish(self) -> None:
         self._hand_over()
-        for exchange in list(self.desk.open):
+        for exchange in list(self.context.open):
             exchange.cut()
         self.adapter.stop()
         if self.gossip is not None:
--- a/citronpin/gateway/formers.py
+++ b/citronpin/gateway/planners.py
@@ -106,7 +106,7 @@
     refused: frozenset[InstanceId] = frozenset()
 
 
-class Former(ABC):
+class GroupPlanner(ABC):
     """Decides on the groups of a domain."""
 
     @abstractmethod
@@ -214,7 +214,7 @@
     return 2 if instance.staged else 1
 
 
-class SpareFormer(Former):
+class SparePlanner(GroupPlanner):
     """Keeps a part of each domain as spares that hold the models of its groups.
 
     A lost member is replaced under the same group name with a higher epoch, which
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -4,7 +4,7 @@
 
 from citronpin.gateway.attempts import MAX_WHOLE_BYTES, Attempt, Fault
 from citronpin.gateway.event_streams import EventSplitter, EventTooLong, StreamEvent
-from citronpin.gateway.exchanges import Desk, Exchange, Task, passed_on
+from citronpin.gateway.exchanges import Exchange, ExchangeContext, Task, passed_on
 from citronpin.gateway.placers import NoPlace
 from citronpin.web.replies import Reply
 
@@ -26,8 +26,8 @@
     the last of them within the same answer, so that a caller sees each event once.
     """
 
-    def __init__(self, *, task: Task, reply: Reply, desk: Desk) -> None:
-        super().__init__(task=task, reply=reply, desk=desk)
+    def __init__(self, *, task: Task, reply: Reply, context: ExchangeContext) -> None:
+        super().__init__(task=task, reply=reply, context=context)
         self._splitter = EventSplitter()
         self._parts: list[bytes] = []  # of an answer that is no stream
         self._size = 0
@@ -38,11 +38,11 @@
         self._sound = False  # the last attempt answers with a stream
 
     def _asked_number(self) -> int | None:
-        text = self._task.req.headers.get(self._desk.names.last_event, "")
+        text = self._task.req.headers.get(self._context.names.last_event, "")
         return int(text) if text.isdigit() else None
 
     def _own_headers(self) -> dict[str, str]:
-        names = self._desk.names
+        names = self._context.names
         if not self._started or self._last_number is None:
             return {}
         return {names.last_event: str(self._last_number)}
@@ -96,22 +96,22 @@
             headers = passed_on(attempt.headers)
             content_type = headers.pop("content-type", "text/event-stream")
             self._reply.start(OK, content_type, headers)
-        self._last_event_s = self._desk.clock.now()
-        self._desk.suspects.succeeded(attempt.instance.id, now_s=self._last_event_s)
+        self._last_event_s = self._context.clock.now()
+        self._context.suspects.succeeded(attempt.instance.id, now_s=self._last_event_s)
         self._reply.push(event.data)
         return True
 
     def _learn(self, attempt: Attempt) -> None:
-        self._desk.times.observed(
+        self._context.times.observed(
             service=self._task.service,
             model=self._task.model,
-            first_s=self._desk.clock.now() - attempt.sent_s,
+            first_s=self._context.clock.now() - attempt.sent_s,
             load=attempt.load,
             slots=attempt.instance.slots,
         )
 
     def attempt_ended(self, attempt: Attempt) -> None:
-        self._desk.loads.ended(attempt.instance.id)
+        self._context.loads.ended(attempt.instance.id)
         fault = self._fault_of(attempt)
         if fault is None:
             self._finish(attempt)
@@ -159,7 +159,7 @@
         if last is None or last.fault is None or not self.runs:
             self._refuse_place(found)
             return
-        now_s = self._desk.clock.now()
+        now_s = self._context.clock.now()
         if self._stuck_s is None:
             self._stuck_s = now_s
         if not self._task.route.repeatable or now_s - self._stuck_s >= RESUME_WAIT_S:
@@ -167,7 +167,7 @@
             return
         # A place is soon free, and nothing else would complete the answer.
         self._excluded.clear()
-        self._desk.clock.call_later(RESUME_RETRY_S, self._try_again)
+        self._context.clock.call_later(RESUME_RETRY_S, self._try_again)
 
     def _try_again(self) -> None:
         if not self._done and self._send_next():
@@ -192,22 +192,22 @@
         since_s = max(last.sent_s, self._last_event_s)
         if last.first_s is None:
             # Behind others it waits; while these go on, its instance is sound.
-            since_s = max(since_s, self._desk.suspects.alive_s(last.instance.id))
+            since_s = max(since_s, self._context.suspects.alive_s(last.instance.id))
         if now_s - since_s < self._patience_s(last, now_s):
             return
-        self._desk.suspects.stalled(last.instance.id, now_s=now_s)
-        found = self._desk.placer.place(demand=self._demand(), now_s=now_s)
+        self._context.suspects.stalled(last.instance.id, now_s=now_s)
+        found = self._context.placer.place(demand=self._demand(), now_s=now_s)
         if isinstance(found, NoPlace) or found.load >= found.instance.slots:
             return
         if self._may_repeat(Fault.STALLED, midway=self._started):
             last.cancel(Fault.STALLED, f"silent for {now_s - since_s:.2f} s")
-            self._desk.loads.ended(last.instance.id)
+            self._context.loads.ended(last.instance.id)
             self._send_next()
 
     def _patience_s(self, attempt: Attempt, now_s: float) -> float:
         if attempt.first_s is not None:
             gaps_s = MIDWAY_STALL_GAPS * self._task.route.gap_objective_s
             return max(MIDWAY_STALL_S, gaps_s)
-        if self._desk.suspects.avoided(attempt.instance.id, now_s=now_s):
+        if self._context.suspects.avoided(attempt.instance.id, now_s=now_s):
             return SUSPECT_STALL_S
         return FIRST_STALL_S
--- a/citronpin/gateway/whole_exchanges.py
+++ b/citronpin/gateway/whole_exchanges.py
@@ -3,7 +3,7 @@
 import logging
 
 from citronpin.gateway.attempts import MAX_WHOLE_BYTES, Attempt, Fault
-from citronpin.gateway.exchanges import Desk, Exchange, Task
+from citronpin.gateway.exchanges import Exchange, ExchangeContext, Task
 from citronpin.gateway.placers import NoPlace
 from citronpin.gateway.routings import RequestKind
 from citronpin.web.replies import Reply
@@ -20,8 +20,8 @@
     own, so that a caller never gets half an answer that looks whole.
     """
 
-    def __init__(self, *, task: Task, reply: Reply, desk: Desk) -> None:
-        super().__init__(task=task, reply=reply, desk=desk)
+    def __init__(self, *, task: Task, reply: Reply, context: ExchangeContext) -> None:
+        super().__init__(task=task, reply=reply, context=context)
         self._parts: list[bytes] = []
         self._size = 0
 
@@ -44,11 +44,11 @@
         self._parts.append(data)
 
     def attempt_ended(self, attempt: Attempt) -> None:
-        self._desk.loads.ended(attempt.instance.id)
+        self._context.loads.ended(attempt.instance.id)
         fault = self._fault_of(attempt)
         if fault is None:
-            now_s = self._desk.clock.now()
-            self._desk.suspects.succeeded(attempt.instance.id, now_s=now_s)
+            now_s = self._context.clock.now()
+            self._context.suspects.succeeded(attempt.instance.id, now_s=now_s)
             self._deliver_whole(attempt, b"".join(self._parts))
             return
         attempt.fault = fault
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -184,7 +184,7 @@
     tokens: tuple[CustomerRate, ...] = ()
 
 
-class HeadNews(msgspec.Struct, frozen=True, array_like=True):
+class HeadStatus(msgspec.Struct, frozen=True, array_like=True):
     """A group that serves, as the entry found it that decides on its domain."""
 
     instance: InstanceId  # the head
@@ -195,14 +195,14 @@
     pace: float = 1.0  # factor on its times by the slowest member, above 1 when slow
 
 
-class LoadNews(Message, tag=18):
+class StatusUpdate(Message, tag=18):
     """What the sender has in progress, whom it suspects, which groups serve."""
 
     loads: dict[InstanceId, int] = {}
     suspects: tuple[InstanceId, ...] = ()
     traffic: bool = False  # whether it has ever taken a request
     store_lost: bool = False  # whether the platform's store does not answer it
-    heads: tuple[HeadNews, ...] = ()  # in the domains whose leases it holds
+    heads: tuple[HeadStatus, ...] = ()  # in the domains whose leases it holds
 
 
 AnyMessage = (
@@ -222,5 +222,5 @@
     | CallFinish
     | CallFinished
     | Demand
-    | LoadNews
+    | StatusUpdate
 )
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -13,7 +13,7 @@
 )
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RepeatBudget
-from citronpin.gateway.exchanges import Desk
+from citronpin.gateway.exchanges import ExchangeContext
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.fronts import Front
 from citronpin.gateway.loadbooks import LoadBook
@@ -121,7 +121,7 @@
             self.add(f"b{number}", "book")
         rng = random.Random(7)
         times = FirstEventTimes()
-        self.desk = Desk(
+        self.context = ExchangeContext(
             clock=clock,
             client=self.client,
             names=HEADERS,
@@ -141,14 +141,14 @@
             rng=rng,
             make_budget=lambda: RepeatBudget(ratio=0.2, slack=100, window_s=10),
         )
-        self.desk.table = table_of(**({"routes": ROUTES} | config))
-        self.front = Front(desk=self.desk)
+        self.context.table = table_of(**({"routes": ROUTES} | config))
+        self.front = Front(context=self.context)
         self.number = 0
         self._tick()
 
     def _tick(self):
         self.clock.call_later(STALL_TICK_S, self._tick)
-        for exchange in list(self.desk.open):
+        for exchange in list(self.context.open):
             if isinstance(exchange, StreamExchange):
                 exchange.check(self.clock.now())
 
--- a/citronpin/tests/platforms/worlds.py
+++ b/citronpin/tests/platforms/worlds.py
@@ -5,7 +5,7 @@
 from citronpin.basics.clocks import Clock, PausedClock
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet
-from citronpin.gateway.formers import SpareFormer
+from citronpin.gateway.planners import SparePlanner
 from citronpin.gateway.routings import RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.platform.decoders import decode_config
@@ -89,7 +89,7 @@
         self.suspects = Suspects()
         self.fabrics = Fabrics(
             fleet=self.fleet,
-            former=SpareFormer(),
+            planner=SparePlanner(),
             control=WireControl(client=self.client),
             leases=self.leases,
             suspects=self.suspects,
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -72,7 +72,7 @@
 
 
 def test_without_a_configuration_callers_are_told_to_come_back(counter):
-    counter.desk.table = None
+    counter.context.table = None
     reply = counter.send("/swap/1")
     assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
 
@@ -327,7 +327,7 @@
     counter.scripts["*"] = Stream(clock=counter.clock, last=1000)
     reply = counter.send("/draft/1")
     counter.clock.advance(0.3)
-    for exchange in list(counter.desk.open):
+    for exchange in list(counter.context.open):
         exchange.cut()
-    assert reply.aborted and not counter.desk.open
+    assert reply.aborted and not counter.context.open
     assert len(counter.client.sent) == 1
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -6,8 +6,8 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from citronpin.gateway import formers
-from citronpin.gateway.formers import composition
+from citronpin.gateway import planners
+from citronpin.gateway.planners import composition
 from citronpin.platform.leases import PartitionLeases
 from citronpin.tests.platforms.worlds import World, table_of
 
@@ -207,7 +207,7 @@
 
 
 def test_the_checks_find_a_group_that_opens_too_early(monkeypatch):
-    monkeypatch.setattr(formers._Plan, "_all_ready", lambda self, group: True)
+    monkeypatch.setattr(planners._Plan, "_all_ready", lambda self, group: True)
     made = World()
     made.platform.add("i-late", "d0")
     made.advance(1.0)
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -7,14 +7,14 @@
     TOLD_S,
     Fleet,
     FleetInstance,
+    GroupNews,
     Membership,
     Phase,
-    Told,
 )
 from citronpin.gateway.gossips import MESH_ENTRIES, Gossip
 from citronpin.gateway.loadbooks import PEER_NEWS_S, LoadBook
 from citronpin.gateway.suspects import Suspects
-from citronpin.peers.messages import HeadNews
+from citronpin.peers.messages import HeadStatus
 from citronpin.tests.meshes import MemoryLinks, Network
 
 HEAD = InstanceId("i-1")
@@ -111,7 +111,7 @@
     ]
     for node in made:
         node.peers = {o.name: str(o.name) for o in made if o is not node}
-    made[0].fabrics.found = (HeadNews(HEAD, GroupId("g"), 4, ModelName("small"), 7),)
+    made[0].fabrics.found = (HeadStatus(HEAD, GroupId("g"), 4, ModelName("small"), 7),)
     for node in made:
         node.gossip.start()
     paused_clock.advance(1.5)
@@ -143,7 +143,7 @@
 
 
 def test_a_new_group_is_known_before_the_list_shows_it(paused_clock, nodes):
-    news = HeadNews(HEAD, GroupId("g"), 4, ModelName("small"))
+    news = HeadStatus(HEAD, GroupId("g"), 4, ModelName("small"))
     nodes[0].fabrics.found = (news,)
     paused_clock.advance(0.5)
     assert nodes[1].fleet.get(HEAD).serving_head
@@ -151,7 +151,7 @@
 
 
 def test_the_pace_of_a_group_is_told_and_forgotten(paused_clock, nodes):
-    slow = HeadNews(HEAD, GroupId("g"), 4, ModelName("small"), pace=5.0)
+    slow = HeadStatus(HEAD, GroupId("g"), 4, ModelName("small"), pace=5.0)
     nodes[0].fabrics.found = (slow,)
     paused_clock.advance(0.5)
     assert [node.loads.pace(HEAD) for node in nodes] == [5.0, 5.0, 5.0]
@@ -187,7 +187,7 @@
 def fleet():
     made = Fleet()
     made.listed(listed(place(3, Phase.READY)), now_s=0.0)
-    made.told(HEAD, Told(place(4), (ModelName("small"),), 1.0))
+    made.told(HEAD, GroupNews(place(4), (ModelName("small"),), 1.0))
     return made
 
 
@@ -208,5 +208,5 @@
 
 def test_old_news_does_not_bring_back_an_earlier_group(fleet):
     fleet.listed(listed(place(9, Phase.READY)), now_s=1.5)
-    fleet.told(HEAD, Told(place(4), (ModelName("small"),), 1.6))
+    fleet.told(HEAD, GroupNews(place(4), (ModelName("small"),), 1.6))
     assert not fleet.get(HEAD).serving_head
