--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from citronpin.gateway import planners
-from citronpin.gateway.planners import composition
+from citronpin.gateway.plans import composition
 from citronpin.platform.leases import PartitionLeases
 from citronpin.tests.platforms.worlds import World, table_of
 
