Hand over leases during a planned stop once the store is back

An entry that had missed a renewal just then kept joining, and was dealt partitions, until its end 4.7 s later.

Now each step of the stop asks again, and the entry hands over at the first one at which the store has answered, once. Without the store it still goes on to its end, since nobody could take the leases.

Test: tests/test_nodes.py wires the whole node on the paused clock; the case of the store that comes back failed before (never handed over before the end).

--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -170,8 +170,11 @@
         pages.add("GET", READY_PATH, self._answer_ready)
         pages.add("GET", METRICS_PATH, self._answer_metrics)
         self.server = self._serve(self.cfg.front, self.front, "front")
-        self._serve(self.cfg.ready, pages, "ready")
-        self._serve(self.cfg.metrics, pages, "metrics")
+        self.servers = (
+            self.server,
+            self._serve(self.cfg.ready, pages, "ready"),
+            self._serve(self.cfg.metrics, pages, "metrics"),
+        )
 
     def _serve(self, address: str, target, channel: str) -> WebServer:
         host, _, port = address.rpartition(":")
@@ -281,12 +284,10 @@
         self._stopping_s = self.clock.now()
         logger.info("stop", extra={"in_progress": len(self.context.open)})
         self.front.stop_by(self._stopping_s + self.cfg.grace_s - STOP_MARGIN_S)
-        if not self.adapter.leases.lost:
-            self._hand_over()
         self._wait_until_drained()
 
     def _hand_over(self) -> None:
-        """Leave the leases to others; without the store nobody could take them."""
+        """Leave the leases to others."""
         if self._handed_over:
             return
         self._handed_over = True
@@ -294,6 +295,9 @@
         self.adapter.leave()
 
     def _wait_until_drained(self) -> None:
+        if not self.adapter.leases.lost:
+            # Without the store nobody could take the leases.
+            self._hand_over()
         waited_s = self.clock.now() - self._stopping_s
         in_progress = self.server.http.open_replies
         over = waited_s >= self.cfg.grace_s - STOP_MARGIN_S
--- /dev/null
+++ b/citronpin/tests/test_nodes.py
@@ -0,0 +1,136 @@
+"""A node that is told to stop hands over its leases as soon as others can take them."""
+
+import random
+
+import pytest
+
+from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.gateway.nodes import Adapter, GatewayNode, NodeSettings
+from citronpin.gateway.ports import DomainLeases, InstanceControl
+from citronpin.platform.names import HEADERS
+from citronpin.web.clients import HttpClient
+
+ANY_PORT = "127.0.0.1:0"
+GRACE_S = 8.0
+
+
+class HeldLeases(DomainLeases):
+    """Leases on all domains, of a store that answers or does not."""
+
+    lost = False
+    generation = 1
+
+    def holds(self, domain):
+        return True
+
+    def extend(self, allowed):
+        raise AssertionError("no message of another entry came")
+
+
+class NoControl(InstanceControl):
+    """No instance is known, so none is asked."""
+
+    def order(self, **order):
+        raise AssertionError("no instance is known")
+
+    def report(self, **question):
+        raise AssertionError("no instance is known")
+
+
+class CountingAdapter(Adapter):
+    """Notes when it was told to hand over and to stop."""
+
+    def __init__(self, clock):
+        self.names = HEADERS
+        self.control = NoControl()
+        self.leases = HeldLeases()
+        self.clock = clock
+        self.left_s = []
+        self.stopped_s = []
+
+    def start(self, node):
+        """Feed nothing."""
+
+    def leave(self):
+        self.left_s.append(self.clock.now())
+
+    def stop(self):
+        self.stopped_s.append(self.clock.now())
+
+    def peer_addresses(self):
+        return {}
+
+    def reload(self):
+        """Take no settings."""
+
+
+def settle(node):
+    """Let the components take the events that wait."""
+    while len(node):
+        node.flush()
+
+
+@pytest.fixture
+def adapter(paused_clock):
+    return CountingAdapter(paused_clock)
+
+
+@pytest.fixture
+def node(paused_clock, adapter):
+    made = GatewayNode(
+        cfg=NodeSettings(
+            name=EntryId("entry-1"),
+            failure_domain=FailureDomainName("a"),
+            front=ANY_PORT,
+            ready=ANY_PORT,
+            peers=ANY_PORT,
+            metrics=ANY_PORT,
+            heartbeat_s=1.0,
+            grace_s=GRACE_S,
+            repeat_ratio=0.2,
+            repeat_slack=10,
+            repeat_window_s=10.0,
+        ),
+        clock=paused_clock,
+        client=HttpClient(clock=paused_clock),
+        adapter=adapter,
+        rng=random.Random(1),
+    )
+    settle(made)
+    yield made
+    for web in made.servers:
+        web.server.close()
+    settle(made)
+
+
+def test_a_stopping_node_hands_over_at_once(paused_clock, adapter, node):
+    node.drain()
+    assert adapter.left_s == [0.0]
+    paused_clock.advance(GRACE_S)
+    assert adapter.left_s == [0.0]
+    assert len(adapter.stopped_s) == 1
+
+
+def test_a_node_stopped_without_the_store_hands_over_when_it_is_back(
+    paused_clock, adapter, node
+):
+    adapter.leases.lost = True
+    node.drain()
+    paused_clock.advance(1.0)
+    assert adapter.left_s == []
+    adapter.leases.lost = False
+    paused_clock.advance(0.2)
+    assert len(adapter.left_s) == 1
+    assert adapter.left_s[0] <= 1.15
+    paused_clock.advance(GRACE_S)
+    assert len(adapter.left_s) == 1
+
+
+def test_a_node_that_never_finds_the_store_again_hands_over_at_its_end(
+    paused_clock, adapter, node
+):
+    adapter.leases.lost = True
+    node.drain()
+    paused_clock.advance(GRACE_S)
+    assert len(adapter.left_s) == 1
+    assert adapter.left_s == adapter.stopped_s
