Keep all instances in groups, and a second model on some hosts

The second repair joined cold: six of 19 repairs took 11.8 to 18.5 s, while the spare of the other model stood idle, and 28 requests were refused. Ruled out: first events (p99 of the small model 0.2 s, objective 0.3 s).

Now no instance stays idle. Members that lost their group form another one; a fifth of the hosts hold the other model as well, so that any of them can help out within 1.6 s; a group that is one too many, or that others can form again, finishes its requests and gives its members to a model that lacks them. During traffic nothing joins cold.

--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -11,6 +11,7 @@
     DomainName,
     GroupId,
     InstanceId,
+    ModelName,
 )
 from citronpin.gateway.budgets import SlidingCount
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
@@ -24,6 +25,7 @@
     InstanceView,
     Open,
     Stage,
+    Staging,
 )
 from citronpin.gateway.ports import (
     DomainLeases,
@@ -78,7 +80,9 @@
         self._formations: dict[GroupId, Formation] = {}
         self._closes: dict[GroupId, float] = {}
         self._opens: dict[GroupId, float] = {}
-        self._stages: dict[InstanceId, float] = {}
+        self._stages: dict[InstanceId, Staging] = {}
+        # Instances do not say which model their last group had; by start.
+        self._last_models: dict[InstanceId, tuple[int, ModelName]] = {}
         self._loads = SlidingCount(window_s=LOAD_WINDOW_S)
         self._epoch = 0
         self._ordered_s = float("-inf")
@@ -117,12 +121,7 @@
         self._watch.ask(instances, busy=busy)
         self._watch.forget_others({instance.id for instance in instances})
         views = {
-            instance.id: InstanceView(
-                instance=self._watch.overlay(instance),
-                dead=self._watch.dead(
-                    instance, suspected=_group_of(instance) in suspected
-                ),
-            )
+            instance.id: self._view_of(instance, _group_of(instance) in suspected)
             for instance in instances
         }
         self._tidy(views, now_s)
@@ -142,6 +141,17 @@
         for action in self._planner.plan(view=view, now_s=now_s):
             self._carry_out(action, views, now_s)
 
+    def _view_of(self, instance: FleetInstance, suspected: bool) -> InstanceView:
+        seen = self._watch.overlay(instance)
+        if seen.membership is not None and seen.models:
+            self._last_models[seen.id] = (seen.born_ms, seen.models[0])
+        born_ms, model = self._last_models.get(seen.id, (None, None))
+        return InstanceView(
+            instance=seen,
+            dead=self._watch.dead(instance, suspected=suspected),
+            last_model=model if born_ms == seen.born_ms else None,
+        )
+
     def _suspected(
         self, instances: list[FleetInstance], now_s: float
     ) -> set[GroupId | None]:
@@ -194,11 +204,15 @@
         for group, formation in list(self._formations.items()):
             if not any(member in views for member in formation.members):
                 del self._formations[group]
-        for instance, ordered_s in list(self._stages.items()):
+        for instance, staging in list(self._stages.items()):
             seen = views.get(instance)
-            over = now_s - ordered_s > STAGE_AGAIN_S
-            if seen is None or seen.dead or seen.instance.staged or over:
+            over = now_s - staging.ordered_s > STAGE_AGAIN_S
+            if seen is None or seen.dead or over:
                 del self._stages[instance]
+            elif staging.model in seen.instance.staged:
+                del self._stages[instance]
+        for instance in set(self._last_models) - set(views):
+            del self._last_models[instance]
 
     def _next_epoch(self, views: dict[InstanceId, InstanceView]) -> int:
         seen = [
@@ -233,7 +247,9 @@
                 )
                 self._send(action.head, order, views, reason=action.reason)
             case Stage():
-                self._stages[action.instance] = now_s
+                self._stages[action.instance] = Staging(
+                    model=action.model, ordered_s=now_s
+                )
                 self._loads.add(1.0, now_s=now_s)
                 order = Order(kind=OrderKind.STAGE, model=action.model)
                 self._send(action.instance, order, views)
@@ -373,8 +389,11 @@
     if place.group != order.group:
         return place
     head = views[order.members[0]].instance.membership
-    kept = head is not None and head.rank == 0 and head.group == place.group
-    return None if kept else place
+    if head is None or head.rank != 0:
+        return place
+    # Under an older epoch it may have had another head, which serves on unseen.
+    same = (head.group, head.epoch) == (place.group, place.epoch)
+    return None if same else place
 
 
 def _group_of(instance: FleetInstance) -> GroupId | None:
--- a/citronpin/gateway/plans.py
+++ b/citronpin/gateway/plans.py
@@ -1,6 +1,7 @@
 """The groups of one fabric domain: how they are seen, and what may be ordered."""
 
 import logging
+import math
 from collections import Counter
 
 import msgspec
@@ -17,12 +18,21 @@
 
     instance: FleetInstance
     dead: bool = False
+    last_model: ModelName | None = None  # of its last group since its start
 
     @property
     def usable(self) -> bool:
         """Return whether it can be a member of a group that forms now."""
         return not self.dead and not self.instance.draining
 
+    @property
+    def at_hand(self) -> frozenset[ModelName]:
+        """Return the models that it serves without the weight store."""
+        models = {*self.instance.staged, *self.instance.models}
+        if self.last_model is not None:
+            models.add(self.last_model)
+        return frozenset(models)
+
 
 class Formation(msgspec.Struct, frozen=True, kw_only=True):
     """The join that was ordered last for a group."""
@@ -35,6 +45,13 @@
     refused: frozenset[InstanceId] = frozenset()  # members that will not join
 
 
+class Staging(msgspec.Struct, frozen=True, kw_only=True):
+    """A load to the host of an instance that was ordered."""
+
+    model: ModelName
+    ordered_s: float
+
+
 class DomainView(msgspec.Struct, frozen=True, kw_only=True):
     """A fabric domain at one moment."""
 
@@ -43,7 +60,7 @@
     formations: dict[GroupId, Formation]
     closes: dict[GroupId, float]  # when an end was first ordered
     opens: dict[GroupId, float]  # when serving was last ordered
-    stages: dict[InstanceId, float]  # when a load to the host was last ordered
+    stages: dict[InstanceId, Staging]  # that do not show yet
     loads_left: int  # loads that may begin now
     bulk: bool  # nothing is served yet, so loads are cheap and not counted
 
@@ -77,7 +94,7 @@
 
 
 class Stage(msgspec.Struct, frozen=True, kw_only=True):
-    """Load a model to the host of a spare."""
+    """Load a model to the host of an instance."""
 
     instance: InstanceId
     model: ModelName
@@ -146,22 +163,20 @@
 ) -> dict[ModelName, int]:
     """Return how many groups of each model a domain of ``usable`` instances has.
 
-    Spares are a share of a small domain and one for each model of a large one, where
-    more would stand idle. Models get instances in proportion to their share of the
-    work; the next group is of the model that would then be least ahead of its share.
+    Spares are a share of a small domain and at most one for each model of a large
+    one. Models get instances in proportion to their share of the work, those with
+    large groups first: small groups fill what is left.
     """
     room = usable - min(round(spare_share * usable), len(engine.models))
-    total = sum(spec.share for spec in engine.models) or 1.0
-    counts = {spec.name: 0 for spec in engine.models}
-    while True:
-        fitting = [spec for spec in engine.models if spec.size <= room]
-        if not fitting:
-            return counts
-        spec = min(fitting, key=lambda spec: _ahead(spec, counts, total))
-        counts[spec.name] += 1
-        room -= spec.size
-
-
-def _ahead(spec: ModelSpec, counts, total: float) -> tuple[float, int]:
-    members = (counts[spec.name] + 1) * spec.size
-    return members / (spec.share / total or 1e-9), -spec.size
+    total = sum(spec.share for spec in engine.models)
+    counts: dict[ModelName, int] = {}
+    for spec in sorted(engine.models, key=lambda spec: (-spec.size, spec.name)):
+        part = spec.share / total if total else 1 / len(engine.models)
+        counts[spec.name] = min(
+            math.floor(part * room / spec.size + 0.5), room // spec.size
+        )
+        room -= counts[spec.name] * spec.size
+        total -= spec.share
+    smallest = min(engine.models, key=lambda spec: (spec.size, spec.name))
+    counts[smallest.name] += room // smallest.size
+    return counts
--- a/citronpin/gateway/routings.py
+++ b/citronpin/gateway/routings.py
@@ -76,6 +76,7 @@
     loads_per_s: float
     loads_at_once: int
     form_s: float  # from the order to serve until a group does
+    kept_models: int = 1  # that a host keeps staged
     mean_prompt_tokens: float = 1.0
     mean_answer_tokens: float = 1.0
 
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -106,6 +106,7 @@
     loads_per_s: float = msgspec.field(name="loads-per-s", default=1.0)
     loads_at_once: int = 1
     form_ms: float = msgspec.field(name="form-ms", default=0.0)
+    keeps: int = 1  # models staged on a host
     usual: WireUsual = msgspec.field(default_factory=WireUsual)
 
 
@@ -258,6 +259,7 @@
         stride=wire.stride,
         loads_per_s=wire.loads_per_s,
         loads_at_once=wire.loads_at_once,
+        kept_models=wire.keeps,
         form_s=wire.form_ms / MS_PER_S,
         mean_prompt_tokens=wire.usual.prompt,
         mean_answer_tokens=wire.usual.answer,
