Let eight entries of a crowd read the store for the others

Above 16 entries, the eight of the lowest ranks that are alive read for themselves and take part in leases. They tell the others each 0.3 s how far they have read; the first three pass on the records that change routing. Another entry reads nothing while two relays confirm its position within 0.75 s; it reads at once on a gap, a newer configuration, or silence. Nobody is appointed: an entry steps in when it hears too few relays, in the order of ranks. What binds is still only ever what was read from the store, by this entry or by two others.

Weighed: news of changes only, upon which each reads (as many reads as now: about one relevant change a second); one relay a failure domain (one silent cut would blind it).

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -10,7 +10,8 @@
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet, GroupNews, Membership, Phase
 from citronpin.gateway.loadbooks import PEER_NEWS_S, LoadBook
-from citronpin.gateway.ports import DomainLeases
+from citronpin.gateway.ports import DomainLeases, SharedFeeds
+from citronpin.gateway.relays import MESH_ENTRIES, RelayRole
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
 from citronpin.peers.messages import NO_LOAD, HeadStatus, Message, StatusUpdate
@@ -19,17 +20,17 @@
 
 NEWS_INTERVAL_S = 0.15  # older figures let entries choose the same place
 QUIET_NEWS_S = 0.75  # unchanged figures are repeated before they count as old
-MESH_ENTRIES = 16  # with more, messages from each to each would take a tenth of a core
-HOLDER_INTERVAL_S = 0.3
-HOLDER_MEMORY_S = 2.0
+RELAY_INTERVAL_S = 0.3  # in a crowd
+RELAY_MEMORY_S = 2.0
 
 
 class Gossip:
     """Sends this entry's news to others and takes theirs.
 
     Up to ``MESH_ENTRIES`` entries, each tells all others what it has in progress. With
-    more, the holders of leases tell all others which groups serve and what these
-    report, and the others tell only the holders whom they suspect.
+    more, the relays, which also hold the leases, tell all others which groups serve,
+    what these report and what they have read from the store; the others tell only the
+    relays whom they suspect.
     """
 
     def __init__(
@@ -42,8 +43,12 @@
         fleet: Fleet,
         fabrics: Fabrics,
         leases: DomainLeases,
+        role: RelayRole,
+        feeds: SharedFeeds,
         clock: Clock,
     ) -> None:
+        self.role = role
+        self._feeds = feeds
         self._links = links
         self._addresses = addresses
         self._loads = loads
@@ -53,7 +58,7 @@
         self._leases = leases
         self._clock = clock
         self._store_lost: dict[EntryId, tuple[float, bool]] = {}
-        self._holders: dict[EntryId, float] = {}  # when heard last
+        self._relays: dict[EntryId, float] = {}  # when heard last
         self._connected: set[str] = set()
         self._last: StatusUpdate | None = None
         self._sent_s = float("-inf")
@@ -75,43 +80,49 @@
         now_s = self._clock.now()
         self._loads.expire(now_s=now_s)
         self._leases.extend(self._nobody_reaches_the_store(now_s))
-        mesh = len(self._addresses()) < MESH_ENTRIES
+        others = self._addresses()
+        mesh = len(others) < MESH_ENTRIES
+        self.role.update(others=others, store_lost=self._leases.lost, now_s=now_s)
+        self._leases.take_part(self.role.serving)
+        self._feeds.follow(not self.role.serving)
         heads = self._fabrics.heads()
         for head in heads:
             self._loads.paced(head.instance, pace=head.pace, now_s=now_s)
-        self._connect(self._audience(mesh, bool(heads), now_s))
+        self._connect(self._audience(mesh, now_s))
         news = StatusUpdate(
             loads=self._loads.own() if mesh else {},
             suspects=self._suspects.recent(since_s=now_s - 2 * NEWS_INTERVAL_S),
             traffic=self._fabrics.traffic_began,
             store_lost=self._leases.lost,
             heads=heads if not mesh else tuple(map(_without_load, heads)),
+            relay=self.role.serving,
         )
         if not self._due(news, mesh, now_s):
             return
         self._last = news
         self._sent_s = now_s
+        if not mesh and self.role.serving:
+            read = self._feeds.positions(records=self.role.forwarding)
+            news = msgspec.structs.replace(news, positions=read)
         for address in self._connected:
             self._links.send(address, news)
 
-    def _audience(self, mesh: bool, holder: bool, now_s: float) -> set[str]:
+    def _audience(self, mesh: bool, now_s: float) -> set[str]:
         """Return the addresses that news goes to."""
         peers = self._addresses()
-        if not mesh and not holder:
+        if not mesh and not self.role.serving:
             peers = {
                 name: at
                 for name, at in peers.items()
-                if now_s - self._holders.get(name, float("-inf")) <= HOLDER_MEMORY_S
+                if now_s - self._relays.get(name, float("-inf")) <= RELAY_MEMORY_S
             }
         return {f"tcp://{at}" for at in peers.values()}
 
     def _due(self, news: StatusUpdate, mesh: bool, now_s: float) -> bool:
         since_s = now_s - self._sent_s
-        if since_s >= QUIET_NEWS_S:
-            return True
-        if not mesh and news.heads and since_s < HOLDER_INTERVAL_S:
-            return False
-        return news != self._last
+        if not mesh and self.role.serving:
+            return since_s >= RELAY_INTERVAL_S
+        return since_s >= QUIET_NEWS_S or news != self._last
 
     def _nobody_reaches_the_store(self, now_s: float) -> bool:
         """Return whether every entry that was heard lately has lost the store."""
@@ -138,9 +149,12 @@
             self._suspects.hinted(InstanceId(instance), now_s=now_s)
         if message.traffic:
             self._fabrics.traffic_began = True
-        self._store_lost[sender] = (now_s, message.store_lost)
-        if message.heads:
-            self._holders[sender] = now_s
+        if message.relay:
+            # Only those that take part could be dealt leases by the store.
+            self._store_lost[sender] = (now_s, message.store_lost)
+            self._relays[sender] = now_s
+            self.role.heard(sender, now_s=now_s)
+        self._feeds.heard(sender, message.positions)
         for head in message.heads:
             self._fleet.told(head.instance, _told(head, now_s))
             self._loads.paced(head.instance, pace=head.pace, now_s=now_s)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -22,7 +22,13 @@
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveRoom
 from citronpin.gateway.placers import LeastLoaded
 from citronpin.gateway.planners import SparePlanner
-from citronpin.gateway.ports import DomainLeases, HeaderNames, InstanceControl
+from citronpin.gateway.ports import (
+    DomainLeases,
+    HeaderNames,
+    InstanceControl,
+    SharedFeeds,
+)
+from citronpin.gateway.relays import RelayRole
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
 from citronpin.gateway.stream_exchanges import StreamExchange
@@ -67,6 +73,7 @@
     names: HeaderNames
     control: InstanceControl
     leases: DomainLeases
+    feeds: SharedFeeds
 
     @abstractmethod
     def start(self, node: "GatewayNode") -> None:
@@ -200,6 +207,11 @@
         known = self.context.table is not None and self.fleet.loaded
         return known and self._stopping_s is None
 
+    @property
+    def forwarding(self) -> bool:
+        """Return whether other entries rely on what this one reads."""
+        return self.gossip is not None and self.gossip.role.forwarding
+
     def apply_config(self, cfg: GatewayConfig) -> None:
         """Put a newer configuration in force."""
         table = RoutingTable(cfg=cfg)
@@ -237,6 +249,8 @@
             fleet=self.fleet,
             fabrics=self.fabrics,
             leases=self.adapter.leases,
+            role=RelayRole(name=self.cfg.name),
+            feeds=self.adapter.feeds,
             clock=self.clock,
         )
         self.gossip.start()
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -10,6 +10,7 @@
 from citronpin.basics.errors import CitronpinError
 from citronpin.basics.ids import DomainName, EntryId, GroupId, InstanceId, ModelName
 from citronpin.gateway.fleets import FleetInstance, Membership
+from citronpin.peers.messages import FeedPosition
 
 logger = logging.getLogger(__name__)
 
@@ -111,6 +112,26 @@
     def extend(self, allowed: bool) -> None:
         """Let leases go on while the store answers none of the known entries."""
 
+    @abstractmethod
+    def take_part(self, allowed: bool) -> None:
+        """Ask for leases, or give them back and ask for none."""
+
+
+class SharedFeeds(ABC):
+    """What entries read from the store, and what they tell each other of it."""
+
+    @abstractmethod
+    def positions(self, *, records: bool) -> tuple[FeedPosition, ...]:
+        """Return how far this entry has read, with what is new if asked for."""
+
+    @abstractmethod
+    def heard(self, sender: EntryId, positions: tuple[FeedPosition, ...]) -> None:
+        """Take what another entry has read."""
+
+    @abstractmethod
+    def follow(self, allowed: bool) -> None:
+        """Let news of others take the place of own reading while they are fresh."""
+
 
 class PeerDirectory(ABC):
     """Knows the other entries."""
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -195,6 +195,19 @@
     pace: float = 1.0  # factor on its times by the slowest member, above 1 when slow
 
 
+class FeedPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far the sender has read a feed of the store.
+
+    ``records`` are all of those in the offsets ``since <= offset < upto`` that matter
+    to other entries, each with its key and its value, or none where the key is dropped.
+    """
+
+    feed: str
+    since: Offset
+    upto: Offset
+    records: tuple[tuple[Offset, str, bytes | None], ...] = ()
+
+
 class StatusUpdate(Message, tag=18):
     """What the sender has in progress, whom it suspects, which groups serve."""
 
@@ -203,6 +216,8 @@
     traffic: bool = False  # whether it has ever taken a request
     store_lost: bool = False  # whether the platform's store does not answer it
     heads: tuple[HeadStatus, ...] = ()  # in the domains whose leases it holds
+    relay: bool = False  # whether it reads the store itself and may hold leases
+    positions: tuple[FeedPosition, ...] = ()
 
 
 AnyMessage = (
--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -49,6 +49,7 @@
         self._answered_s = clock.elapsed()
         self._extended = False
         self._left = False
+        self._taking_part = True
 
     def start(self) -> None:
         """Join, and stay joined."""
@@ -56,7 +57,21 @@
 
     def stop(self) -> None:
         """Give the leases back, so that others need not wait."""
-        self._left = True
+        if not self._left:
+            self._left = True
+            self._leave()
+
+    def take_part(self, allowed: bool) -> None:
+        if allowed is self._taking_part or self._left:
+            return
+        self._taking_part = allowed
+        if allowed:
+            self._answered_s = self._clock.elapsed()
+            self._join()
+        else:
+            self._leave()
+
+    def _leave(self) -> None:
         self._extended = False
         self._until_s = float("-inf")
         if self._timer is not None:
@@ -71,7 +86,8 @@
 
     @property
     def lost(self) -> bool:
-        return self._clock.elapsed() - self._answered_s > LOST_S
+        silent_s = self._clock.elapsed() - self._answered_s
+        return self._taking_part and silent_s > LOST_S
 
     def extend(self, allowed: bool) -> None:
         valid = self._clock.elapsed() < self._until_s or self._extended
@@ -89,7 +105,7 @@
         sent_s = self._clock.elapsed()
 
         def joined(result: Result) -> None:
-            if self._left:
+            if self._left or not self._taking_part:
                 return
             if result.is_err():
                 logger.info(
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -9,7 +9,7 @@
 from citronpin.basics.loggings import set_up_logging
 from citronpin.gateway.nodes import Adapter, GatewayNode
 from citronpin.platform.directories import StoreDirectory
-from citronpin.platform.feeds import ConfigFeed, FleetFeed
+from citronpin.platform.feeds import ConfigFeed, FleetFeed, StoreFeeds
 from citronpin.platform.leases import PartitionLeases
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import WireControl
@@ -26,7 +26,7 @@
 
 EXIT_USAGE = 2
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
-HOLDER_INTERVAL_S = 0.3  # between reads of the instances where leases are held
+HOLDER_INTERVAL_S = 0.3  # where leases are held, or records passed on to others
 
 
 class PlatformAdapter(Adapter):
@@ -50,7 +50,7 @@
             parts=wire.platform.parts,
             ttl_min_ms=wire.platform.ttl_min_ms,
         )
-        self._feeds: list = []
+        self._own_feeds: list = []
         self._directory: StoreDirectory | None = None
         self._fleet_feed: FleetFeed | None = None
 
@@ -72,8 +72,9 @@
         config = ConfigFeed(
             store=self.store, clock=self._clock, apply=node.apply_config
         )
-        self._feeds = [config, self._fleet_feed, self._directory]
-        for feed in self._feeds:
+        self._own_feeds = [config, self._fleet_feed, self._directory]
+        self.feeds = StoreFeeds(feeds={feed.topic: feed for feed in self._own_feeds})
+        for feed in self._own_feeds:
             feed.start()
         self.leases.start()
         self._look_around()
@@ -84,7 +85,7 @@
     def _look_around(self) -> None:
         """Read the list faster where it is decided on, and look for new settings."""
         self._clock.call_later(SETTINGS_CHECK_S, self._look_around)
-        if self._node.fabrics.held:
+        if self._node.fabrics.held or self._node.forwarding:
             self._fleet_feed.pace(HOLDER_INTERVAL_S)
         else:
             self._fleet_feed.pace_calm()
@@ -97,7 +98,7 @@
     def stop(self) -> None:
         # Until the end this entry places requests, for which it needs others' loads.
         self._directory.withdraw()
-        for feed in self._feeds:
+        for feed in self._own_feeds:
             feed.stop()
 
     def peer_addresses(self) -> dict[EntryId, str]:
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -26,6 +26,9 @@
     def extend(self, allowed):
         raise AssertionError("no message of another entry came")
 
+    def take_part(self, allowed):
+        raise AssertionError("no message of another entry came")
+
 
 class NoControl(InstanceControl):
     """No instance is known, so none is asked."""
