--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -121,7 +121,7 @@
     def _due(self, news: StatusUpdate, mesh: bool, now_s: float) -> bool:
         since_s = now_s - self._sent_s
         if not mesh and self.role.serving:
-            return since_s >= RELAY_INTERVAL_S
+            return since_s >= RELAY_INTERVAL_S - NEWS_INTERVAL_S / 2
         return since_s >= QUIET_NEWS_S or news != self._last
 
     def _nobody_reaches_the_store(self, now_s: float) -> bool:
