--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -314,16 +314,25 @@
             self._hand_over()
         waited_s = self.clock.now() - self._stopping_s
         in_progress = self.server.http.open_replies
-        over = waited_s >= self.cfg.grace_s - STOP_MARGIN_S
         if waited_s >= LEAVE_ROTATION_S:
             self.server.http.close_idle()
-        if over or (not in_progress and waited_s >= LEAVE_ROTATION_S + STOP_TICK_S):
+        left = waited_s >= LEAVE_ROTATION_S + STOP_TICK_S
+        if self._grace_over or (not in_progress and left):
             logger.info("stopped", extra={"in_progress": in_progress})
             self.clock.call_later(STOP_TICK_S, self._finish)
             return
         self.clock.call_later(STOP_TICK_S, self._wait_until_drained)
 
+    @property
+    def _grace_over(self) -> bool:
+        waited_s = self.clock.now() - self._stopping_s
+        return waited_s >= self.cfg.grace_s - STOP_MARGIN_S
+
     def _finish(self) -> None:
+        if self.server.http.open_replies and not self._grace_over:
+            # It came after the last look, over a connection not yet closed.
+            self._wait_until_drained()
+            return
         self._hand_over()
         for exchange in list(self.context.open):
             exchange.cut()
--- a/citronpin/tests/platforms/instances.py
+++ b/citronpin/tests/platforms/instances.py
@@ -28,12 +28,13 @@
 class PlatformInstance:
     """One model instance."""
 
-    def __init__(self, *, fleet, name, address, domain, zone="a"):
+    def __init__(self, *, fleet, name, address, domain, zone="a", service="engines"):
         self.fleet = fleet
         self.name = name
         self.address = address
         self.domain = domain
         self.zone = zone
+        self.service = service
         self.state = "ready"
         self.dead = False
         self.cut_from_store = False
@@ -90,7 +91,7 @@
 
     def entry(self):
         return self.view() | {
-            "service": "engines",
+            "service": self.service,
             "address": self.address,
             "zone": self.zone,
             "slots": 9,
@@ -265,10 +266,15 @@
         self.serve = lambda instance, exchange: exchange.answer(404)
         clock.call_later(HEARTBEAT_S, self._expire)
 
-    def add(self, name, domain, zone="a"):
-        address = f"10.0.0.{len(self.instances) + 1}:80"
+    def add(self, name, domain, zone="a", service="engines", address=None):
+        address = address or f"10.0.0.{len(self.instances) + 1}:80"
         made = PlatformInstance(
-            fleet=self, name=name, address=address, domain=domain, zone=zone
+            fleet=self,
+            name=name,
+            address=address,
+            domain=domain,
+            zone=zone,
+            service=service,
         )
         self.instances[name] = made
         self.wire.handlers[address] = made.handle
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -129,6 +129,34 @@
     assert len(adapter.left_s) == 1
 
 
+class Connections:
+    """Stands in for the connections of callers."""
+
+    open_replies = 0
+
+    def close_idle(self):
+        """No connection is open."""
+
+
+def test_a_request_that_arrives_at_the_very_end_is_finished(
+    paused_clock, adapter, node, monkeypatch, caplog
+):
+    # Soak seed 15: a request came within the 0.1 s after the last look, was sent on,
+    # and was cut by the end of the process.
+    callers = Connections()
+    monkeypatch.setattr(node.server, "http", callers)
+    node.drain()
+    caplog.set_level("INFO")
+    while "stopped" not in caplog.messages:
+        paused_clock.advance(0.05)
+    callers.open_replies = 1
+    paused_clock.advance(1.0)
+    assert not adapter.stopped_s
+    callers.open_replies = 0
+    paused_clock.advance(0.5)
+    assert len(adapter.stopped_s) == 1
+
+
 def test_a_node_that_never_finds_the_store_again_hands_over_at_its_end(
     paused_clock, adapter, node
 ):
