Take no request on a connection whose close is queued

The connection now counts as left from the decision on, so that what is read later is not begun.

tests/test_servers.py has both cases, which failed first.

--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -81,6 +81,11 @@
         finally:
             conn.close()
 
+    def wait_until_ready(self):
+        end_s = time.monotonic() + START_LIMIT_S
+        while not self.is_ready and time.monotonic() < end_s:
+            time.sleep(PROBE_S)
+
     @property
     def is_ready(self):
         return self.get(self.ready, "/v1/readyz") == 200
@@ -208,6 +213,9 @@
     def _do_stop_as_planned(self):
         node = self._node()
         with node.lock:
+            # Before a process has set its handlers, the signal ends it (seed 3: 3 s
+            # after the end of the life before, no line of the new one yet).
+            node.wait_until_ready()
             begin_s = time.monotonic()
             node.signal(signal.SIGTERM)
             try:
--- a/citronpin/tests/test_servers.py
+++ b/citronpin/tests/test_servers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from citronpin.tests.conftest import wait_until
+from citronpin.web.replies import HttpHandler
 from citronpin.web.servers import Routes, ServerLimits, WebServer
 
 LIMITS = ServerLimits(body_bytes=64, header_bytes=1024)
@@ -150,3 +151,45 @@
         conn.sendall(sent)
         wait_until(lambda: hasty.http.counters.get(counter))
         wait_until(lambda: hasty.http.open_connections == 0)
+
+
+class Recorder(HttpHandler):
+    """Notes requests, and answers none."""
+
+    def __init__(self):
+        self.paths = []
+
+    def handle(self, req, reply):
+        self.paths.append(req.path)
+
+
+@pytest.mark.parametrize("cause", ["close_idle", "sweep"])
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_begun(
+    loops, cause
+):
+    # Soak seed 17: the close was still queued when the request was read; it was sent
+    # on to its instance, and then the connection was closed under it.
+    recorder = Recorder()
+    loop, server = loops(
+        lambda clock: WebServer(
+            bind=("127.0.0.1", 0),
+            target=recorder,
+            clock=clock,
+            limits=ServerLimits(idle_timeout_s=0.0 if cause == "sweep" else 60.0),
+        )
+    )
+    http = server.http
+
+    def close_and_read():
+        (sock,) = http._conns
+        if cause == "sweep":
+            http._sweep()
+        else:
+            http.close_idle()
+        http._on_read(sock, b"GET /echo/late HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    with socket.create_connection((server.host, server.port), timeout=10) as conn:
+        wait_until(lambda: http.open_connections)
+        loop.call(close_and_read)
+        assert conn.recv(65536) == b""
+    assert recorder.paths == []
--- a/citronpin/web/http_conns.py
+++ b/citronpin/web/http_conns.py
@@ -144,7 +144,12 @@
         """Close the connections on which nothing is under way."""
         for sock, conn in list(self._conns.items()):
             if conn.res is None and not conn.waiting:
-                self.fire(close(sock))
+                self._leave(sock, conn)
+
+    def _leave(self, sock, conn: Conn) -> None:
+        """Close a connection, and take no request that is read before it is closed."""
+        conn.left = True
+        self.fire(close(sock))
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Take other limits, for connections and requests that come from now on."""
@@ -226,8 +231,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch(sock, conn)
         elif isinstance(event, h11.ConnectionClosed):
-            conn.left = True
-            self.fire(close(sock))
+            self._leave(sock, conn)
 
     def _too_large(self) -> BadRequest:
         limit = self._limits.body_bytes
@@ -419,7 +423,7 @@
                 sock, conn, BadRequest(408, "The request is too slow.", "Send faster.")
             )
         elif conn.res is None and age_s > self._limits.idle_timeout_s:
-            self.fire(close(sock))
+            self._leave(sock, conn)
 
     def _end_stalled(self, sock, conn: Conn, now_s: float) -> None:
         unsent_bytes = self.buffered_bytes(sock)
