--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -101,6 +101,10 @@
         self._timer = self._clock.call_later(TICK_S, self._tick)
         if self.table is None or not self._fleet.loaded:
             return
+        if self._leases.none_held:
+            for controller in self._controllers.values():
+                controller.release()
+            return
         for service in self.table.services.values():
             if service.engine is not None:
                 self._look_at(service.name, service.engine)
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -98,6 +98,11 @@
     def holds(self, domain: DomainName) -> bool:
         """Return whether the lease on a domain is held now."""
 
+    @property
+    def none_held(self) -> bool:
+        """Return whether it is known that no lease is held now."""
+        return False
+
     @property
     @abstractmethod
     def generation(self) -> int:
--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -80,8 +80,14 @@
 
     def holds(self, domain: DomainName) -> bool:
         part = zlib.crc32(domain.encode()) % self._parts
-        if part not in self._held:
-            return False
+        return part in self._held and self._valid
+
+    @property
+    def none_held(self) -> bool:
+        return not self._held or not self._valid
+
+    @property
+    def _valid(self) -> bool:
         return self._extended or self._clock.elapsed() < self._until_s
 
     @property
@@ -90,8 +96,7 @@
         return self._taking_part and silent_s > LOST_S
 
     def extend(self, allowed: bool) -> None:
-        valid = self._clock.elapsed() < self._until_s or self._extended
-        extended = allowed and self.lost and valid and not self._left
+        extended = allowed and self.lost and self._valid and not self._left
         if extended is not self._extended:
             logger.info("leases extended" if extended else "leases not extended")
         self._extended = extended
