--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -104,8 +104,7 @@
         if not mesh and self.role.serving:
             read = self._feeds.positions(records=self.role.forwarding)
             news = msgspec.structs.replace(news, positions=read)
-        for address in self._connected:
-            self._links.send(address, news)
+        self._links.send_all(self._connected, news)
 
     def _audience(self, mesh: bool, now_s: float) -> set[str]:
         """Return the addresses that news goes to."""
--- a/citronpin/peers/links.py
+++ b/citronpin/peers/links.py
@@ -3,7 +3,7 @@
 import logging
 import socket
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import pynng
@@ -60,6 +60,11 @@
     def send(self, address: str, message: Message) -> bool:
         """Send to a connected address; false when the message was dropped."""
 
+    def send_all(self, addresses: Iterable[str], message: Message) -> None:
+        """Send one message to several connected addresses."""
+        for address in addresses:
+            self.send(address, message)
+
     @abstractmethod
     def close(self) -> None:
         """Close all sockets."""
@@ -184,10 +189,22 @@
             push.close()
 
     def send(self, address: str, message: Message) -> bool:
-        push = self._pushes.get(address)
         frame = self._gate.encode(message)
-        if push is None or frame is None:
+        if frame is None or address not in self._pushes:
             return False
+        return self._push(address, frame)
+
+    def send_all(self, addresses, message: Message) -> None:
+        # Receivers compare numbers by sender, so that all can get the same frame.
+        frame = self._gate.encode(message)
+        if frame is None:
+            return
+        for address in addresses:
+            if address in self._pushes:
+                self._push(address, frame)
+
+    def _push(self, address: str, frame: bytes) -> bool:
+        push = self._pushes[address]
         try:
             push.send(frame, block=False)
         except pynng.exceptions.NNGException:
--- a/citronpin/tests/test_links.py
+++ b/citronpin/tests/test_links.py
@@ -95,3 +95,33 @@
     assert loop.call(lambda: links.send("tcp://127.0.0.1:9", message)) is False
     assert links.counters.dropped == 1
     loop.call(links.close)
+
+
+def test_one_frame_goes_to_several_entries(loops):
+    heard = []
+    pairs = [
+        loops(
+            lambda clock, n=n: NngLinks(
+                entry=EntryId(f"e{n}"), listen=LOOPBACK, key=b"key", clock=clock
+            )
+        )
+        for n in range(3)
+    ]
+    for loop, links in pairs[1:]:
+        loop.call(lambda links=links: links.open(lambda *got: heard.append(got)))
+    loop, sender = pairs[0]
+    addresses = [links.address for _, links in pairs[1:]]
+    for address in addresses:
+        loop.call(lambda address=address: sender.connect(address))
+    message = Broadcast(origin=EntryId("e0"), number=1, topic="t", payload=b"x")
+
+    def both():
+        loop.call(lambda: sender.send_all([*addresses, "tcp://127.0.0.1:1"], message))
+        return all(links.counters.received_messages for _, links in pairs[1:])
+
+    wait_until(both)
+    assert ("e0", message) in heard
+    assert all(links.counters.bad_frames == 0 for _, links in pairs)
+    assert all(links.counters.stale_frames == 0 for _, links in pairs)
+    for loop, links in pairs:
+        loop.call(links.close)
