--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -18,6 +18,7 @@
 logger = logging.getLogger(__name__)
 
 
+IDLE_TICK_S = 0.2  # half of the time between two renewals of leases
 PRESSURE_RATE = 0.05  # of the newest figure each tick: two seconds
 
 
@@ -98,10 +99,12 @@
         return sum(self._leases.holds(domain) for _, domain in self._controllers)
 
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(TICK_S, self._tick)
+        none_held = self._leases.none_held
+        pause_s = IDLE_TICK_S if none_held else TICK_S
+        self._timer = self._clock.call_later(pause_s, self._tick)
         if self.table is None or not self._fleet.loaded:
             return
-        if self._leases.none_held:
+        if none_held:
             for controller in self._controllers.values():
                 controller.release()
             return
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -28,7 +28,7 @@
 FRESH_S = 0.6  # age of a reading up to which it is told to others: two intervals
 CONFIRMED_S = 0.75  # two updates of a relay and a late one
 CONFIRMATIONS = 2  # one relay alone may be cut off from the store unnoticed
-FOLLOW_CHECK_S = 0.15
+FOLLOW_CHECK_S = 0.3  # an update of a relay
 FORWARDED_RECORDS = 64  # more are read by everyone, to keep frames small
 
 
@@ -54,6 +54,7 @@
         self._reachable: bool | None = None
         self._calling = False
         self._following = False
+        self._parked = False  # others read; `go_on` looks whether they still do
         self._reread_due = False
         self._confirmed: dict[EntryId, float] = {}  # when others had read no further
         self.read_s = float("-inf")  # clock time of the last answer
@@ -64,6 +65,7 @@
 
     def stop(self) -> None:
         """Read no more."""
+        self._parked = False
         if self._timer is not None:
             self._timer.cancel()
 
@@ -124,6 +126,11 @@
             self._timer.cancel()
             self._next(0.0)
 
+    def go_on(self) -> None:
+        """Read again when others no longer confirm what is known."""
+        if self._parked and not self._covered():
+            self._next(0.0)
+
     def _covered(self) -> bool:
         """Return whether others have read lately what this entry would read."""
         if not self._following or self._offset is None:
@@ -133,12 +140,12 @@
         return self.read_s >= since_s or fresh >= CONFIRMATIONS
 
     def _next(self, delay_s: float) -> None:
-        self._calling = False
+        self._calling = self._parked = False
         self._timer = self._clock.call_later(delay_s, self._read)
 
     def _read(self) -> None:
         if self._covered():
-            self._next(FOLLOW_CHECK_S)
+            self._parked = True
             return
         self._calling = True
         if self._reread_due:
@@ -320,8 +327,16 @@
 class StoreFeeds(SharedFeeds):
     """The feeds of a process, as entries tell each other of them."""
 
-    def __init__(self, *, feeds: dict[str, KeyedFeed]) -> None:
+    def __init__(self, *, feeds: dict[str, KeyedFeed], clock: Clock) -> None:
         self._feeds = feeds
+        self._clock = clock
+        self._look()
+
+    def _look(self) -> None:
+        """Look after the feeds that leave the reading to others, all in one turn."""
+        self._clock.call_later(FOLLOW_CHECK_S, self._look)
+        for feed in self._feeds.values():
+            feed.go_on()
 
     def positions(self, *, records: bool) -> tuple[FeedPosition, ...]:
         found = (feed.position(records=records) for feed in self._feeds.values())
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -73,7 +73,9 @@
             store=self.store, clock=self._clock, apply=node.apply_config
         )
         self._own_feeds = [config, self._fleet_feed, self._directory]
-        self.feeds = StoreFeeds(feeds={feed.topic: feed for feed in self._own_feeds})
+        self.feeds = StoreFeeds(
+            feeds={feed.topic: feed for feed in self._own_feeds}, clock=self._clock
+        )
         for feed in self._own_feeds:
             feed.start()
         self.leases.start()
