Let others step in for relays that lost the store

A relay cut off from the store counted as one that reads, so that nobody stepped in and followers had to read for themselves; and it went on confirming its position in the configuration until its waiting read timed out (4.1 s). Renewals of leases show the loss in 0.6 s: from then on it tells no position, and is not counted.

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -101,7 +101,8 @@
             return
         self._last = news
         self._sent_s = now_s
-        if not mesh and self.role.serving:
+        if not mesh and self.role.serving and not news.store_lost:
+            # Renewals of leases show a lost store sooner than a read that waits.
             read = self._feeds.positions(records=self.role.forwarding)
             news = msgspec.structs.replace(news, positions=read)
         self._links.send_all(self._connected, news)
@@ -152,7 +153,8 @@
             # Only those that take part could be dealt leases by the store.
             self._store_lost[sender] = (now_s, message.store_lost)
             self._relays[sender] = now_s
-            self.role.heard(sender, now_s=now_s)
+            if not message.store_lost:
+                self.role.heard(sender, now_s=now_s)
         self._feeds.heard(sender, message.positions)
         for head in message.heads:
             self._fleet.told(head.instance, _told(head, now_s))
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -36,7 +36,7 @@
         self.forwarding = False
 
     def heard(self, sender: EntryId, *, now_s: float) -> None:
-        """Take note of an update from a relay."""
+        """Take note of an update from a relay that reaches the store."""
         self._heard[sender] = now_s
 
     def update(
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -14,6 +14,7 @@
     FleetFeed,
     StoreFeeds,
 )
+from citronpin.platform.leases import LOST_S
 from citronpin.platform.stores import LogStore
 from citronpin.tests.platforms.stores import PlatformStore
 from citronpin.tests.platforms.wires import MemoryClient
@@ -190,6 +191,19 @@
     assert crowd.draining("i-0")
 
 
+def test_a_configuration_missed_by_relays_without_the_store_is_found_in_time(
+    paused_clock, crowd
+):
+    for relay in crowd.relays:
+        relay.cut = True
+    crowd.put_config(7)
+    paused_clock.advance(LOST_S)
+    for relay in crowd.relays:
+        relay.silent = True  # they know by now, and tell no position
+    paused_clock.advance(DRAIN_S - LOST_S)
+    assert crowd.follower.versions == [3, 7]
+
+
 def test_a_follower_that_missed_an_update_reads_itself(paused_clock, crowd):
     before = len(crowd.follower.calls)
     for relay in crowd.relays:
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -167,6 +167,26 @@
     )
 
 
+def test_others_step_in_for_relays_that_lost_the_store(paused_clock, crowd):
+    for node in crowd[:RELAYS]:
+        node.leases.lost = True
+    paused_clock.advance(3.0)
+    assert all(node.leases.taking_part for node in crowd[: 2 * RELAYS])
+    assert not any(node.leases.extended for node in crowd[:RELAYS])
+    for node in crowd[:RELAYS]:
+        node.leases.lost = False
+    paused_clock.advance(3.0)
+    taking = [node.leases.taking_part for node in crowd]
+    assert taking == [True] * RELAYS + [False] * (len(crowd) - RELAYS)
+
+
+def test_a_relay_without_the_store_tells_no_position(paused_clock, crowd):
+    crowd[1].feeds.own = (FeedPosition("feed", 4, 6),)
+    crowd[1].leases.lost = True
+    paused_clock.advance(1.0)
+    assert not any(node.feeds.taken for node in crowd)
+
+
 def test_in_a_crowd_relays_tell_what_they_have_read(paused_clock, crowd):
     position = FeedPosition("feed", 4, 6)
     crowd[1].feeds.own = (position,)
