Pass on no position across a new reading of all instances

Found by reading the code: after the store had dropped its history, or when an entry became a relay, its new reading of all instances has no record for those that are gone; the next update passed over their offsets, and followers kept them. The update after such a reading now passes nothing on, so that followers find a gap and read. Ordering the end of serving is one function now.

--- a/citronpin/gateway/conversions.py
+++ b/citronpin/gateway/conversions.py
@@ -5,7 +5,7 @@
 from citronpin.basics.ids import GroupId
 from citronpin.gateway.drafts import PRESSED, PlanDraft
 from citronpin.gateway.fleets import Phase
-from citronpin.gateway.plans import Close, GroupView
+from citronpin.gateway.plans import GroupView
 from citronpin.gateway.pools import InstancePool
 from citronpin.gateway.routings import ModelSpec
 
@@ -76,16 +76,8 @@
         """Free the members of a group, or begin to end its serving."""
         place = self._draft.place(group, group.members[0])
         if place is not None and place.phase in (Phase.OPEN, Phase.CLOSING):
-            if group.group not in self._draft.view.closes:
-                self._draft.actions.append(
-                    Close(
-                        group=group.group,
-                        epoch=group.epoch,
-                        head=group.members[0],
-                        cancel=False,
-                        reason=f"its members are needed for {spec.name}",
-                    )
-                )
+            reason = f"its members are needed for {spec.name}"
+            self._draft.close(group, cancel=False, reason=reason)
             return
         del self._draft.whole[group.group]
         self._draft.ready.pop(group.group, None)
--- a/citronpin/gateway/drafts.py
+++ b/citronpin/gateway/drafts.py
@@ -5,7 +5,14 @@
 
 from citronpin.basics.ids import GroupId, InstanceId, ModelName
 from citronpin.gateway.fleets import Membership
-from citronpin.gateway.plans import Action, DomainView, Form, GroupView, InstanceView
+from citronpin.gateway.plans import (
+    Action,
+    Close,
+    DomainView,
+    Form,
+    GroupView,
+    InstanceView,
+)
 from citronpin.gateway.pools import InstancePool
 from citronpin.gateway.routings import ModelSpec
 
@@ -119,6 +126,19 @@
         )
         return True
 
+    def close(self, group: GroupView, *, cancel: bool, reason: str) -> None:
+        """Order the end of a group's serving, once."""
+        if group.group not in self.view.closes:
+            self.actions.append(
+                Close(
+                    group=group.group,
+                    epoch=group.epoch,
+                    head=group.members[0],
+                    cancel=cancel,
+                    reason=reason,
+                )
+            )
+
     def enough(self, pool: InstancePool, spec: ModelSpec, count: int) -> bool:
         """Return whether the pool has members for a group.
 
--- a/citronpin/gateway/planners.py
+++ b/citronpin/gateway/planners.py
@@ -9,7 +9,6 @@
 from citronpin.gateway.fleets import Phase
 from citronpin.gateway.plans import (
     Action,
-    Close,
     DomainView,
     GroupView,
     Open,
@@ -146,16 +145,7 @@
         if first_s is not None and self._draft.now_s - first_s >= CLOSE_WAIT_S:
             return True
         self._draft.bound.update(self._draft.kept(group))
-        if first_s is None:
-            self._draft.actions.append(
-                Close(
-                    group=group.group,
-                    epoch=group.epoch,
-                    head=group.members[0],
-                    cancel=True,
-                    reason="a member is lost",
-                )
-            )
+        self._draft.close(group, cancel=True, reason="a member is lost")
         return False
 
     def _all_ready(self, group: GroupView) -> bool:
@@ -213,16 +203,7 @@
                 continue
             phase = self._draft.place(group, group.members[0])
             if phase is not None and phase.phase in (Phase.OPEN, Phase.CLOSING):
-                if group.group not in self._draft.view.closes:
-                    self._draft.actions.append(
-                        Close(
-                            group=group.group,
-                            epoch=group.epoch,
-                            head=group.members[0],
-                            cancel=False,
-                            reason="a member drains",
-                        )
-                    )
+                self._draft.close(group, cancel=False, reason="a member drains")
                 continue
             members = staying + pool.take(group.spec.name, missing)
             self._draft.form(group.group, group.spec, members, "a member drains")
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -292,8 +292,11 @@
 
     def _reread(self, records: tuple[Record, ...]) -> None:
         present = [record.key for record in records if record.value is not None]
+        for key in set(self._routes) - set(present):
+            del self._routes[key]
         for record in records:
             self._take(record)
+        self._told_upto = None  # what is gone since has no record to pass on
         self._fleet.reread(map(InstanceId, present), now_s=self._clock.now())
 
     def _take(self, record: Record) -> None:
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -217,6 +217,18 @@
     assert any("keyed.servers" in call for call in crowd.follower.calls[before:])
 
 
+def test_what_a_relay_missed_itself_is_not_passed_over(paused_clock, crowd):
+    # The store dropped its history: the relay's new reading does not name what is gone.
+    for relay in crowd.relays:
+        relay.cut = True
+    crowd.store.put("keyed.servers", "i-1", b"")
+    crowd.store.drop_history("keyed.servers")
+    for relay in crowd.relays:
+        relay.cut = False
+    paused_clock.advance(DRAIN_S)
+    assert crowd.names() == ["i-0", "i-2", "i-3"]
+
+
 def test_many_changes_at_once_are_read_by_each(paused_clock, crowd):
     before = len(crowd.follower.calls)
     for number in range(FORWARDED_RECORDS + 10):
