--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -50,6 +50,7 @@
         self._extended = False
         self._left = False
         self._taking_part = True
+        self._membership = 0  # counts the times that this process took part
 
     def start(self) -> None:
         """Join, and stay joined."""
@@ -65,6 +66,7 @@
         if allowed is self._taking_part or self._left:
             return
         self._taking_part = allowed
+        self._membership += allowed
         if allowed:
             self._answered_s = self._clock.elapsed()
             self._join()
@@ -108,10 +110,13 @@
     def _join(self) -> None:
         self._timer = self._clock.call_later(RENEW_S, self._join)
         sent_s = self._clock.elapsed()
+        membership = self._membership
 
         def joined(result: Result) -> None:
             if self._left or not self._taking_part:
                 return
+            if membership != self._membership:
+                return  # the store may have dealt the domains anew since
             if result.is_err():
                 logger.info(
                     "lease not renewed", extra={"detail": str(result.err_value)}
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -319,6 +319,29 @@
     assert all(second.holds(domain) for domain in DOMAINS)
 
 
+def test_an_answer_from_before_a_member_left_gives_it_nothing(paused_clock, members):
+    paused_clock.advance(2.0)
+    (first, wire), (second, _) = members
+    late, ask = [], wire.handlers[STORE]
+
+    def hold_back(exchange):
+        if exchange.target == "/v1/log-join" and not late:
+            late.append((exchange, ask))
+        else:
+            ask(exchange)
+
+    wire.handlers[STORE] = hold_back
+    paused_clock.advance(0.5)
+    ((exchange, _),) = late
+    held = json.dumps(
+        {"generation": first.generation, "parts": [["t", n, 0] for n in range(24)]}
+    )
+    first.take_part(False)
+    first.take_part(True)
+    exchange.answer(200, held.encode())
+    assert not any(first.holds(domain) for domain in DOMAINS)
+
+
 def test_a_member_that_leaves_holds_nothing(paused_clock, members):
     paused_clock.advance(2.0)
     (first, _), (second, _) = members
