Replace a long poll of the log that misses records the head check shows

What callers would see: an entry on the project's own log service goes on with an old configuration for up to 13 s when the connection of its long poll falls silent, while its head check each second shows a newer head.

A head beyond the folded records now replaces the read in progress when that does not return them within a second. A late answer to a replaced read is still folded, so that a slow log is read to its head; without that the second test fails.

--- a/citronpin/state/tails.py
+++ b/citronpin/state/tails.py
@@ -36,6 +36,7 @@
 PEER_PAGE_RECORDS = 200
 PEER_PAGE_BYTES = 64 * 1024
 
+LONG_POLL_ANSWER_S = 1.0  # after a record is appended
 DIGEST_HISTORY_STATES = 512  # latest states, to check digest marks against
 TRIMMED_RETRY_DELAY_S = 2.0
 MS_PER_S = 1_000
@@ -88,6 +89,9 @@
         self._kept_bytes = 0
         self._head_confirmed_s = -math.inf
         self._read_sent_s = clock.now()
+        # The read in progress; only its answer is followed by the next read.
+        self._current_read: object | None = None
+        self._is_overdue_check_due = False
         self._is_log_reachable = True
         self._reported_gap: Offset | None = None
         self._is_loss_reported = False
@@ -132,14 +136,19 @@
 
     def _read(self) -> None:
         self._read_sent_s = self._clock.now()
+        read = self._current_read = object()
         self._log.read(
             stream=self.stream,
             start=self.next_offset,
             wait_s=self.long_poll_s if self.is_current else 0.0,
-            done=self._on_page,
+            done=lambda result: self._on_page(read, result),
         )
 
-    def _on_page(self, result) -> None:
+    def _on_page(self, read: object, result) -> None:
+        if read is not self._current_read:
+            self._fold_late_page(result)
+            return
+        self._current_read = None
         if isinstance(result, Err):
             self._set_log_reachable(False, str(result.err_value))
             self._clock.call_later(self._backoff.next_s(), self._read)
@@ -158,6 +167,14 @@
         self.confirm_head(page.head, self._clock.now() - self._read_sent_s)
         self._read()
 
+    def _fold_late_page(self, result) -> None:
+        """Fold the answer to a read that was replaced.
+
+        With a log that is slow to answer, no read would succeed otherwise.
+        """
+        if not isinstance(result, Err):
+            self._fold_records(result.ok_value.records)
+
     def _on_trimmed_records(self, page: LogPage) -> None:
         detail = f"Records {self.next_offset} to {page.first - 1} were trimmed unread."
         if self._reported_gap != self.next_offset:
@@ -182,9 +199,11 @@
     def confirm_head(self, head: Offset, age_s: float = 0.0) -> None:
         """Record that ``head`` was the head of the stream ``age_s`` seconds ago.
 
-        Has no effect while records before ``head`` are not folded.
+        While records before ``head`` are not folded, only makes sure that they are
+        read soon.
         """
         if self.next_offset < head:
+            self._expect_records(head)
             return
         self._head_confirmed_s = max(self._head_confirmed_s, self._clock.now() - age_s)
         if not self.is_current:
@@ -193,6 +212,23 @@
             self._recorder.note(EventKind.LOG_STATE, detail, stream=self.stream)
             self._listener(self, None, "", [])
 
+    def _expect_records(self, head: Offset) -> None:
+        """Replace the current long poll if it does not return the records soon.
+
+        Its connection may have become silent, without being closed.
+        """
+        read = self._current_read
+        if read is None or not self.is_current or self._is_overdue_check_due:
+            return
+        self._is_overdue_check_due = True
+
+        def replace_overdue_read() -> None:
+            self._is_overdue_check_due = False
+            if read is self._current_read and self.next_offset < head:
+                self._read()
+
+        self._clock.call_later(LONG_POLL_ANSWER_S, replace_overdue_read)
+
     def fold_peer_records(self, records: tuple[tuple[Offset, bytes], ...]) -> None:
         """Fold records from a peer up to the first gap."""
         self._fold_records(records)
--- a/citronpin/tests/builders.py
+++ b/citronpin/tests/builders.py
@@ -7,6 +7,7 @@
 from citronpin.basics.events import EventKind, Recorder
 from citronpin.basics.ids import NO_OFFSET, EntryId
 from citronpin.state.followers import Followers
+from citronpin.state.http_logs import READ_MARGIN_S
 from citronpin.state.logs import LogClient, MemoryLog
 from citronpin.state.manifests import (
     Customer,
@@ -66,11 +67,14 @@
         self.clock = clock
         self.down = False  # appends and reads fail, not run
         self.silent = False  # reads fail
+        self.long_polls_to_lose = 0  # next reads that wait and get no answer
         self.answers_to_lose = 0  # next appends that take effect but report a fault
         self.held_appends: list = []  # held until release() is called
         self.appends_to_hold = 0  # next appends that take effect only on release()
+        self.long_poll_delay_s = 0.0  # of the answers to reads that wait
         self.appends_to_refuse = 0  # next appends that fail, not run
         self.calls = 0  # of append()
+        self.reads: list = []  # (stream, wait in s) of each read()
 
     def append(self, *, stream, payload, done):
         self.calls += 1
@@ -95,15 +99,29 @@
         self.held_appends = []
 
     def read(self, *, stream, start, wait_s, done, limit=500):
+        self.reads.append((stream, wait_s))
         if self.down or self.silent:
             self._fail(done, Outcome.NOT_RUN)
             return
+        if wait_s and self.long_polls_to_lose:
+            self.long_polls_to_lose -= 1
+            timed_out = Err(LogUnavailable("no answer in time"))
+            self.clock.call_later(wait_s + READ_MARGIN_S, lambda: done(timed_out))
+            return
         self.log.read(
             stream=stream,
             start=start,
             wait_s=wait_s,
             limit=limit,
-            done=lambda result: done(self._break_answer(result)),
+            done=lambda result: self._answer(wait_s, done, result),
+        )
+
+    def _answer(self, wait_s, done, result):
+        if not wait_s or not self.long_poll_delay_s:
+            done(self._break_answer(result))
+            return
+        self.clock.call_later(
+            self.long_poll_delay_s, lambda: done(self._break_answer(result))
         )
 
     def _break_answer(self, result):
--- a/citronpin/tests/test_followers.py
+++ b/citronpin/tests/test_followers.py
@@ -23,6 +23,7 @@
     Record,
     encode_record,
 )
+from citronpin.state.tails import LONG_POLL_ANSWER_S, LONG_POLL_S
 from citronpin.tests.builders import (
     FaultyLog,
     alarms,
@@ -34,6 +35,7 @@
 from citronpin.web.clients import HttpClient
 
 CONTROL = StreamName("control.fab-a")
+CONFIG_APPLY_S = 3.0  # in which a change must be in force everywhere
 
 
 @pytest.fixture
@@ -76,6 +78,42 @@
     assert one.state(CONFIG_STREAM) == two.state(CONFIG_STREAM)
 
 
+def test_lost_answer_to_a_long_poll_does_not_delay_a_change(
+    start_followers, log, paused_clock
+):
+    (one,) = start_followers("entry-1")
+    log.long_polls_to_lose = 2  # those of both streams
+    paused_clock.advance(LONG_POLL_S)  # the next long polls have begun
+    publisher = build_followers(log.log, paused_clock, "entry-2")
+    results = propose_items(publisher, change(deployment(version="2")))
+    paused_clock.advance(CONFIG_APPLY_S)
+    assert results[0].ok_value[0].accepted and not log.long_polls_to_lose
+    assert "deployment/rota" in one.state(CONFIG_STREAM).manifests
+
+
+def test_log_with_late_answers_is_read_to_its_head(start_followers, log, paused_clock):
+    (one,) = start_followers("entry-1")
+    log.long_poll_delay_s = 2.5 * LONG_POLL_ANSWER_S
+    publisher = build_followers(log.log, paused_clock, "entry-2")
+    for number in range(10):
+        propose_items(publisher, change(deployment(f"d-{number}")))
+        paused_clock.advance(1.0)
+    paused_clock.advance(2 * log.long_poll_delay_s)
+    assert len(one.state(CONFIG_STREAM).manifests) == 10
+
+
+def test_long_poll_is_not_repeated_while_it_is_answered(
+    start_followers, log, paused_clock
+):
+    (one,) = start_followers("entry-1")
+    paused_clock.advance(1.0)
+    for number in range(20):
+        propose_items(one, change(deployment(f"d-{number}")))
+        paused_clock.advance(0.5)
+    waits = [wait_s for stream, wait_s in log.reads if stream == CONFIG_STREAM]
+    assert sum(wait_s > 0 for wait_s in waits) <= 20 + 2
+
+
 def test_proposals_made_during_an_append_share_a_record(
     start_followers, log, paused_clock
 ):
