Close the other idle connections to an address when one is silent

What callers would see: a change in force after several lost reads in a row instead of one. The platform may make all open connections silent at once; a read that timed out was repeated on the next idle connection of the pool, which was as silent.

A request that times out before any byte of its answer now also closes the connections to the same address that have been idle since before it began. Attempts at instances have no time-out in the client and are not affected; reports of instances are.

--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -109,10 +109,12 @@
         head: h11.Request,
         body: bytes,
         sink: ResponseSink,
+        started_s: float,
         timeout_s: float | None,
         connect_timeout_s: float,
         max_idle_s: float,
     ) -> None:
+        self.started_s = started_s  # clock time
         self.connect_timeout_s = connect_timeout_s
         self.max_idle_s = max_idle_s
         self.address = address
@@ -204,6 +206,7 @@
             head=h11.Request(method=method, target=target, headers=all_headers),
             body=body,
             sink=sink,
+            started_s=self._clock.now(),
             timeout_s=timeout_s,
             connect_timeout_s=connect_timeout_s,
             max_idle_s=max_idle_s,
@@ -414,11 +417,23 @@
         if conn is not None:
             conn.exchange = None
             self._close(conn)
+        if not is_unsent and conn.parser.their_state is h11.SEND_RESPONSE:
+            self._close_idle(exchange.address, before_s=exchange.started_s)
         detail = f"{exchange.address} did not answer in {exchange.timeout_s} s."
         self._fail(
             exchange, ConnectionFailed(detail) if is_unsent else TimedOut(detail)
         )
 
+    def _close_idle(self, address: str, *, before_s: float) -> None:
+        """Close the connections to ``address`` that have been idle since ``before_s``.
+
+        When one connection has become silent without being closed, the others that
+        were open at that time may have become silent too.
+        """
+        for conn in list(self._idle.get(address, ())):
+            if conn.idle_since_s <= before_s:
+                self._close(conn)
+
     def _fail_connection(self, conn: Connection, detail: str) -> None:
         """Close a connection and fail its exchange, if it has one."""
         exchange = conn.exchange
