Pace reads of a store whose newest records are stale

What callers would see: refusals of other calls to the store, and with them late changes and lost leases, while the store deletes records and its reads of the newest ones lag.

Cause: after deleted records the newest ones are read at once. If these lag, the next read begins before the first kept record, fails and starts over, 500 calls a second from one entry; seven entries exceed the 2,000 reads that the store serves all of them.

All failed reads now start at least 0.25 s apart. A read that waited longer is still followed at once, so a change is not applied later.

--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -210,10 +210,9 @@
         error = result.err_value
         if isinstance(error, Trimmed):
             self._offset = None
-            self._schedule_read(0.0)
-            return True
-        self._log_reachability(False, error.detail)
-        self._on_read_failed()
+        else:
+            self._log_reachability(False, error.detail)
+            self._on_read_failed()
         elapsed_s = self._clock.now() - self._read_started_s
         self._schedule_read(max(RETRY_INTERVAL_S - elapsed_s, 0.0))
         return True
--- a/citronpin/tests/platforms/stores.py
+++ b/citronpin/tests/platforms/stores.py
@@ -16,6 +16,7 @@
         self.records = []
         self.first = 0
         self.newest = {}  # key -> (offset, value)
+        self.stale = None  # newest records and end that are returned instead, if set
 
     def append(self, contents):
         offset = len(self.records)
@@ -58,6 +59,12 @@
         found = self.topic(topic)
         found.first = len(found.records)
 
+    def set_stale(self, topic, is_stale):
+        """Freeze what reads of the newest records return, or end that."""
+        found = self.topic(topic)
+        state = (dict(found.newest), len(found.records))
+        found.stale = state if is_stale else None
+
     def handle(self, method, target, body):
         parts = urlsplit(target)
         query = dict(parse_qsl(parts.query))
@@ -96,15 +103,16 @@
 
     def _newest(self, query, body):
         topic = self.topic(query["topic"])
+        newest, end = topic.stale or (topic.newest, len(topic.records))
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            for key, (offset, value) in sorted(topic.newest.items())
+            for key, (offset, value) in sorted(newest.items())
             if key > query.get("after", "")
         ]
         answer = {
             "items": items[:500],
             "has-more": len(items) > 500,
-            "end": len(topic.records),
+            "end": end,
         }
         return 200, json.dumps(answer).encode()
 
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -14,7 +14,7 @@
     decode_report,
 )
 from citronpin.platform.directories import StoreDirectory
-from citronpin.platform.feeds import ConfigFeed, FleetFeed
+from citronpin.platform.feeds import RETRY_INTERVAL_S, ConfigFeed, FleetFeed
 from citronpin.platform.leases import PartitionLeases
 from citronpin.platform.settings import node_settings, read_process_settings
 from citronpin.platform.stores import (
@@ -48,6 +48,7 @@
 }
 DEEPLY_NESTED = b"[" * 30_000
 CONFIG_APPLY_S = 2.0
+STALE_S = 5.0
 
 
 @pytest.fixture
@@ -234,6 +235,20 @@
     assert applied_versions == [3, 4]
 
 
+def test_stale_newest_records_are_read_again_at_a_bounded_rate(
+    paused_clock, platform_store, applied_versions
+):
+    platform_store.set_stale("keyed.op", True)
+    put_config(platform_store, 4)
+    platform_store.delete_records("keyed.op")
+    before = len(platform_store.calls)
+    paused_clock.advance(STALE_S)
+    assert len(platform_store.calls) - before <= 2 * STALE_S / RETRY_INTERVAL_S + 2
+    platform_store.set_stale("keyed.op", False)
+    paused_clock.advance(CONFIG_APPLY_S)
+    assert applied_versions == [3, 4]
+
+
 def test_malformed_configuration_is_skipped(
     paused_clock, platform_store, applied_versions
 ):
