Tell when the configuration was read later than its bound

An entry now logs 'configuration read late' with the time for which a newer version may have existed, when that exceeds the bound, and exports it as citronpin_config_age_seconds.

--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -251,7 +251,26 @@
             read_pause_s=CONFIG_READ_PAUSE_S,
         )
         self._apply = apply
+        self._apply_s = apply_s
         self._version = -1
+        self._known_s = float("-inf")  # when no newer version existed
+
+    def age_s(self) -> float:
+        """Return for how long a newer version may exist; infinite before a read."""
+        return self._clock.now() - self._known_s
+
+    def _on_read_succeeded(self) -> None:
+        age_s = self.age_s()
+        if self._apply_s < age_s < float("inf"):
+            logger.warning(
+                "configuration read late",
+                extra={
+                    "age_s": round(age_s, 2),
+                    "bound_s": self._apply_s,
+                    "version": self._version,
+                },
+            )
+        self._known_s = self._clock.now()
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         for record in records:
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -75,6 +75,11 @@
             apply=node.apply_config,
             apply_s=self._settings.bounds.config_apply_ms / MS_PER_S,
         )
+        node.metrics.gauges.add(
+            "config_age_seconds",
+            "Seconds for which a newer configuration may have existed.",
+            config.age_s,
+        )
         self._keyed_feeds = [config, self._fleet_feed, self._directory]
         self.feeds = StoreFeeds(
             feeds={feed.topic: feed for feed in self._keyed_feeds}, clock=self._clock
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -235,6 +235,20 @@
     assert applied_versions == [3, 4]
 
 
+@pytest.mark.parametrize("outage_s", [0.2, 4.0])
+def test_late_read_of_the_configuration_is_logged(
+    paused_clock, platform_store, applied_versions, caplog, outage_s
+):
+    caplog.set_level("WARNING")
+    platform_store.silent = True
+    paused_clock.advance(outage_s)
+    platform_store.silent = False
+    paused_clock.advance(CONFIG_APPLY_S)
+    late = [r.age_s for r in caplog.records if r.message == "configuration read late"]
+    assert bool(late) is (outage_s > CONFIG_APPLY_S)
+    assert all(age_s >= outage_s for age_s in late)
+
+
 def test_stale_newest_records_are_read_again_at_a_bounded_rate(
     paused_clock, platform_store, applied_versions
 ):
