Let the soak require configurations as soon as the platform does

The soak excused a node for 4 s after a fault, where the platform excuses 3 s, checked no version written during a fault or in these 4 s, and let a fault of any instance excuse all nodes.

A node now needs each version 2 s after it was written, unless a fault that keeps this node from reading had effects in the last 3 s, and a configuration is written when the store is back.

--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -21,7 +21,7 @@
 GRACE_PERIOD_S = 6.0
 CONFIG_APPLY_LIMIT_S = 2.0  # from the write until an undisturbed node applies it
 # A fault excuses failures for this time after its end, as a fault of the platform does.
-FAULT_EFFECT_S = 4.0
+FAULT_EFFECT_S = 3.0
 START_LIMIT_S = 30.0
 RECOVERY_LIMIT_S = 30.0  # leaves room for a busy machine
 PROBE_INTERVAL_S = 0.25
@@ -110,6 +110,7 @@
         self.injected = Counter()
         self.violations = []
         self._faults = []  # (start_s, end_s); the end includes `FAULT_EFFECT_S`
+        self._config_faults = []  # (node, start_s, end_s) of those that delay a change
         self._planned_stops = []  # (node, start_s, end_s)
         self._config_observations = []  # (incarnation_id, version, status)
         self._config_write_times = {}  # version -> monotonic time in s
@@ -207,19 +208,25 @@
         for thread in self._threads:
             thread.join()
 
-    def _record_fault(self, start_s):
-        self._faults.append((start_s, time.monotonic() + FAULT_EFFECT_S))
+    def _hold_fault(self, duration_s, start_fault, end_fault, nodes=()):
+        """Start a fault, end it after ``duration_s`` and record it.
 
-    def _hold_fault(self, duration_s, start_fault, end_fault):
-        """Start a fault, end it after ``duration_s`` and record it."""
+        ``nodes`` are the names of those that it keeps from reading the configuration.
+        """
         start_s = time.monotonic()
-        entry = (start_s, float("inf"))
-        self._faults.append(entry)
+        self._record_fault(start_s, float("inf"), nodes)
         start_fault()
         time.sleep(duration_s)
         end_fault()
-        self._faults.remove(entry)
-        self._record_fault(start_s)
+        # The lasting entry is removed last, so that no probe sees a gap.
+        self._record_fault(start_s, time.monotonic() + FAULT_EFFECT_S, nodes)
+        self._faults.remove((start_s, float("inf")))
+        for node in nodes:
+            self._config_faults.remove((node, start_s, float("inf")))
+
+    def _record_fault(self, start_s, end_s, nodes):
+        self._faults.append((start_s, end_s))
+        self._config_faults += [(node, start_s, end_s) for node in nodes]
 
     def _choose_node(self):
         return self._rng.choice(self.nodes)
@@ -227,7 +234,7 @@
     def _do_kill_and_restart_node(self):
         node, downtime_s = self._choose_node(), self._rng.choice([0.1, 1.0])
         with node.lock:
-            self._hold_fault(downtime_s, node.kill, node.start)
+            self._hold_fault(downtime_s, node.kill, node.start, [node.name])
 
     def _do_pause_node(self):
         node, pause_s = self._choose_node(), self._rng.choice([0.3, 1.0, 2.5])
@@ -236,6 +243,7 @@
                 pause_s,
                 lambda: node.signal(signal.SIGSTOP),
                 lambda: node.signal(signal.SIGCONT),
+                [node.name],
             )
 
     def _do_stop_node_as_planned(self):
@@ -276,32 +284,45 @@
         self._config_write_times[version] = time.monotonic()
 
     def _do_store_outage(self):
-        """Make the store refuse calls (down) or leave them unanswered (silent)."""
+        """Make the store refuse calls (down) or leave them unanswered (silent).
+
+        A configuration that waited for the store is written when it is back.
+        """
         store = self.platform.store
         fault = self._rng.choice(["down", "silent"])
         self._hold_fault(
             self._rng.choice([0.5, 2.0]),
             lambda: setattr(store, fault, True),
             lambda: setattr(store, fault, False),
+            NODES,
         )
+        self._do_configure()
 
     def _do_disrupt_gateway_store_link(self):
         """Disrupt the connections of one node to the store."""
-        self._disrupt(self._rng.choice(list(self.platform.store_proxies.values())))
+        proxies = self.platform.store_proxies
+        proxy = self._rng.choice(list(proxies.values()))
+        self._disrupt(proxy, [name for name in proxies if proxies[name] is proxy])
 
     def _do_disrupt_instance_link(self):
         """Disrupt the connections of all nodes to one instance."""
         self._disrupt(self._rng.choice(list(self.platform.instance_proxies.values())))
 
-    def _disrupt(self, proxy):
-        """Reset or delay the connections of a proxy, or drop data in a direction."""
+    def _disrupt(self, proxy, nodes=()):
+        """Reset or delay the connections of a proxy, or drop data in a direction.
+
+        ``nodes`` are the names of those that it separates from the store.
+        """
         duration_s = self._rng.choice([0.3, 1.5])
         mode = self._rng.choice(["reset", "delay", "up", "down", "both"])
         if mode == "reset":
-            self._hold_fault(0.0, proxy.reset_connections, lambda: None)
+            self._hold_fault(0.0, proxy.reset_connections, lambda: None, nodes)
         elif mode == "delay":
             self._hold_fault(
-                duration_s, lambda: setattr(proxy, "delay_s", 0.08), proxy.clear_faults
+                duration_s,
+                lambda: setattr(proxy, "delay_s", 0.08),
+                proxy.clear_faults,
+                nodes,
             )
         else:
             directions = {FaultProxy.UP, FaultProxy.DOWN} if mode == "both" else {mode}
@@ -309,6 +330,7 @@
                 duration_s,
                 lambda: setattr(proxy, "dropped_directions", frozenset(directions)),
                 proxy.clear_faults,
+                nodes,
             )
 
     def _do_lose_instance(self):
@@ -343,8 +365,9 @@
     def _probe_configs(self):
         """Request from each node the newest configuration that it must have applied.
 
-        A node that lacks it is a violation, unless a fault overlapped with the time
-        since the write or an operation acts on the process.
+        A node that lacks it is a violation, also if it was written during a fault or
+        right after one, unless a fault still has effects or an operation acts on the
+        process.
         """
         while not self._finished.wait(PROBE_INTERVAL_S):
             now_s = time.monotonic()
@@ -363,13 +386,8 @@
                         (incarnation_id, newest_due, status)
                     )
                 is_undisturbed = not any(
-                    fault_start_s <= now_s <= fault_end_s
-                    for fault_start_s, fault_end_s in list(self._faults)
-                )
-                newest_written_s = self._config_write_times.get(newest_due, 0.0)
-                is_undisturbed &= not any(
-                    fault_start_s <= now_s and newest_written_s <= fault_end_s
-                    for fault_start_s, fault_end_s in self._faults
+                    name == node.name and fault_start_s <= now_s <= fault_end_s
+                    for name, fault_start_s, fault_end_s in list(self._config_faults)
                 )
                 if status == 404 and is_undisturbed and not node.lock.locked():
                     self.violations.append(
