--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -28,8 +28,8 @@
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 INSTANCES_TOPIC = "keyed.servers"
-# Of the time until a change must be in force. A read whose connection is silent ends
-# within this time; what is left is for the next read.
+# Of the time until a change must be in force. An unanswered read is given up after it,
+# and the rest is left for the next read.
 CONFIG_READ_FRACTION = 0.8
 MIN_CONFIG_LONG_POLL_S = 0.2
 CONFIG_READ_PAUSE_S = 0.02
@@ -253,10 +253,11 @@
         self._apply = apply
         self._apply_s = apply_s
         self._version = -1
-        self._known_s = float("-inf")  # when no newer version existed
+        # Clock time at which no newer version existed.
+        self._known_s = float("-inf")
 
     def age_s(self) -> float:
-        """Return for how long a newer version may exist; infinite before a read."""
+        """Return the seconds since no newer version existed; infinite before a read."""
         return self._clock.now() - self._known_s
 
     def _on_read_succeeded(self) -> None:
--- a/citronpin/state/tails.py
+++ b/citronpin/state/tails.py
@@ -36,7 +36,7 @@
 PEER_PAGE_RECORDS = 200
 PEER_PAGE_BYTES = 64 * 1024
 
-LONG_POLL_ANSWER_S = 1.0  # after a record is appended
+LONG_POLL_ANSWER_S = 1.0  # from the append of a record to the end of the long poll
 DIGEST_HISTORY_STATES = 512  # latest states, to check digest marks against
 TRIMMED_RETRY_DELAY_S = 2.0
 MS_PER_S = 1_000
