--- a/citronpin/tests/test_controls.py
+++ b/citronpin/tests/test_controls.py
@@ -199,10 +199,10 @@
     """Reset the configuration of an entry whose read of the log failed."""
     on_page = Tail._on_page
 
-    def reset_on_error(self, result):
+    def reset_on_error(self, read, result):
         if isinstance(result, Err) and self.stream == CONFIG_STREAM:
             self.state = self._fold.empty()
-        on_page(self, result)
+        on_page(self, read, result)
 
     patch.setattr(Tail, "_on_page", reset_on_error)
 
