Render the metrics page without walking every histogram in Python

An entry renders the page in its event loop. The library reads each quantile and the mean by walking 21,504 counts in Python: 4.5 s for the 40 histograms of an entry with 20 routes on an idle core of this machine. All entries are fetched at the same moment and stand still together; they read the configuration late and answer what has waited from the one before.

Quantiles are now taken from the cumulated counts in one pass of numpy, equal to those of the library (tested), and the sum is kept: 3.8 ms for the same page. Two digits are kept in place of three, so that a histogram takes 24 KB instead of 172 KB. Label sets are limited to 200 a metric, counters too, which had no limit and grew with each added route.

--- a/citronpin/basics/metrics.py
+++ b/citronpin/basics/metrics.py
@@ -1,8 +1,10 @@
 """Metrics of one process in the Prometheus text format, with HDR histograms."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
+import msgspec
+import numpy
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, generate_latest
 from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
@@ -12,10 +14,10 @@
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
-SIGNIFICANT_DIGITS = 3
+SIGNIFICANT_DIGITS = 2  # a histogram takes 24 KB; with 3 digits, 172 KB
 US_PER_S = 1_000_000
 QUANTILES = (0.5, 0.95, 0.99)
-MAX_LABEL_SETS = 2_000
+MAX_LABEL_SETS = 200  # rendering one of them blocks the event loop for 70 us
 
 LATENCIES = {
     "first_token": "Seconds from the request to the first token.",
@@ -25,6 +27,38 @@
 }
 
 
+def quantiles_us(histogram: HdrHistogram, quantiles: Sequence[float]) -> list[int]:
+    """Return the values at quantiles (0 to 1) in µs, or zeros without data.
+
+    The library walks all counts in Python for each of them, which takes milliseconds.
+    """
+    if not histogram.total_count:
+        return [0] * len(quantiles)
+    counts = numpy.frombuffer(histogram.counts, dtype=numpy.uint64)
+    targets = [
+        histogram.get_target_count_at_percentile(quantile * 100)
+        for quantile in quantiles
+    ]
+    indexes = numpy.searchsorted(numpy.cumsum(counts), targets)
+    values = [histogram.get_value_from_index(int(index)) for index in indexes]
+    return [
+        histogram.get_highest_equivalent_value(value) if quantile else value
+        for quantile, value in zip(quantiles, values)
+    ]
+
+
+class Latencies(msgspec.Struct):
+    """The latencies of one label set; ``sum_us`` is exact."""
+
+    histogram: HdrHistogram
+    sum_us: int = 0
+
+    def record(self, value_us: int) -> None:
+        """Record one latency in µs."""
+        self.histogram.record_value(value_us)
+        self.sum_us += value_us
+
+
 class LatencyCollector(Collector):
     """Latency histograms by name, customer and target, exported as quantiles and sums.
 
@@ -33,28 +67,18 @@
     """
 
     def __init__(self) -> None:
-        self._histograms: dict[tuple[str, str, str], HdrHistogram] = {}
+        self._latencies: dict[tuple[str, str, str], Latencies] = {}
 
     def record(self, name: str, customer: str, target: str, seconds: float) -> None:
         """Record one latency in seconds, clamped to the range of the histogram."""
         key = (name, customer, target)
-        histogram = self._histograms.get(key)
-        if histogram is None:
-            if len(self._histograms) >= MAX_LABEL_SETS:
+        latencies = self._latencies.get(key)
+        if latencies is None:
+            if len(self._latencies) >= MAX_LABEL_SETS:
                 key = (name, "", "")
-            histogram = self._histograms.setdefault(
-                key, HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-            )
+            latencies = self._latencies.setdefault(key, Latencies(_new_histogram()))
         value_us = min(max(int(seconds * US_PER_S), LOWEST_US), HIGHEST_US)
-        histogram.record_value(value_us)
-
-    def quantile_s(self, name: str, quantile: float) -> float:
-        """Return a quantile (0 to 1) over all labels in seconds, or 0 without data."""
-        total = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-        for key, histogram in self._histograms.items():
-            if key[0] == name:
-                total.add(histogram)
-        return total.get_value_at_percentile(quantile * 100) / US_PER_S
+        latencies.record(value_us)
 
     def collect(self) -> Iterable[SummaryMetricFamily]:
         for name, doc in LATENCIES.items():
@@ -65,19 +89,28 @@
             summary = SummaryMetricFamily(
                 f"citronpin_{name}_latency", doc, labels=["customer", "target"]
             )
-            for (latency, customer, target), histogram in self._histograms.items():
-                if latency != name:
-                    continue
-                self._add_histogram(quantiles, summary, customer, target, histogram)
+            for (latency, customer, target), latencies in self._latencies.items():
+                if latency == name:
+                    _add_latencies(quantiles, summary, [customer, target], latencies)
             yield quantiles
             yield summary
 
-    def _add_histogram(self, quantiles, summary, customer, target, histogram) -> None:
-        for quantile in QUANTILES:
-            value_us = histogram.get_value_at_percentile(quantile * 100)
-            quantiles.add_metric([customer, target, str(quantile)], value_us / US_PER_S)
-        total_s = histogram.get_mean_value() * histogram.total_count / US_PER_S
-        summary.add_metric([customer, target], histogram.total_count, total_s)
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def _add_latencies(
+    quantiles: GaugeMetricFamily,
+    summary: SummaryMetricFamily,
+    labels: list[str],
+    latencies: Latencies,
+) -> None:
+    values_us = quantiles_us(latencies.histogram, QUANTILES)
+    for quantile, value_us in zip(QUANTILES, values_us):
+        quantiles.add_metric([*labels, str(quantile)], value_us / US_PER_S)
+    count = latencies.histogram.total_count
+    summary.add_metric(labels, count, latencies.sum_us / US_PER_S)
 
 
 class GaugeCollector(Collector):
@@ -95,6 +128,23 @@
             yield GaugeMetricFamily(f"citronpin_{name}", doc, value=read())
 
 
+class LimitedCounter:
+    """Counts by label set, beyond ``MAX_LABEL_SETS`` of them under empty labels."""
+
+    def __init__(self, counter: Counter) -> None:
+        self._counter = counter
+        self._label_sets: set[tuple[str, ...]] = set()
+
+    def count(self, labels: tuple[str, ...], amount: int = 1) -> None:
+        """Add an amount to the counter of a label set."""
+        if labels not in self._label_sets:
+            if len(self._label_sets) >= MAX_LABEL_SETS:
+                labels = ("",) * len(labels)
+            else:
+                self._label_sets.add(labels)
+        self._counter.labels(*labels).inc(amount)
+
+
 class Metrics:
     """Counters, gauges and latencies of one process."""
 
@@ -104,15 +154,27 @@
         self.gauges = GaugeCollector()
         self.registry.register(self.latencies)
         self.registry.register(self.gauges)
-        self.requests = self._counter(
+        self._requests = self._counter(
             "requests", "Requests by end.", ["customer", "target", "outcome", "kind"]
         )
-        self.tokens = self._counter(
+        self._tokens = self._counter(
             "tokens", "Tokens passed to callers.", ["customer", "target"]
         )
 
-    def _counter(self, name: str, doc: str, labels: list[str]) -> Counter:
-        return Counter(f"citronpin_{name}", doc, labels, registry=self.registry)
+    def _counter(self, name: str, doc: str, labels: list[str]) -> "LimitedCounter":
+        return LimitedCounter(
+            Counter(f"citronpin_{name}", doc, labels, registry=self.registry)
+        )
+
+    def count_request(
+        self, customer: str, target: str, outcome: str, kind: str
+    ) -> None:
+        """Count a request that has ended."""
+        self._requests.count((customer, target, outcome, kind))
+
+    def count_tokens(self, customer: str, target: str, tokens: int) -> None:
+        """Count tokens that were passed to a caller."""
+        self._tokens.count((customer, target), tokens)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/citronpin/callers/callers.py
+++ b/citronpin/callers/callers.py
@@ -56,9 +56,9 @@
         target = ctx.deployment or ctx.application
         labels = (ctx.customer.name, target.name if target else "")
         kind = ending.error.kind if ending.error else ""
-        self._metrics.requests.labels(*labels, ending.outcome.value, kind).inc()
+        self._metrics.count_request(*labels, ending.outcome.value, kind)
         if ending.tokens:
-            self._metrics.tokens.labels(*labels).inc(ending.tokens)
+            self._metrics.count_tokens(*labels, ending.tokens)
         duration_s = self._clock.now() - ctx.started_s
         self._metrics.latencies.record("request", *labels, duration_s)
 
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -32,9 +32,9 @@
         ``now_s`` is the clock time in seconds.
         """
         customer = str(task.customer or "")
-        self._metrics.requests.labels(
+        self._metrics.count_request(
             customer, task.route.name, outcome, task.route.kind.value
-        ).inc()
+        )
         duration_s = now_s - task.received_s
         self._metrics.latencies.record("request", "", task.route.name, duration_s)
         first = next((a.first_s for a in attempts if a.first_s is not None), None)
@@ -59,7 +59,7 @@
 
     def refused(self, *, request: str, reason: str, status: int, config: int) -> None:
         """Log and count a request refused before its exchange started."""
-        self._metrics.requests.labels("", "", reason, "").inc()
+        self._metrics.count_request("", "", reason, "")
         logger.info(
             "request",
             extra={
