Log and count the times in which the event loop does not run

A timer that runs 0.25 s late or more is now logged, and the sum is a metric, so that the two are told apart on one entry and a common cause on all is seen.

--- a/citronpin/basics/clocks.py
+++ b/citronpin/basics/clocks.py
@@ -115,7 +115,11 @@
         while (due_s := self.next_due_s()) is not None and due_s <= end_s:
             self._now_s = max(self._now_s, due_s)
             self.run_due()
-        self._now_s = end_s
+        self._now_s = max(self._now_s, end_s)
+
+    def jump(self, seconds: float) -> None:
+        """Move forward without running timers, as while a callback takes long."""
+        self._now_s += seconds
 
 
 class ClockTask(BaseComponent):
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -11,6 +11,7 @@
 
 from citronpin.basics.clocks import Clock, ClockTask
 from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.basics.loop_lags import LoopLag
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.exchanges import ExchangeContext
@@ -119,6 +120,12 @@
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
         self.loads = LoadTracker()
         self.metrics = Metrics()
+        self.loop_lag = LoopLag(clock=clock)
+        self.metrics.gauges.add(
+            "loop_blocked_seconds",
+            "Seconds for which the event loop did not run, in pauses of 0.25 or more.",
+            lambda: self.loop_lag.total_s,
+        )
         self._rng = rng or random.Random()
         self._stopping_s: float | None = None
         self._leases_released = False
@@ -193,6 +200,7 @@
 
     def _start_components(self) -> None:
         logger.info("start", extra={"front": self.cfg.front, "peers": self.cfg.peers})
+        self.loop_lag.start()
         self.connector.start(self)
         self.fabrics.start()
         self._check_traffic_and_stalls()
