Refuse nothing for good by a configuration that may not be current

A feed now knows the latest time at which the store certainly had no newer record: an answer without records tells it for the end of its wait, one with records for the time at which the read was sent, and the newest records, which may lag behind, not at all. An answer that has waited for the process is no longer taken for one that was just sent. The read after a change waits less, so that this time stays within the bound. While it does not, an unknown route or key gets 503 config-not-current with Retry-After.

The state machine of the feed lets the process stand still, and checks that a feed which calls itself current has every change that is due, whatever the store did. The mutation that takes answers for current is detected; so is the code of before this change, since that mutation is it.

--- a/citronpin/gateway/answers.py
+++ b/citronpin/gateway/answers.py
@@ -33,6 +33,13 @@
         remedy="Try again after Retry-After.",
         retry_after_s=0.5,
     )
+    STALE_CONFIG = Refusal(
+        status=503,
+        kind="config-not-current",
+        detail="The entry has not been able to read the latest configuration.",
+        remedy="Try again after Retry-After.",
+        retry_after_s=0.1,
+    )
     STOPPING = Refusal(
         status=503,
         kind="stopping",
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from abc import abstractmethod
+from collections.abc import Callable
 
 import msgspec
 
@@ -94,6 +95,8 @@
         self.log = log
         self.rng = rng
         self.table: RoutingTable | None = None
+        # Returns whether `table` has every change that must be in force by now.
+        self.is_table_current: Callable[[], bool] = lambda: True
         self.first_event_times = first_event_times
         self.retry_delays = RetryDelays()
         self.entry_count = 1  # entries that share the retry budgets
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -58,13 +58,13 @@
             host=host.partition(":")[0], path=path
         )
         if route is None:
-            self._refuse(req, reply, RefusalKind.NO_ROUTE.value)
+            self._refuse_unknown(req, reply, RefusalKind.NO_ROUTE.value)
             return
         customer = None
         if table.needs_key and not route.public:
             customer = table.customer(req.headers.get(self._context.names.key, ""))
             if customer is None:
-                self._refuse(req, reply, RefusalKind.NO_CUSTOMER.value)
+                self._refuse_unknown(req, reply, RefusalKind.NO_CUSTOMER.value)
                 return
         if self._may_outlast_process(route):
             self._refuse(req, reply, RefusalKind.STOPPING.value)
@@ -117,6 +117,16 @@
         text = req.headers.get(self._context.names.deadline_ms, "")
         return int(text) / MS_PER_S if text.isdigit() else route.timeout_s
 
+    def _refuse_unknown(self, req: HttpRequest, reply: Reply, refusal: Refusal) -> None:
+        """Refuse what the configuration does not contain.
+
+        Callers do not repeat such a request. While a change that allows it may be in
+        force elsewhere, they are told to come back instead.
+        """
+        if not self._context.is_table_current():
+            refusal = RefusalKind.STALE_CONFIG.value
+        self._refuse(req, reply, refusal)
+
     def _refuse(self, req: HttpRequest, reply: Reply, refusal: Refusal) -> None:
         attempt = req.headers.get(self._context.names.attempt, "")
         version = self._context.table.version if self._context.table else 0
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -209,6 +209,7 @@
     since: Offset
     upto: Offset
     records: tuple[tuple[Offset, str, bytes | None], ...] = ()
+    age_ms: int = 0  # since the sender last knew that the store had no newer record
 
 
 class StatusUpdate(Message, tag=18):
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Result
 
-from citronpin.basics.clocks import Clock, TimerHandle
+from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import EntryId, InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import SharedFeeds
@@ -39,6 +39,7 @@
 CONFIRMATION_MAX_AGE_S = 0.75  # two update intervals of a relay, and a late update
 MIN_CONFIRMATIONS = 2  # a single relay may have lost the store without noticing
 FOLLOW_CHECK_INTERVAL_S = 0.3  # update interval of a relay
+MAX_FORWARDED_AGE_S = 3_600.0  # also stands for a relay that does not know the age
 MAX_FORWARDED_RECORDS = 64  # keeps frames small; entries read more from the store
 
 
@@ -71,9 +72,12 @@
         self._is_paused = False
         self._is_snapshot_due = False
         self._read_started_s = float("-inf")
+        self._read_wait_s = 0.0
         # Clock time at which each relay last confirmed the offset.
         self._confirmed_at_s: dict[EntryId, float] = {}
         self.last_read_s = float("-inf")  # clock time of the last successful read
+        # Latest clock time at which the store certainly had no newer record.
+        self._current_s = float("-inf")
 
     def start(self) -> None:
         """Start reading."""
@@ -93,8 +97,12 @@
     def _apply_record(self, record: Record) -> None:
         """Apply an appended record."""
 
-    def _on_read_succeeded(self) -> None:
-        """Handle a successful read, or its confirmation by a relay."""
+    def _on_read_succeeded(self, current_s: float) -> None:
+        """Handle a successful read, or its confirmation by a relay.
+
+        ``current_s`` is the latest clock time at which the store certainly had no newer
+        record. An answer may have waited for this process.
+        """
 
     def _on_read_failed(self) -> None:
         """Handle a failed read."""
@@ -124,19 +132,22 @@
                 if offset >= self._offset:
                     self._apply_record(Record(key, value, offset))
             self._offset = position.upto
-        self._confirmed_at_s[sender] = self._clock.now()
-        self._on_read_succeeded()
+        now_s = self._clock.now()
+        self._confirmed_at_s[sender] = now_s
+        self._on_read_succeeded(now_s - position.age_ms / MS_PER_S)
 
     def position(self, *, records: bool) -> FeedPosition | None:
         """Return the offset that this entry has read up to, or ``None`` when stale."""
-        age_s = self._clock.now() - self.last_read_s
+        now_s = self._clock.now()
         if (
             self._is_following
             or self._offset is None
-            or age_s > self._long_poll_s + POSITION_MAX_AGE_S
+            or now_s - self.last_read_s > self._long_poll_s + POSITION_MAX_AGE_S
         ):
             return None
-        return FeedPosition(self.topic, self._offset, self._offset)
+        age_s = min(now_s - self._current_s, MAX_FORWARDED_AGE_S)
+        age_ms = int(age_s * MS_PER_S)
+        return FeedPosition(self.topic, self._offset, self._offset, age_ms=age_ms)
 
     def _read_now(self) -> None:
         """Read without further delay, unless a read is in progress."""
@@ -175,20 +186,26 @@
         if self._offset is None:
             self._store.read_newest(topic=self.topic, done=self._on_newest)
             return
+        self._read_wait_s = self._next_long_poll_s()
         self._store.read(
             topic=self.topic,
             offset=self._offset,
-            long_poll_s=self._long_poll_s,
+            long_poll_s=self._read_wait_s,
             done=self._on_records,
         )
 
+    def _next_long_poll_s(self) -> float:
+        """Return how long the next read waits for records, in seconds."""
+        return self._long_poll_s
+
     def _on_newest(self, result: Result) -> None:
         if self._handle_failure(result):
             return
         newest: NewestRecords = result.ok_value
         self._apply_snapshot(newest.records)
         self._offset = newest.end
-        self._on_read_succeeded()
+        # The newest records may lag behind; the next read tells whether they do.
+        self._on_read_succeeded(self._current_s)
         self._schedule_read(0.0)
 
     def _on_records(self, result: Result) -> None:
@@ -198,9 +215,16 @@
         for record in records.records:
             self._apply_record(record)
         self._offset = records.next
-        self._on_read_succeeded()
+        # An answer without records was sent when the wait was over, or the process got
+        # it before.
+        waited_s = 0.0 if records.records else self._read_wait_s
+        self._read_succeeded(min(self._read_started_s + waited_s, self._clock.now()))
         self._schedule_read(self._read_pause_s)
 
+    def _read_succeeded(self, current_s: float) -> None:
+        self._current_s = current_s
+        self._on_read_succeeded(current_s)
+
     def _handle_failure(self, result: Result) -> bool:
         """Return whether a read failed, and schedule the next one if so."""
         if result.is_ok():
@@ -253,14 +277,23 @@
         self._apply = apply
         self._apply_s = apply_s
         self._version = -1
-        # Clock time at which no newer version existed.
+        # Latest clock time at which certainly no newer version existed.
         self._known_s = float("-inf")
 
     def age_s(self) -> float:
         """Return the seconds since no newer version existed; infinite before a read."""
         return self._clock.now() - self._known_s
 
-    def _on_read_succeeded(self) -> None:
+    @property
+    def is_current(self) -> bool:
+        """Return whether every version that must be in force by now was read."""
+        return self.age_s() <= self._apply_s
+
+    def _next_long_poll_s(self) -> float:
+        # A read that returned a change did not tell whether another one followed.
+        return max(self._long_poll_s - self.age_s(), MIN_CONFIG_LONG_POLL_S)
+
+    def _on_read_succeeded(self, current_s: float) -> None:
         age_s = self.age_s()
         if self._apply_s < age_s < float("inf"):
             logger.warning(
@@ -271,7 +304,7 @@
                     "version": self._version,
                 },
             )
-        self._known_s = self._clock.now()
+        self._known_s = max(self._known_s, current_s)
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         for record in records:
@@ -372,7 +405,7 @@
         self._record_change(record, result.ok_value)
         self._fleet.register(result.ok_value, now_s=now_s)
 
-    def _on_read_succeeded(self) -> None:
+    def _on_read_succeeded(self, current_s: float) -> None:
         self._fleet.read_succeeded(now_s=self._clock.now())
 
     def _on_read_failed(self) -> None:
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -75,6 +75,7 @@
             apply=node.apply_config,
             apply_s=self._settings.bounds.config_apply_ms / MS_PER_S,
         )
+        node.context.is_table_current = lambda: config.is_current
         node.metrics.gauges.add(
             "config_age_seconds",
             "Seconds for which a newer configuration may have existed.",
--- a/citronpin/tests/test_config_machine.py
+++ b/citronpin/tests/test_config_machine.py
@@ -47,6 +47,7 @@
         self.store = PlatformStore(clock=self.clock)
         self.applied = []
         self.written = []  # (clock time in s, version)
+        self.pauses_s = []  # (clock time at which the process stood still, duration)
         self.fault = None
         self.fault_end_s = 0.0
         client = MemoryClient(clock=self.clock)
@@ -128,6 +129,13 @@
         else:
             setattr(self.store, self.fault, is_on)
 
+    @rule(seconds=st.sampled_from([0.5, 1.6, 3.0]))
+    def process_stands_still(self, seconds):
+        """Let answers wait for the process, which then runs its late timers."""
+        self.pauses_s.append((self.clock.now(), seconds))
+        self.clock.jump(seconds)
+        self.clock.advance(0.0)
+
     @rule(seconds=st.sampled_from([0.02, 0.3, 1.1, 2.1]))
     def advance(self, seconds):
         self.clock.advance(seconds)
@@ -141,8 +149,19 @@
         due_s = self.clock.now() - APPLY_S
         if self.fault is not None or self.fault_end_s > due_s:
             return
+        if any(start_s + pause_s > due_s for start_s, pause_s in self.pauses_s):
+            return
+        assert self.has_applied_all_due()
+
+    def has_applied_all_due(self):
+        due_s = self.clock.now() - APPLY_S
         due = [version for written_s, version in self.written if written_s <= due_s]
-        assert not due or self.applied[-1] >= due[-1]
+        return not due or self.applied[-1] >= due[-1]
+
+    @invariant()
+    def a_current_feed_has_every_change_that_is_due(self):
+        # Whatever the store and the process did: this decides final refusals.
+        assert not self.feed.is_current or self.has_applied_all_due()
 
 
 def test_configuration_is_in_force_in_time_under_store_faults():
@@ -176,8 +195,21 @@
         return failed
 
 
+class TakesAnswersForCurrent(ConfigFeed):
+    """Takes an answer for the state of the store at the time when it is processed."""
+
+    def _on_read_succeeded(self, current_s):
+        super()._on_read_succeeded(self._clock.now())
+
+
 @pytest.mark.parametrize(
-    "faulty", [ReadsForTooLong, AppliesWhatItReads, IgnoresDeletedRecords]
+    "faulty",
+    [
+        ReadsForTooLong,
+        AppliesWhatItReads,
+        IgnoresDeletedRecords,
+        TakesAnswersForCurrent,
+    ],
 )
 def test_config_machine_detects_faulty_feeds(faulty):
     class FaultyMachine(ConfigMachine):
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -71,6 +71,17 @@
     assert not gateway.client.sent
 
 
+@pytest.mark.parametrize("path, key", [("/swap/1", "wrong"), ("/other/1", "key-1")])
+def test_nothing_is_refused_for_good_by_a_configuration_that_is_not_current(
+    gateway, path, key
+):
+    # Incident inc1: a route and a key that had been added in time got 404 and 401.
+    gateway.context.is_table_current = lambda: False
+    reply = gateway.send(path, **{HEADERS.key: key})
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert float(reply.headers["retry-after"]) > 0
+
+
 def test_without_a_configuration_requests_are_refused_with_a_retry_delay(gateway):
     gateway.context.table = None
     reply = gateway.send("/swap/1")
