Start over with the store when it came back from a copy

The users' store may lose its latest records and give out offsets and generations again; Store-Era rises by one. An entry that remembered them missed changes: a feed at offset 3 of a topic that was written again up to 3 never read the change at offset 2, and routed by it only after the next one. It compared generations of two eras, and revived instances that had drained or left, as the copy told.

LogStore reads Store-Era in every answer, tells its listeners before it passes an answer of a new era, and takes late answers of an earlier one for lost. What an entry remembers of the store, one by one: feeds discard offset and read under way and read the newest records; instances that the copy lacks are kept until they can have registered again, and older registrations than known, by start and sequence, are not applied; positions of relays carry the era; leases reset the generation, keep what was held and is assigned again, and use other partitions only after the time to live of a lease that the store may have forgotten, also after a start; the epochs of groups are made of era and generation, so that they go on rising; the directory proposes the frame key in use, announces its entry again and keeps the others meanwhile. One log line tells both eras and what was done.

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -69,6 +69,10 @@
         self._links.open(self._receive)
         self._tick()
 
+    def set_key(self, key: bytes) -> None:
+        """Authenticate all further updates with a key."""
+        self._links.set_key(key)
+
     def stop(self) -> None:
         """Stop sending updates and close the links."""
         if self._timer is not None:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -243,7 +243,10 @@
     def update_peers(self, frame_key: bytes | None) -> None:
         """Update the number of entries, and start gossip once a frame key is known."""
         self._update_entry_count()
-        if self.gossip is not None or frame_key is None or self._stopping_s is not None:
+        if frame_key is None or self._stopping_s is not None:
+            return
+        if self.gossip is not None:
+            self.gossip.set_key(frame_key)
             return
         links = NngLinks(
             entry=self.cfg.name,
--- a/citronpin/peers/links.py
+++ b/citronpin/peers/links.py
@@ -68,6 +68,9 @@
         for address in addresses:
             self.send(address, message)
 
+    def set_key(self, key: bytes) -> None:
+        """Authenticate all further frames with another key."""
+
     @abstractmethod
     def close(self) -> None:
         """Close all sockets."""
@@ -91,6 +94,10 @@
         self._sequence = clock.wall_ms() * SEQUENCES_PER_MS
         self._latest: dict[EntryId, _LatestFrame] = {}
 
+    def set_codec(self, codec: FrameCodec) -> None:
+        """Encode and decode all further frames with another codec."""
+        self._codec = codec
+
     def encode(self, message: Message) -> bytes | None:
         """Return the next frame, or ``None`` if the message exceeds the frame limit."""
         self._sequence += 1
@@ -183,6 +190,9 @@
         self._receive = receive
         self._watch_socket()
 
+    def set_key(self, key: bytes) -> None:
+        self._session.set_codec(FrameCodec(key=key))
+
     def connect(self, address: str) -> None:
         if address in self._push_sockets:
             return
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -210,6 +210,7 @@
     upto: Offset
     records: tuple[tuple[Offset, str, bytes | None], ...] = ()
     age_ms: int = 0  # since the sender last knew that the store had no newer record
+    era: int = 0  # of the store in which the offsets are valid
 
 
 class StatusUpdate(Message, tag=18):
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -190,6 +190,7 @@
     state: str
     slots: int = 1
     domain: str | int | None = None
+    sequence: int = 0
 
 
 _decode_config = guard_recursion(msgspec.json.Decoder(WireConfig).decode)
@@ -291,27 +292,40 @@
     )
 
 
-def decode_instance(name: str, data: bytes) -> Result[FleetInstance, UnreadableRecord]:
+class Registration(msgspec.Struct, frozen=True):
+    """The registration of an instance; ``sequence`` rises with each since its start."""
+
+    instance: FleetInstance
+    sequence: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return a key that rises with each registration under the same id."""
+        return (self.instance.born_ms, self.sequence)
+
+
+def decode_registration(
+    name: str, data: bytes
+) -> Result[Registration, UnreadableRecord]:
     """Decode the registration of an instance; its id is ``name``, the record's key."""
     try:
         wire = _decode_server(data)
         if wire.state not in SERVER_STATES:
             raise ValueError(f"state {wire.state!r} is unknown")
-        return Ok(
-            FleetInstance(
-                id=InstanceId(name),
-                service=ApplicationName(wire.service),
-                address=wire.address,
-                failure_domain=FailureDomainName(wire.zone),
-                slots=wire.slots,
-                draining=wire.state == "draining",
-                domain=DomainName("" if wire.domain is None else str(wire.domain)),
-                models=_model_names(wire.models),
-                staged=_model_names(wire.staged),
-                membership=_convert_membership(wire.group),
-                born_ms=wire.born,
-            )
+        instance = FleetInstance(
+            id=InstanceId(name),
+            service=ApplicationName(wire.service),
+            address=wire.address,
+            failure_domain=FailureDomainName(wire.zone),
+            slots=wire.slots,
+            draining=wire.state == "draining",
+            domain=DomainName("" if wire.domain is None else str(wire.domain)),
+            models=_model_names(wire.models),
+            staged=_model_names(wire.staged),
+            membership=_convert_membership(wire.group),
+            born_ms=wire.born,
         )
+        return Ok(Registration(instance, wire.sequence))
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(
             UnreadableRecord(f"The registration of {name!r} cannot be decoded: {exc}.")
--- a/citronpin/platform/directories.py
+++ b/citronpin/platform/directories.py
@@ -27,6 +27,8 @@
 READ_PAUSE_S = 0.3
 RETRY_DELAY_S = 0.5
 FRAME_KEY_BYTES = 32
+# After a new era of the store has begun, announcements that it lost are written again.
+REANNOUNCEMENT_S = 3.0
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
@@ -39,7 +41,9 @@
     """Announces this entry and follows the announcements of others.
 
     Each entry proposes a random key, with which all entries authenticate their frames,
-    by an append at offset 0; only the first append succeeds, and its key is used.
+    by an append at offset 0; only the first append succeeds, and its key is used. When
+    the store went back, the entry proposes the key that is in use, announces itself
+    again, and keeps the entries that it knew until they can have done the same.
     """
 
     def __init__(
@@ -62,20 +66,21 @@
         self._address = address
         self._on_changed = on_changed
         self._entries: dict[EntryId, str] = {}
+        self._unconfirmed: dict[EntryId, str] = {}  # known from an earlier era
+        self._has_announced = False
+        self._has_withdrawn = False
         self.frame_key: bytes | None = None
 
     def start(self) -> None:
         self._propose_frame_key()
 
     def addresses(self) -> dict[EntryId, str]:
-        return {
-            name: address
-            for name, address in self._entries.items()
-            if name != self._name
-        }
+        known = self._unconfirmed | self._entries
+        return {name: address for name, address in known.items() if name != self._name}
 
     def withdraw(self) -> None:
         """Delete the announcement of this entry."""
+        self._has_withdrawn = True
         self._append(ENTRY_PREFIX + self._name, b"", self._on_withdrawn)
 
     def _append(
@@ -88,8 +93,25 @@
             expected_end=expected_end,
         )
 
+    def on_new_era(self) -> str:
+        read = super().on_new_era()
+        if not self._has_announced or self._has_withdrawn:
+            return read
+        era = self._store.era
+        self._unconfirmed = self._unconfirmed | self._entries
+        self._entries = {}
+        self._clock.call_later(REANNOUNCEMENT_S, lambda: self._drop_unconfirmed(era))
+        self._propose_frame_key()
+        return f"{read}, wrote the frame key and the announcement of this entry"
+
+    def _drop_unconfirmed(self, era: int) -> None:
+        """Forget the entries that have not announced themselves in an era."""
+        if era == self._store.era:
+            self._unconfirmed = {}
+            self._on_changed()
+
     def _propose_frame_key(self) -> None:
-        key = secrets.token_bytes(FRAME_KEY_BYTES)
+        key = self.frame_key or secrets.token_bytes(FRAME_KEY_BYTES)
         self._append(FRAME_KEY_RECORD, key, self._on_frame_key_proposed, expected_end=0)
 
     def _on_frame_key_proposed(self, result: Result) -> None:
@@ -99,10 +121,16 @@
             )
             self._clock.call_later(RETRY_DELAY_S, self._propose_frame_key)
             return
+        if self._has_withdrawn:
+            return
         self._announce()
-        super().start()
+        if not self._has_announced:
+            self._has_announced = True
+            super().start()
 
     def _announce(self) -> None:
+        if self._has_withdrawn:
+            return
         value = msgspec.json.encode(EntryRecord(self._address))
         self._append(ENTRY_PREFIX + self._name, value, self._on_announced)
 
@@ -126,6 +154,7 @@
 
     def _apply_record(self, record: Record) -> None:
         if record.key == FRAME_KEY_RECORD and record.value is not None:
+            # An entry that started in the new era may have proposed another one first.
             self.frame_key = record.value
         elif record.key.startswith(ENTRY_PREFIX):
             self._apply_entry(EntryId(record.key[len(ENTRY_PREFIX) :]), record.value)
@@ -134,6 +163,7 @@
     def _apply_entry(self, name: EntryId, value: bytes | None) -> None:
         if value is None:
             self._entries.pop(name, None)
+            self._unconfirmed.pop(name, None)
             return
         try:
             announced = msgspec.json.decode(value, type=EntryRecord)
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -1,7 +1,7 @@
 """Feeds that follow keyed topics: the configuration, the instances, the entries."""
 
 import logging
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections.abc import Callable
 
 import msgspec
@@ -13,13 +13,15 @@
 from citronpin.gateway.ports import SharedFeeds
 from citronpin.gateway.routings import GatewayConfig
 from citronpin.peers.messages import FeedPosition
-from citronpin.platform.decoders import decode_config, decode_instance
+from citronpin.platform.decoders import Registration, decode_config, decode_registration
 from citronpin.platform.stores import (
     LONG_POLL_MARGIN_S,
+    EraListener,
     LogStore,
     NewestRecords,
     Record,
     RecordBatch,
+    ResultCallback,
     Trimmed,
 )
 
@@ -39,14 +41,16 @@
 CONFIRMATION_MAX_AGE_S = 0.75  # two update intervals of a relay, and a late update
 MIN_CONFIRMATIONS = 2  # a single relay may have lost the store without noticing
 FOLLOW_CHECK_INTERVAL_S = 0.3  # update interval of a relay
-MAX_FORWARDED_AGE_S = 3_600.0  # also stands for a relay that does not know the age
+MAX_FORWARDED_AGE_S = 3_600.0  # stands for an unknown age too
+MAX_GONE_INSTANCES = 4_096  # registered ones included
 MAX_FORWARDED_RECORDS = 64  # keeps frames small; entries read more from the store
 
 
-class KeyedFeed(ABC):
+class KeyedFeed(EraListener):
     """Reads the newest record of each key, then the records that are appended.
 
-    While it follows, it does not read as long as relays confirm its offset.
+    While it follows, it does not read as long as relays confirm its offset. In a new
+    era of the store it reads the newest records again, since offsets start over.
     """
 
     def __init__(
@@ -78,6 +82,8 @@
         self.last_read_s = float("-inf")  # clock time of the last successful read
         # Latest clock time at which the store certainly had no newer record.
         self._current_s = float("-inf")
+        self._read_number = 0  # answers to reads of an earlier era have a lower one
+        store.add_era_listener(self)
 
     def start(self) -> None:
         """Start reading."""
@@ -89,6 +95,16 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def on_new_era(self) -> str:
+        self._offset = None
+        self._read_number += 1
+        self._confirmed_at_s.clear()
+        if self._timer is None:
+            return ""  # not started
+        self._timer.cancel()
+        self._schedule_read(0.0)
+        return f"read {self.topic}"
+
     @abstractmethod
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         """Apply the newest record of every key."""
@@ -122,6 +138,10 @@
         """Apply the records that a relay forwards, and note its confirmation."""
         if not self._is_following or self._offset is None:
             return
+        if position.era != self._store.era:
+            if position.era > self._store.era:
+                self._read_now()  # the answer tells the era
+            return
         if position.upto > self._offset:
             if self._is_reading:
                 return  # the answer of the current read contains these records
@@ -147,7 +167,13 @@
             return None
         age_s = min(now_s - self._current_s, MAX_FORWARDED_AGE_S)
         age_ms = int(age_s * MS_PER_S)
-        return FeedPosition(self.topic, self._offset, self._offset, age_ms=age_ms)
+        return FeedPosition(
+            self.topic,
+            self._offset,
+            self._offset,
+            age_ms=age_ms,
+            era=self._store.era,
+        )
 
     def _read_now(self) -> None:
         """Read without further delay, unless a read is in progress."""
@@ -184,16 +210,23 @@
             self._is_snapshot_due = False
             self._offset = None
         if self._offset is None:
-            self._store.read_newest(topic=self.topic, done=self._on_newest)
+            self._store.read_newest(
+                topic=self.topic, done=self._unless_outdated(self._on_newest)
+            )
             return
         self._read_wait_s = self._next_long_poll_s()
         self._store.read(
             topic=self.topic,
             offset=self._offset,
             long_poll_s=self._read_wait_s,
-            done=self._on_records,
+            done=self._unless_outdated(self._on_records),
         )
 
+    def _unless_outdated(self, handle: ResultCallback) -> ResultCallback:
+        """Return a callback that ignores the result once a new era has begun."""
+        number = self._read_number
+        return lambda result: handle(result) if number == self._read_number else None
+
     def _next_long_poll_s(self) -> float:
         """Return how long the next read waits for records, in seconds."""
         return self._long_poll_s
@@ -324,6 +357,13 @@
         self._apply(cfg)
 
 
+class RegistrationStamp(msgspec.Struct, frozen=True):
+    """Orders the registrations of one id; an instance that left keeps its last one."""
+
+    order: tuple[int, int]  # start in Unix ms, number of the registration since then
+    is_gone: bool = False
+
+
 class FleetFeed(KeyedFeed):
     """Updates a fleet from the registrations of the instances.
 
@@ -345,6 +385,8 @@
         self._fleet = fleet
         # Instances as other entries need them for routing.
         self._routing_views: dict[str, FleetInstance] = {}
+        # Latest registration of each instance, also of those that are gone.
+        self._latest: dict[str, RegistrationStamp] = {}
         self._unforwarded_changes: list[Record] = []
         self._forwarded_upto: int | None = None
 
@@ -383,27 +425,73 @@
         """Restore the read interval that routing needs."""
         self._read_pause_s = self._default_interval_s
 
+    def on_new_era(self) -> str:
+        self._unforwarded_changes.clear()
+        # Registrations that the store has lost are written again.
+        self._fleet.read_failed(now_s=self._clock.now())
+        return super().on_new_era()
+
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
-        present = [record.key for record in records if record.value is not None]
-        for key in set(self._routing_views) - set(present):
-            del self._routing_views[key]
+        present = {record.key for record in records if record.value is not None}
         for record in records:
-            self._apply_record(record)
+            # The copy of a store that went back may hold what is known to be outdated.
+            if record.value is not None and not self._apply_if_newer(record):
+                present.discard(record.key)
+        for key in set(self._routing_views) - present:
+            del self._routing_views[key]
         self._forwarded_upto = None  # keys deleted meanwhile have no record to forward
         self._fleet.reconcile(map(InstanceId, present), now_s=self._clock.now())
 
+    def _apply_if_newer(self, record: Record) -> bool:
+        """Apply a registration unless it is outdated; return whether to list it."""
+        latest = self._latest.get(record.key)
+        registration = self._decode(record)
+        if registration is None or latest is None:
+            self._apply_registration(record, registration)
+            return True
+        if registration.order < latest.order:
+            return not latest.is_gone
+        if latest.is_gone and registration.order == latest.order:
+            return False
+        self._apply_registration(record, registration)
+        return True
+
     def _apply_record(self, record: Record) -> None:
-        now_s = self._clock.now()
-        if record.value is None:
-            self._record_change(record, None)
-            self._fleet.deregister(InstanceId(record.key), now_s=now_s)
+        if record.value is not None:
+            self._apply_registration(record, self._decode(record))
             return
-        result = decode_instance(record.key, record.value)
+        latest = self._latest.get(record.key)
+        if latest is not None:
+            self._set_latest(record.key, RegistrationStamp(latest.order, is_gone=True))
+        self._record_change(record, None)
+        self._fleet.deregister(InstanceId(record.key), now_s=self._clock.now())
+
+    def _decode(self, record: Record) -> Registration | None:
+        result = decode_registration(record.key, record.value)
         if result.is_err():
             logger.warning("%s", result.err_value, extra={"offset": record.offset})
+            return None
+        return result.ok_value
+
+    def _apply_registration(
+        self, record: Record, registration: Registration | None
+    ) -> None:
+        if registration is None:
+            return
+        self._set_latest(record.key, RegistrationStamp(registration.order))
+        self._record_change(record, registration.instance)
+        self._fleet.register(registration.instance, now_s=self._clock.now())
+
+    def _set_latest(self, key: str, stamp: "RegistrationStamp") -> None:
+        """Keep the stamp of a registration, and limit the number of those kept."""
+        self._latest.pop(key, None)
+        self._latest[key] = stamp
+        if len(self._latest) <= MAX_GONE_INSTANCES:
             return
-        self._record_change(record, result.ok_value)
-        self._fleet.register(result.ok_value, now_s=now_s)
+        gone = (name for name, latest in self._latest.items() if latest.is_gone)
+        oldest = next(gone, None)
+        if oldest is not None:
+            del self._latest[oldest]
 
     def _on_read_succeeded(self, current_s: float) -> None:
         self._fleet.read_succeeded(now_s=self._clock.now())
--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -8,7 +8,7 @@
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import DomainName
 from citronpin.gateway.ports import DomainLeases
-from citronpin.platform.stores import LogStore, PartitionAssignment
+from citronpin.platform.stores import EraListener, LogStore, PartitionAssignment
 
 logger = logging.getLogger(__name__)
 
@@ -20,9 +20,12 @@
 # One renewal without an answer. All entries know of a store outage, and that the others
 # have lost the store, before the first lease expires: 0.6 + 0.4 + two messages of 0.15.
 STORE_LOST_AFTER_S = 0.6
+# Keeps the generations of a later era higher, and the epochs made of them within the
+# integers of a double.
+GENERATIONS_PER_ERA = 1 << 20
 
 
-class PartitionLeases(DomainLeases):
+class PartitionLeases(DomainLeases, EraListener):
     """Holds the domains whose partition the store has assigned to this process.
 
     The store assigns a partition to another member only after this one has joined
@@ -32,6 +35,10 @@
 
     During a store outage that all entries see, no partition can be reassigned, and the
     last holder keeps its leases until any other entry reaches the store.
+
+    A store that went back may have forgotten an assignment while the lease is still
+    valid. A partition that this process did not hold is therefore used only after the
+    time to live of such a lease, counted from the first answer of an era.
     """
 
     def __init__(
@@ -42,8 +49,12 @@
         self._member = member
         self._partition_count = parts
         self._ttl_s = max(LEASE_TTL_S, ttl_min_ms / MS_PER_S)
-        self._held_partitions: frozenset[int] = frozenset()
-        self._generation = 0
+        self._assigned_partitions: frozenset[int] = frozenset()
+        # Those of the assigned ones whose lease this process had in the earlier era.
+        self._carried_partitions: frozenset[int] = frozenset()
+        self._carried_until_s = float("-inf")
+        self._generation = 0  # of the current era
+        self._is_era_known = False
         self._expires_s = float("-inf")
         self._timer: TimerHandle | None = None
         self._last_answer_s = clock.now_with_suspend()
@@ -51,6 +62,7 @@
         self._has_left = False
         self._is_participating = True
         self._participation_count = 0  # tells answers of earlier participations apart
+        store.add_era_listener(self)
 
     def start(self) -> None:
         """Join the reader group and keep renewing the membership."""
@@ -107,7 +119,22 @@
 
     @property
     def generation(self) -> int:
-        return self._generation
+        return self._store.era * GENERATIONS_PER_ERA + self._generation
+
+    @property
+    def _held_partitions(self) -> frozenset[int]:
+        """Return the assigned partitions that no lease of an earlier era can cover."""
+        if self._clock.now_with_suspend() < self._carried_until_s:
+            return self._assigned_partitions & self._carried_partitions
+        return self._assigned_partitions
+
+    def on_new_era(self) -> str:
+        self._carried_partitions = (
+            self._held_partitions if self._is_valid else frozenset()
+        )
+        self._generation = 0
+        self._is_era_known = False
+        return "joined the reader group" if not self._has_left else ""
 
     def _join(self) -> None:
         self._timer = self._clock.call_later(RENEWAL_INTERVAL_S, self._join)
@@ -128,7 +155,7 @@
             self._last_answer_s = self._clock.now_with_suspend()
             if assignment.generation < self._generation:
                 return  # a later answer arrived first
-            if assignment.parts != self._held_partitions:
+            if assignment.parts != self._assigned_partitions:
                 logger.info(
                     "leases assigned",
                     extra={
@@ -136,8 +163,12 @@
                         "parts": sorted(assignment.parts),
                     },
                 )
+            if not self._is_era_known:
+                self._is_era_known = True
+                self._carried_until_s = self._last_answer_s + self._ttl_s
             self._generation = assignment.generation
-            self._held_partitions = assignment.parts
+            self._assigned_partitions = assignment.parts
+            self._carried_partitions &= assignment.parts
             self._expires_s = max(
                 self._expires_s, sent_s + self._ttl_s - EXPIRY_MARGIN_S
             )
--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -3,6 +3,7 @@
 import base64
 import logging
 import struct
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from urllib.parse import urlencode
 
@@ -20,6 +21,8 @@
 LONG_POLL_MARGIN_S = 0.6  # added to the long-poll time of a read for its timeout
 MAX_READ_KB = 1_024
 
+ERA_HEADER = "store-era"
+
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
@@ -136,17 +139,52 @@
 ResultCallback = Callable[[Result], None]
 
 
+class EraListener(ABC):
+    """Keeps state that is valid only within one era of the store."""
+
+    @abstractmethod
+    def on_new_era(self) -> str:
+        """Discard what the store may have lost; return what is read or written anew."""
+
+
 class LogStore:
     """Calls the store; each method passes one `Result` to its ``done`` callback.
 
     An `Err` holds a `StoreError`. Offsets count records from the start of a partition.
+
+    The store may lose its latest records and start a new era, in which it assigns
+    offsets and generations again. Answers of an earlier era count as lost.
     """
 
     def __init__(self, *, client: HttpClient, address: str) -> None:
         self._client = client
         self._address = address
+        self._listeners: list[EraListener] = []
+        self._has_answered = False
+        self.era = 0  # of the latest answer
         self.call_count = 0
 
+    def add_era_listener(self, listener: EraListener) -> None:
+        """Notify a listener of each new era before answers of that era are passed."""
+        self._listeners.append(listener)
+
+    def _record_era(self, era: int) -> None:
+        """Record the era of an answer, and notify the listeners if it is a new one."""
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if not self._has_answered:
+            return  # nothing was read or written in an earlier era
+        actions = [listener.on_new_era() for listener in self._listeners]
+        logger.warning(
+            "store restored from an older copy",
+            extra={
+                "previous_era": previous,
+                "era": era,
+                "actions": [action for action in actions if action],
+            },
+        )
+
     def append(
         self,
         *,
@@ -280,7 +318,17 @@
                     kind = StoreRefused
                 done(Err(kind(error.detail)))
                 return
-            status, _, data = answer
+            status, headers, data = answer
+            era = _parse_era(headers, default=self.era)
+            self._record_era(era)
+            self._has_answered = True
+            if era < self.era:
+                done(
+                    Err(
+                        StoreUnreachable(f"{path}: an answer of the earlier era {era}.")
+                    )
+                )
+                return
             try:
                 result = parse_answer(status, data)
             except (msgspec.MsgspecError, ValueError, struct.error) as exc:
@@ -298,6 +346,11 @@
         )
 
 
+def _parse_era(headers: dict[str, str], *, default: int) -> int:
+    text = headers.get(ERA_HEADER, "")
+    return int(text) if text.isdecimal() else default
+
+
 def _parse_newest_page(status: int, data: bytes) -> Result:
     if status == HTTP_OK:
         return Ok(msgspec.json.decode(data, type=_WireNewest))
--- a/citronpin/tests/platforms/instances.py
+++ b/citronpin/tests/platforms/instances.py
@@ -49,6 +49,7 @@
         self.last_model = None
         self.highest_epoch = -1
         self.sequence = 0
+        self.registration_count = 0  # since the start
         self.incarnation = object()
 
     def kill(self):
@@ -95,11 +96,13 @@
             "zone": self.zone,
             "slots": 9,
             "state": self.state,
+            "sequence": self.registration_count,
         }
 
     def write_entry(self):
         """Write the registration to the store unless the instance cannot reach it."""
         if not self.dead and not self.cut_from_store:
+            self.registration_count += 1
             data = json.dumps(self.registration()).encode()
             self.fleet.store.put("keyed.servers", self.name, data)
             self.written_s = self.fleet.clock.now()
--- a/citronpin/tests/platforms/stores.py
+++ b/citronpin/tests/platforms/stores.py
@@ -1,4 +1,4 @@
-"""In-memory store of the platform: topics, newest records, reader groups."""
+"""In-memory store of the platform: topics, newest records, reader groups, eras."""
 
 import base64
 import json
@@ -12,8 +12,10 @@
 class Topic:
     """A partition: records, first kept offset, newest record of each key."""
 
-    def __init__(self):
+    def __init__(self, *, clock):
+        self.clock = clock
         self.records = []
+        self.written_s = []  # clock time of each record
         self.first = 0
         self.newest = {}  # key -> (offset, value)
         self.stale = None  # newest records and end that are returned instead, if set
@@ -28,11 +30,47 @@
             else:
                 self.newest.pop(key, None)
             self.records.append(content)
+            self.written_s.append(self.clock.now())
         return offset
 
+    def go_back(self, copy_s):
+        """Drop the records written after a clock time, and what they changed."""
+        kept = [
+            content
+            for content, written_s in zip(self.records, self.written_s)
+            if written_s <= copy_s
+        ]
+        times = self.written_s
+        self.records, self.newest = [], {}
+        self.append(kept)
+        self.written_s = times[: len(kept)]
+        self.first = min(self.first, len(kept))
+
+
+class ReaderGroup:
+    """Members of the reader group and the partitions that they hold."""
+
+    def __init__(self):
+        self.members = {}  # member -> (time of its last join in s, time to live in s)
+        self.generation = 0
+        self.owners = {}  # partition -> member
+        self.assignments = {}  # partition -> member
+
+    def copy(self):
+        copied = ReaderGroup()
+        for name, value in vars(self).items():
+            setattr(copied, name, dict(value) if isinstance(value, dict) else value)
+        return copied
+
+
+MAX_COPY_AGE_S = 10.0
+
 
 class PlatformStore:
-    """Answers calls with ``(status, body)``, or with ``None`` for no answer."""
+    """Answers calls with ``(status, body, headers)``, or with ``None`` for no answer.
+
+    `go_back` restores a copy of the past, which starts a new era.
+    """
 
     def __init__(self, *, clock, parts=24):
         self.clock = clock
@@ -40,14 +78,33 @@
         self.topics = {}
         self.down = False
         self.silent = False
-        self.members = {}  # member -> (time of its last join in s, time to live in s)
-        self.generation = 0
-        self.owners = {}  # partition -> member
-        self.known_generations = {}  # member -> generation
+        self.group = ReaderGroup()
+        self.group_copies = []  # (clock time in s, state of the group from then on)
+        self.era = 1
+        self.told_eras = {}  # member -> era of the last answer to its joins
+        self.violations = []
         self.calls = []
 
     def topic(self, name):
-        return self.topics.setdefault(name, Topic())
+        return self.topics.setdefault(name, Topic(clock=self.clock))
+
+    def go_back(self, seconds):
+        """Lose what was written in the last ``seconds``, and start a new era."""
+        copy_s = self.clock.now() - seconds
+        for topic in self.topics.values():
+            topic.go_back(copy_s)
+        self.group_copies = [kept for kept in self.group_copies if kept[0] <= copy_s]
+        self.group = (
+            self.group_copies[-1][1].copy() if self.group_copies else ReaderGroup()
+        )
+        self._keep_group_copy()
+        self.era += 1
+
+    def _keep_group_copy(self):
+        now_s = self.clock.now()
+        self.group_copies.append((now_s, self.group.copy()))
+        while now_s - self.group_copies[0][0] > MAX_COPY_AGE_S:
+            del self.group_copies[0]
 
     def put(self, topic, key, value):
         """Append a keyed record, as the operator or an instance does."""
@@ -72,9 +129,12 @@
         if self.silent:
             return None
         if self.down:
-            return 503, b""
+            return 503, b"", self._headers()
         name = parts.path.rpartition("/")[2].replace("log-", "").replace("-", "_")
-        return getattr(self, f"_{name}")(query, body)
+        return *getattr(self, f"_{name}")(query, body), self._headers()
+
+    def _headers(self):
+        return {"store-era": str(self.era)}
 
     def _append(self, query, body):
         topic = self.topic(query["topic"])
@@ -94,7 +154,7 @@
     def _read(self, query, body):
         topic = self.topic(query["topic"])
         start = int(query["from"])
-        if start < topic.first:
+        if not topic.first <= start <= len(topic.records):
             return 410, json.dumps({"first": topic.first}).encode()
         data = READ_HEADER.pack(len(topic.records), topic.first)
         for content in topic.records[start:]:
@@ -118,43 +178,50 @@
 
     def _expire_members(self):
         now_s = self.clock.now()
-        late = [m for m, (at, ttl) in self.members.items() if now_s - at > ttl]
+        members = self.group.members
+        late = [m for m, (at, ttl) in members.items() if now_s - at > ttl]
         for member in late:
             self._remove_member(member)
 
     def _remove_member(self, member):
-        if self.members.pop(member, None) is None:
+        group = self.group
+        if group.members.pop(member, None) is None:
             return
-        for part, owner in list(self.owners.items()):
+        for part, owner in list(group.owners.items()):
             if owner == member:
-                del self.owners[part]
+                del group.owners[part]
         self._rebalance()
 
     def _rebalance(self):
         """Assign the partitions evenly; owners keep theirs until their next join."""
-        self.generation += 1
-        ordered = sorted(self.members)
-        self.assignments = {
+        self.group.generation += 1
+        ordered = sorted(self.group.members)
+        self.group.assignments = {
             part: ordered[part % len(ordered)] for part in range(self.parts) if ordered
         }
 
     def _join(self, query, body):
         asked = json.loads(body)
-        member = asked["member"]
+        member, group = asked["member"], self.group
         self._expire_members()
-        is_new = member not in self.members
-        self.members[member] = (self.clock.now(), asked["ttl-ms"] / 1000)
+        knows_era = self.told_eras.get(member) == self.era
+        if knows_era and asked["generation"] > group.generation:
+            self.violations.append(f"{member} names a generation of an earlier era")
+        self.told_eras[member] = self.era
+        is_new = member not in group.members
+        group.members[member] = (self.clock.now(), asked["ttl-ms"] / 1000)
         if is_new:
             self._rebalance()
-        for part, owner in list(self.owners.items()):
-            if owner == member and self.assignments.get(part) != member:
-                del self.owners[part]  # this answer tells the member
-        for part, owner in self.assignments.items():
-            if owner == member and part not in self.owners:
-                self.owners[part] = member
-        held = sorted(p for p, owner in self.owners.items() if owner == member)
+        for part, owner in list(group.owners.items()):
+            if owner == member and group.assignments.get(part) != member:
+                del group.owners[part]  # this answer tells the member
+        for part, owner in group.assignments.items():
+            if owner == member and part not in group.owners:
+                group.owners[part] = member
+        self._keep_group_copy()
+        held = sorted(p for p, owner in group.owners.items() if owner == member)
         answer = {
-            "generation": self.generation,
+            "generation": group.generation,
             "ttl-ms": asked["ttl-ms"],
             "parts": [[asked["topics"][0], part, 0] for part in held],
         }
@@ -162,4 +229,5 @@
 
     def _leave(self, query, body):
         self._remove_member(json.loads(body)["member"])
+        self._keep_group_copy()
         return 200, b"{}"
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -19,6 +19,7 @@
 from citronpin.web.servers import WebServer
 
 READ_POLL_INTERVAL_S = 0.02
+REWRITE_DELAY_S = 0.2  # until the operator and the instances write lost records again
 LAST_EVENT = 20  # number of the last event of a stream; the first is 0
 EVENT_INTERVAL_S = 0.03
 SERVICE_TIME_S = 0.02
@@ -141,6 +142,10 @@
         whether a node has applied a version.
         """
         self.config_version += 1
+        self._put_config()
+        return self.config_version
+
+    def _put_config(self):
         version_routes = [
             {
                 "name": f"version-{number}",
@@ -155,7 +160,17 @@
         ]
         cfg = wire_config(version=self.config_version, routes=ROUTES + version_routes)
         self.store.put("keyed.op", "config", json.dumps(cfg).encode())
-        return self.config_version
+
+    def restore_store(self, lost_s):
+        """Let the store come back from a copy, and write again what others wrote."""
+        self.store.go_back(lost_s)
+        self.store.down = False
+        self.clock.call_later(REWRITE_DELAY_S, self._write_again)
+
+    def _write_again(self):
+        self._put_config()
+        for instance in self.fleet.instances.values():
+            instance.write_entry()
 
     def _handle_store_request(self, exchange):
         """Answer a call to the store; hold a read without records up to its wait."""
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -298,6 +298,18 @@
         )
         self._do_configure()
 
+    def _do_restore_store_from_copy(self):
+        """Make the store lose what it accepted in the last seconds."""
+        lost_s = self._rng.choice([0.5, 2.0, 5.0])
+        platform = self.platform
+        self._hold_fault(
+            self._rng.choice([0.1, 1.0]),
+            lambda: setattr(platform.store, "down", True),
+            lambda: platform.call(lambda: platform.restore_store(lost_s)),
+            NODES,
+        )
+        self._do_configure()
+
     def _do_disrupt_gateway_store_link(self):
         """Disrupt the connections of one node to the store."""
         proxies = self.platform.store_proxies
@@ -378,6 +390,7 @@
             ]
             newest_due = max(due_versions, default=1)
             for node in self.nodes:
+                node.get_status(node.metrics_port, "/metrics")  # must not delay it
                 incarnation_id = f"{node.name}/{node.incarnation}"
                 status = node.get_status(node.front_port, f"/v{newest_due}/mark")
                 # A restart during the request leaves open which process answered.
@@ -418,3 +431,4 @@
         )
         self.violations += checks.check_versions(self._config_observations)
         self.violations += self.platform.fleet.violations
+        self.violations += self.platform.store.violations
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -10,7 +10,7 @@
 from citronpin.gateway.routings import RequestKind
 from citronpin.platform.decoders import (
     decode_config,
-    decode_instance,
+    decode_registration,
     decode_report,
 )
 from citronpin.platform.directories import StoreDirectory
@@ -102,7 +102,10 @@
 
 
 def test_registration_is_decoded_with_its_membership():
-    found = decode_instance("i-1", json.dumps(INSTANCE_REGISTRATION).encode()).unwrap()
+    data = json.dumps(INSTANCE_REGISTRATION).encode()
+    registration = decode_registration("i-1", data).unwrap()
+    assert registration.order == (12, 4)
+    found = registration.instance
     assert found.id == "i-1" and found.is_serving_head and found.staged == ("small",)
     assert found.membership.phase is Phase.OPEN and found.domain == "d0"
 
@@ -120,7 +123,7 @@
     "change", [{"state": "asleep"}, {"service": 4}, {"group": {"name": "g"}}]
 )
 def test_malformed_registration_gives_an_error(change):
-    assert decode_instance(
+    assert decode_registration(
         "i-1", json.dumps(INSTANCE_REGISTRATION | change).encode()
     ).is_err()
 
@@ -132,7 +135,7 @@
 def test_decoders_return_an_error_for_arbitrary_bytes(data):
     for result in (
         decode_config(data),
-        decode_instance("i-1", data),
+        decode_registration("i-1", data),
         decode_report(data),
     ):
         assert result.is_err()
