Quarantine parts of prompts under which instance after instance crashes

Entries now keep, by part of the prompt, the instances that ended when they had begun an answer and sent no event of it, and the latest first event on the part. Updates between entries carry both, so that crashes are united and a success on any entry refutes the earlier ones. Three crashes in a row, over 0.4 s or more, put a part that nobody has served lately into quarantine for ten minutes after the latest crash, twelve one that was. What is kept out gets 503 prompt-quarantined at once, with the part in the answer; what waits at an instance is withdrawn. A request that ended an instance is repeated only if all its parts were served within a minute. A success, an operator, or the end of the time let a part in again; after the time one more crash is enough. Memory is bounded.

A stream that ends without any event is no longer taken for a whole answer: an answer without a length ends with its connection, also when the instance ends.

test_requests_under_which_instances_crash_are_not_sent_to_one_after_the_other plays 3, 9 and 24 entries; with a policy that never quarantines, as before, it fails: more than three requests reach instances 3 s after the fifth crash. The check of sound requests fails with a policy that blames every part.

--- a/citronpin/gateway/answers.py
+++ b/citronpin/gateway/answers.py
@@ -89,6 +89,23 @@
     )
 
 
+def quarantine_refusal(*, part: str, wait_s: float) -> Refusal:
+    """Return the refusal of a request under whose prompt instances crash.
+
+    ``wait_s`` is the time in seconds for which the part stays quarantined.
+    """
+    return Refusal(
+        status=503,
+        kind="prompt-quarantined",
+        detail=(
+            f"The request was not run: one instance after the other crashed under part "
+            f"{part} of its prompt."
+        ),
+        remedy="Send the request without this part, or have an operator release it.",
+        retry_after_s=max(round(wait_s), MIN_RETRY_AFTER_S),
+    )
+
+
 def send_refusal(reply: Reply, refusal: Refusal, headers: dict[str, str]) -> None:
     """Send a refusal as problem details (RFC 9457) with additional headers."""
     body = problem_body(
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -8,11 +8,18 @@
 import msgspec
 
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
-from citronpin.basics.ids import ApplicationName, CustomerName, InstanceId, ModelName
+from citronpin.basics.ids import (
+    ApplicationName,
+    CustomerName,
+    InstanceId,
+    ModelName,
+    PromptPartId,
+)
 from citronpin.gateway.answers import (
     Refusal,
     RefusalKind,
     no_place_refusal,
+    quarantine_refusal,
     send_refusal,
 )
 from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, OutgoingRequest
@@ -27,6 +34,7 @@
 )
 from citronpin.gateway.placers import Demand, PlacementFailure, Placer
 from citronpin.gateway.ports import HeaderNames
+from citronpin.gateway.quarantines import PromptQuarantine
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
@@ -56,6 +64,7 @@
     priority: int
     spent_s: float = 0.0  # by the caller in earlier attempts, estimated
     engine: EngineSpec | None = None
+    prompt_parts: tuple[PromptPartId, ...] = ()  # that other requests share
 
     @property
     def end_s(self) -> float:
@@ -80,6 +89,7 @@
         placer: Placer,
         loads: LoadTracker,
         suspects: Suspects,
+        quarantine: PromptQuarantine,
         first_event_times: FirstEventTimes,
         log: RequestLog,
         rng: random.Random,
@@ -92,6 +102,7 @@
         self.placer = placer
         self.loads = loads
         self.suspects = suspects
+        self.quarantine = quarantine
         self.log = log
         self.rng = rng
         self.table: RoutingTable | None = None
@@ -194,6 +205,8 @@
     def _send_next(self) -> bool:
         """Send to another instance; return false when none can take the request."""
         now_s = self._context.clock.now()
+        if self._refuse_quarantined():
+            return False
         placement = self._context.placer.place(demand=self._demand(), now_s=now_s)
         if isinstance(placement, PlacementFailure):
             self._on_placement_failure(placement)
@@ -290,6 +303,25 @@
         self._reason = f"{failure.reason}: {failure.candidates}, load {failure.load}"
         self._refuse(failure.reason)
 
+    def _refuse_quarantined(self) -> bool:
+        """Refuse a request with a quarantined part; return whether it has one."""
+        quarantine = self._context.quarantine
+        part = quarantine.find_quarantined(self._task.prompt_parts)
+        if part is None:
+            return False
+        self._reason = f"prompt part {part} is quarantined"
+        self._answer_quarantined(
+            quarantine_refusal(
+                part=part,
+                wait_s=quarantine.remaining_s(part, now_s=self._context.clock.now()),
+            )
+        )
+        return True
+
+    def _answer_quarantined(self, refusal: Refusal) -> None:
+        """Answer a request that must not be sent to another instance."""
+        self._answer(RefusalKind.LOST.value if self.run_count else refusal)
+
     def _refuse(self, reason: str) -> None:
         """Answer that the request did not run, with the delay before a retry."""
         now_s = self._context.clock.now()
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -3,7 +3,7 @@
 import logging
 
 from citronpin.basics.clocks import MS_PER_S
-from citronpin.basics.ids import ApplicationName, ModelName
+from citronpin.basics.ids import ApplicationName, ModelName, PromptPartId
 from citronpin.gateway.answers import Refusal, RefusalKind, send_refusal
 from citronpin.gateway.buffered_exchanges import BufferedExchange
 from citronpin.gateway.exchanges import ExchangeContext, Task
@@ -13,6 +13,7 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_PROMPT_PARTS = 64  # considered of one request
 ACCEPT_WHILE_STOPPING_S = 3.0  # the balancer sends new callers for about 2 s
 
 
@@ -83,9 +84,11 @@
         service = self._select_service(route)
         spec = table.services.get(service)
         engine = None if spec is None else spec.engine
-        model = None
+        model, prompt_parts = None, ()
         if engine is not None:
-            model = ModelName(req.headers.get(self._context.names.model, ""))
+            names = self._context.names
+            model = ModelName(req.headers.get(names.model, ""))
+            prompt_parts = parse_shared_parts(req.headers.get(names.prompt_parts, ""))
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
@@ -102,6 +105,7 @@
             priority=priority,
             spent_s=self._context.spent_s(route=route, left_s=left_s),
             engine=engine,
+            prompt_parts=prompt_parts,
         )
         is_stream = route.kind is RequestKind.STREAM
         exchange_class = StreamExchange if is_stream else BufferedExchange
@@ -137,3 +141,16 @@
             config=version,
         )
         send_refusal(reply, refusal, {self._context.names.attempt: attempt})
+
+
+def parse_shared_parts(text: str) -> tuple[PromptPartId, ...]:
+    """Return the parts of a prompt but the last, which no other request has.
+
+    ``text`` lists ID:TOKENS entries, separated by commas.
+    """
+    entries = text.split(",")[:-1][:MAX_PROMPT_PARTS]
+    return tuple(
+        PromptPartId(part)
+        for entry in entries
+        if (part := entry.partition(":")[0].strip())
+    )
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -11,6 +11,7 @@
 from citronpin.gateway.fleets import Fleet, Membership, PeerGroupReport, Phase
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
 from citronpin.gateway.ports import DomainLeases, SharedFeeds
+from citronpin.gateway.quarantines import PromptQuarantine
 from citronpin.gateway.relays import MAX_MESH_ENTRIES, RelayRole
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
@@ -40,6 +41,7 @@
         addresses: Callable[[], dict[EntryId, str]],
         loads: LoadTracker,
         suspects: Suspects,
+        quarantine: PromptQuarantine,
         fleet: Fleet,
         fabrics: Fabrics,
         leases: DomainLeases,
@@ -53,6 +55,7 @@
         self._addresses = addresses
         self._loads = loads
         self._suspects = suspects
+        self._quarantine = quarantine
         self._fleet = fleet
         self._fabrics = fabrics
         self._leases = leases
@@ -83,6 +86,7 @@
         self._timer = self._clock.call_later(UPDATE_INTERVAL_S, self._tick)
         now_s = self._clock.now()
         self._loads.expire(now_s=now_s)
+        self._quarantine.expire(now_s=now_s)
         self._leases.set_extended(self._all_entries_lost_store(now_s))
         others = self._addresses()
         is_mesh = len(others) < MAX_MESH_ENTRIES
@@ -111,6 +115,10 @@
             # Lease renewals detect a lost store sooner than a waiting read does.
             positions = self._feeds.own_positions(records=self.role.is_forwarding)
             update = msgspec.structs.replace(update, positions=positions)
+        if not self._quarantine.is_empty:
+            self._quarantine.has_news = False
+            reports = self._quarantine.reports(now_s=now_s)
+            update = msgspec.structs.replace(update, parts=reports)
         self._links.send_all(self._connected, update)
 
     def _recipients(self, is_mesh: bool, now_s: float) -> set[str]:
@@ -129,7 +137,9 @@
         since_s = now_s - self._last_sent_s
         if not is_mesh and self.role.is_relay:
             return since_s >= RELAY_UPDATE_INTERVAL_S - UPDATE_INTERVAL_S / 2
-        return since_s >= UNCHANGED_UPDATE_INTERVAL_S or update != self._last_update
+        if self._quarantine.has_news or update != self._last_update:
+            return True
+        return since_s >= UNCHANGED_UPDATE_INTERVAL_S
 
     def _all_entries_lost_store(self, now_s: float) -> bool:
         """Return whether every entry that sent a recent update has lost the store."""
@@ -154,6 +164,7 @@
         self._loads.record_peer_loads(entry=sender, loads=message.loads, now_s=now_s)
         for instance in message.suspects:
             self._suspects.suspected_by_peer(InstanceId(instance), now_s=now_s)
+        self._quarantine.merge(message.parts, now_s=now_s)
         if message.traffic:
             self._fabrics.traffic_began = True
         if message.relay:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -10,7 +10,7 @@
 from circuits.core.pollers import EPoll
 
 from citronpin.basics.clocks import Clock, ClockTask
-from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.basics.ids import EntryId, FailureDomainName, PromptPartId
 from citronpin.basics.loop_lags import LoopLag
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
@@ -29,6 +29,7 @@
     InstanceControl,
     SharedFeeds,
 )
+from citronpin.gateway.quarantines import ConsecutiveCrashes, PromptQuarantine
 from citronpin.gateway.relays import RelayRole
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
@@ -119,6 +120,7 @@
         self.suspects = Suspects()
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
         self.loads = LoadTracker()
+        self.quarantine = PromptQuarantine(policy=ConsecutiveCrashes())
         self.metrics = Metrics()
         self.loop_lag = LoopLag(clock=clock)
         self.metrics.gauges.add(
@@ -168,6 +170,7 @@
             placer=placer,
             loads=self.loads,
             suspects=self.suspects,
+            quarantine=self.quarantine,
             first_event_times=first_event_times,
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
@@ -185,6 +188,9 @@
         routes = Routes()
         routes.add("GET", READY_PATH, self._answer_ready)
         routes.add("GET", METRICS_PATH, self._answer_metrics)
+        routes.add("GET", "/admin", self._list_views)
+        routes.add("GET", "/admin/quarantines", self._answer_quarantines)
+        routes.add("POST", "/admin/quarantines/{part}/release", self._release_part)
         self.server = self._serve(self.cfg.front, self.front, "front")
         self.servers = (
             self.server,
@@ -211,6 +217,19 @@
     def _answer_metrics(self, req: HttpRequest, reply: Reply) -> None:
         reply.send_response(200, self.metrics.text(), METRICS_TYPE)
 
+    def _list_views(self, req: HttpRequest, reply: Reply) -> None:
+        reply.json(200, ["quarantines"])
+
+    def _answer_quarantines(self, req: HttpRequest, reply: Reply) -> None:
+        reply.json(200, self.quarantine.rows(now_s=self.clock.now()))
+
+    def _release_part(self, req: HttpRequest, reply: Reply, part: str) -> None:
+        if not self.quarantine.release(PromptPartId(part), now_s=self.clock.now()):
+            reply.json(404, {"detail": f"Prompt part {part} is not under suspicion."})
+            return
+        logger.warning("prompt part released by an operator", extra={"part": part})
+        reply.json(200, {"released": part})
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer may send new callers."""
@@ -259,6 +278,7 @@
             addresses=self.connector.peer_addresses,
             loads=self.loads,
             suspects=self.suspects,
+            quarantine=self.quarantine,
             fleet=self.fleet,
             fabrics=self.fabrics,
             leases=self.connector.leases,
@@ -285,6 +305,7 @@
         for exchange in list(self.context.open_exchanges):
             if isinstance(exchange, StreamExchange):
                 exchange.check_stall(now_s)
+                exchange.check_quarantine()
 
     def run_until_stopped(self) -> None:
         """Run the event loop in the main thread, the only one that receives signals.
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -27,6 +27,7 @@
     digest: str  # in an answer: digest of the whole body
     model: str
     token_usage: str  # prompt tokens, maximum answer tokens
+    prompt_parts: str  # ID:TOKENS of each part of the prompt, separated by commas
     urgency: str  # 0 to 9, 0 is the most urgent
     last_event: str  # event after which a stream resumes
 
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -9,6 +9,8 @@
 
 logger = logging.getLogger(__name__)
 
+OK_STATUSES = range(200, 300)  # parts of prompts explain only failures
+
 
 class RequestLog:
     """Logs the outcome of each request; the log queue bounds the volume."""
@@ -53,6 +55,7 @@
                 "reason": reason,
                 "ms": round(duration_s * MS_PER_S),
                 "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
+                "parts": list(task.prompt_parts) if status not in OK_STATUSES else [],
                 "attempts": [attempt.summary() for attempt in attempts],
             },
         )
--- a/citronpin/gateway/stories.py
+++ b/citronpin/gateway/stories.py
@@ -16,13 +16,18 @@
 ENTRY_MESSAGES = frozenset(
     {
         "configuration in force",
+        "event loop blocked",
         "lines left out",
+        "prompt part quarantined",
+        "prompt part released",
+        "prompt part released by an operator",
         "reload",
         "start",
         "stop",
         "stopped",
         "store lost",
         "store regained",
+        "store restored from an older copy",
     }
 )
 HEADER_FIELDS = frozenset({"time", "level", "logger", "entry", "message"})
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from citronpin.gateway.answers import Refusal
 from citronpin.gateway.attempts import MAX_BUFFERED_BYTES, Attempt, Fault
 from citronpin.gateway.event_streams import EventSplitter, EventTooLong, StreamEvent
 from citronpin.gateway.exchanges import (
@@ -47,6 +48,10 @@
         text = self._task.req.headers.get(self._context.names.last_event, "")
         return int(text) if text.isdigit() else None
 
+    def _send_next(self) -> bool:
+        self._is_stream = False
+        return super()._send_next()
+
     def _override_headers(self) -> dict[str, str]:
         names = self._context.names
         if not self._started or self._last_event_number is None:
@@ -100,6 +105,9 @@
             self._last_event_number = number
         if attempt.events == 0:
             self._record_first_event(attempt)
+            self._context.quarantine.record_success(
+                self._task.prompt_parts, now_s=self._context.clock.now()
+            )
         attempt.events += 1
         if not self._started:
             self._started = True
@@ -137,7 +145,9 @@
             return Fault.INVALID
         if not self._is_stream:
             return Fault.ERROR
-        return Fault.LOST if self._splitter.partial else None
+        # Only a stream that resumes after its last event has none.
+        is_empty = not attempt.events and self._last_event_number is None
+        return Fault.LOST if self._splitter.partial or is_empty else None
 
     def _finish_stream(self, attempt: Attempt) -> None:
         if not self._started:
@@ -150,6 +160,47 @@
         attempt.cancel(fault, detail)
         self.attempt_failed(attempt, fault)
 
+    def _report_fault(self, attempt: Attempt, fault: Fault) -> None:
+        super()._report_fault(attempt, fault)
+        if self._is_crash(attempt, fault):
+            self._context.quarantine.record_crash(
+                self._task.prompt_parts,
+                attempt.instance,
+                now_s=self._context.clock.now(),
+            )
+
+    def _is_crash(self, attempt: Attempt, fault: Fault) -> bool:
+        """Return whether the instance ended when it began to write the answer."""
+        return fault is Fault.LOST and self._is_stream and not attempt.events
+
+    def _may_retry(self, fault: Fault, *, midway: bool = False) -> bool:
+        last = self._last_attempt
+        parts = self._task.prompt_parts
+        if parts and last is not None and self._is_crash(last, fault):
+            # A part that no instance has served may end the next one too.
+            now_s = self._context.clock.now()
+            if not self._context.quarantine.were_all_served(parts, now_s=now_s):
+                return False
+        return super()._may_retry(fault, midway=midway)
+
+    def _answer_quarantined(self, refusal: Refusal) -> None:
+        if self._started:
+            self._abort_stream()
+        else:
+            super()._answer_quarantined(refusal)
+
+    def check_quarantine(self) -> None:
+        """Withdraw a request with a quarantined part that no instance has begun."""
+        last = self._last_attempt
+        if self._done or last is None or last.is_over or last.events:
+            return
+        quarantine = self._context.quarantine
+        if quarantine.find_quarantined(self._task.prompt_parts) is None:
+            return
+        last.cancel(Fault.LOST, "withdrawn: a part of its prompt is quarantined")
+        self._context.loads.request_ended(last.instance.id)
+        self._refuse_quarantined()
+
     def _on_fault(self, fault: Fault) -> None:
         if self._may_retry(fault, midway=self._started):
             self._send_next()
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -15,6 +15,7 @@
     InstanceId,
     ModelName,
     Offset,
+    PromptPartId,
     ShardNumber,
     StreamName,
 )
@@ -213,6 +214,14 @@
     era: int = 0  # of the store in which the offsets are valid
 
 
+class PartReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender knows of a part of prompts under which instances crash."""
+
+    part: PromptPartId
+    crashes: dict[int, int]  # age in ms by the life of the instance, a number
+    success_age_ms: int = -1  # of the latest success on the part; -1 without one
+
+
 class StatusUpdate(Message, tag=18):
     """Reports the sender's requests in progress, suspects and serving groups."""
 
@@ -223,6 +232,7 @@
     heads: tuple[HeadStatus, ...] = ()  # in the domains whose leases the sender holds
     relay: bool = False  # whether the sender reads the store itself and may hold leases
     positions: tuple[FeedPosition, ...] = ()
+    parts: tuple[PartReport, ...] = ()
 
 
 AnyMessage = (
--- a/citronpin/platform/names.py
+++ b/citronpin/platform/names.py
@@ -12,6 +12,7 @@
     digest="x-citronpin-response-signature",
     model="x-citronpin-model",
     token_usage="x-citronpin-token-usage",
+    prompt_parts="x-citronpin-prompt-prefix",
     urgency="x-citronpin-request-urgency",
     last_event="last-event-id",
 )
--- /dev/null
+++ b/citronpin/tests/platforms/crashes.py
@@ -0,0 +1,234 @@
+"""Several entries before shared instances that crash under a part of a prompt."""
+
+import random
+
+import msgspec
+
+from citronpin.basics.errors import ConnectionFailed
+from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.gateway.gossips import Gossip
+from citronpin.gateway.relays import RelayRole
+from citronpin.platform.names import HEADERS
+from citronpin.tests.meshes import MemoryLinks, Network
+from citronpin.tests.platforms.requests import FrontHarness, event, instance_headers
+
+RESTART_S = 3.0  # from a crash until the instance serves again
+FIRST_EVENT_S = 0.15
+EVENT_INTERVAL_S = 0.05
+LAST_EVENT = 10
+CALLER_PART = "c0ffee"
+POISON = "bad0"
+
+
+class Leases:
+    """Leases of an entry that always reaches the store."""
+
+    store_lost = False
+
+    def set_participating(self, allowed):
+        """Hold no lease."""
+
+    def set_extended(self, allowed):
+        """Hold no lease."""
+
+
+class NoGroups:
+    """Controllers without groups."""
+
+    traffic_began = False
+
+    def heads(self):
+        return ()
+
+
+class NoFeeds:
+    """Feeds without positions."""
+
+    def own_positions(self, *, records):
+        return ()
+
+    def apply_positions(self, sender, positions):
+        """Receive nothing."""
+
+    def set_following(self, allowed):
+        """Follow nobody."""
+
+
+class Replica:
+    """An instance that all entries share; it crashes under `POISON`."""
+
+    def __init__(self, *, world, name):
+        self.world = world
+        self.name = name
+        self.running = []
+        self.is_down = False
+        self.life = 0
+
+    def handle(self, exchange):
+        if self.is_down:
+            exchange.fail(ConnectionFailed("refused"))
+            return
+        parts = [
+            entry.partition(":")[0]
+            for entry in exchange.headers[HEADERS.prompt_parts].split(",")
+        ]
+        self.world.sent.append((self.world.clock.now(), tuple(parts)))
+        self.running.append(exchange)
+        life = self.life
+        self.world.clock.call_later(
+            FIRST_EVENT_S, lambda: self._begin(exchange, parts, life)
+        )
+
+    def _begin(self, exchange, parts, life):
+        if life != self.life or exchange.ended:
+            return
+        exchange.head(
+            200, instance_headers(exchange, **{"content-type": "text/event-stream"})
+        )
+        if POISON in parts:
+            self.world.crashed_s.append(self.world.clock.now())
+            self.crash()
+            return
+        self._send(exchange, 0, life)
+
+    def _send(self, exchange, number, life):
+        if life != self.life or exchange.ended:
+            return
+        exchange.data(event(number))
+        if number == LAST_EVENT:
+            self.running.remove(exchange)
+            exchange.end()
+            return
+        self.world.clock.call_later(
+            EVENT_INTERVAL_S, lambda: self._send(exchange, number + 1, life)
+        )
+
+    def crash(self):
+        """End all answers, and start again as another life."""
+        self.life += 1
+        self.is_down = True
+        running, self.running = self.running, []
+        for exchange in running:
+            exchange.lose("crashed")
+        self.world.clock.call_later(RESTART_S, self._restart)
+
+    def _restart(self):
+        self.is_down = False
+        for entry in self.world.entries:
+            entry.set_life(self.name, self.life)
+
+
+class Entry(FrontHarness):
+    """A front with gossip, whose instances are those of the world."""
+
+    def __init__(self, *, world, name, replicas, policy):
+        super().__init__(clock=world.clock, engines=replicas, policy=policy)
+        for replica in world.replicas.values():
+            self.scripts[replica.name] = replica.handle
+        self.peers = {}
+        self.name = EntryId(name)
+        self.is_cut_off = False
+        self.gossip = Gossip(
+            links=MemoryLinks(entry=self.name, network=world.network),
+            addresses=lambda: {} if self.is_cut_off else self.peers,
+            loads=self.loads,
+            suspects=self.suspects,
+            quarantine=self.quarantine,
+            fleet=self.fleet,
+            fabrics=NoGroups(),
+            leases=Leases(),
+            role=RelayRole(name=self.name),
+            feeds=NoFeeds(),
+            clock=world.clock,
+        )
+        self.gossip.start()
+
+    def set_life(self, name, life):
+        known = self.fleet.get(InstanceId(name))
+        reborn = msgspec.structs.replace(known, born_ms=life)
+        self.fleet.register(reborn, now_s=self.clock.now())
+
+
+class CrashWorld:
+    """Entries and instances; `sent` and `crashed_s` hold what reached an instance."""
+
+    def __init__(self, *, clock, entries=9, replicas=40, policy=None, seed=1):
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.network = Network(clock=clock)
+        self.sent = []  # (clock time in s, parts)
+        self.crashed_s = []
+        self.replicas = {
+            f"e{n}": Replica(world=self, name=f"e{n}") for n in range(replicas)
+        }
+        self.policy = policy
+        self.entries = []
+        self.sound_replies = []  # (clock time in s, reply)
+        self.poison_replies = []
+        for _ in range(entries):
+            self.start_entry()
+
+    def start_entry(self):
+        entry = Entry(
+            world=self,
+            name=f"n{len(self.entries)}",
+            replicas=len(self.replicas),
+            policy=self.policy,
+        )
+        self.entries.append(entry)
+        for one in self.entries:
+            one.peers = {
+                other.name: str(other.name)
+                for other in self.entries
+                if other is not one
+            }
+        return entry
+
+    def send(self, *parts, entry=None):
+        """Send a request, whose last part is its own, to a random entry."""
+        entry = entry or self.rng.choice(self.entries)
+        own = f"{self.rng.getrandbits(32):x}"
+        prompt = ",".join(f"{part}:100" for part in (*parts, own))
+        return entry.send("/draft/1", **{HEADERS.prompt_parts: prompt})
+
+    def send_sound(self):
+        """Send a request of the same caller, without the part that crashes."""
+        other = f"a{self.rng.randrange(5)}"
+        reply = self.send(CALLER_PART, other)
+        self.sound_replies.append((self.clock.now(), reply))
+
+    def send_poison(self):
+        """Send a request with the part that crashes, among others of sound requests."""
+        parts = [CALLER_PART, f"a{self.rng.randrange(5)}", POISON]
+        self.rng.shuffle(parts)
+        self.poison_replies.append(self.send(*parts))
+
+    def run(self, seconds, *, sound_per_s=30, poison_per_s=0):
+        """Send requests at even rates for some seconds."""
+        step_s = 0.01
+        for step in range(round(seconds / step_s)):
+            for rate, send in (
+                (sound_per_s, self.send_sound),
+                (poison_per_s, self.send_poison),
+            ):
+                if int((step + 1) * step_s * rate) > int(step * step_s * rate):
+                    send()
+            self.clock.advance(step_s)
+
+    def poison_sent_after(self, start_s):
+        """Return how many requests with the part reached instances after a time."""
+        return sum(at_s > start_s and POISON in parts for at_s, parts in self.sent)
+
+    def served_share(self, start_s):
+        """Return the share of sound requests since a time that were served whole."""
+        served = [
+            reply.status == 200 for at_s, reply in self.sound_replies if at_s > start_s
+        ]
+        return sum(served) / len(served)
+
+    def quarantined(self):
+        """Return the quarantined parts of each entry."""
+        now_s = self.clock.now()
+        return [
+            {r["part"] for r in e.quarantine.rows(now_s=now_s)} for e in self.entries
+        ]
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -19,6 +19,7 @@
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
 from citronpin.gateway.placers import LeastLoaded
+from citronpin.gateway.quarantines import ConsecutiveCrashes, PromptQuarantine
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.stream_exchanges import StreamExchange
 from citronpin.gateway.suspects import Suspects
@@ -111,13 +112,14 @@
     ``scripts`` maps the name of an instance, or ``"*"``, to a handler of exchanges.
     """
 
-    def __init__(self, *, clock, engines=3, books=2, **config):
+    def __init__(self, *, clock, engines=3, books=2, policy=None, **config):
         self.clock = clock
         self.client = MemoryClient(clock=clock)
         self.suspects = Suspects()
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
         self.scripts = {}
         self.loads = LoadTracker()
+        self.quarantine = PromptQuarantine(policy=policy or ConsecutiveCrashes())
         for number in range(engines):
             self.add(f"e{number}", "engines", head=True)
         for number in range(books):
@@ -139,6 +141,7 @@
             ),
             loads=self.loads,
             suspects=self.suspects,
+            quarantine=self.quarantine,
             first_event_times=first_event_times,
             log=RequestLog(metrics=Metrics()),
             rng=rng,
@@ -154,6 +157,7 @@
         for exchange in list(self.context.open_exchanges):
             if isinstance(exchange, StreamExchange):
                 exchange.check_stall(self.clock.now())
+                exchange.check_quarantine()
 
     def add(self, name, service, head=False, epoch=1):
         address = f"10.1.0.{len(self.client.handlers) + 1}:80"
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -13,6 +13,7 @@
 )
 from citronpin.gateway.gossips import MAX_MESH_ENTRIES, Gossip
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
+from citronpin.gateway.quarantines import ConsecutiveCrashes, PromptQuarantine
 from citronpin.gateway.relays import RELAY_COUNT, RelayRole, relay_rank
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.messages import FeedPosition, HeadStatus
@@ -64,6 +65,7 @@
         self.name = EntryId(name)
         self.loads = LoadTracker()
         self.suspects = Suspects()
+        self.quarantine = PromptQuarantine(policy=ConsecutiveCrashes())
         self.fleet = Fleet()
         self.fleet.register(head_instance(), now_s=0.0)
         self.leases = FakeLeases()
@@ -76,6 +78,7 @@
             addresses=lambda: self.peers,
             loads=self.loads,
             suspects=self.suspects,
+            quarantine=self.quarantine,
             fleet=self.fleet,
             fabrics=self.fabrics,
             leases=self.leases,
--- /dev/null
+++ b/citronpin/tests/test_quarantines.py
@@ -0,0 +1,227 @@
+"""Tests of the quarantine of parts of prompts under which instances crash."""
+
+import pytest
+
+from citronpin.basics.clocks import PausedClock
+from citronpin.basics.ids import InstanceId
+from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.quarantines import (
+    MAX_KNOWN_PARTS,
+    MAX_SUSPECTS,
+    QUARANTINE_S,
+    ConsecutiveCrashes,
+    PromptQuarantine,
+    QuarantinePolicy,
+)
+from citronpin.tests.platforms.crashes import CALLER_PART, POISON, CrashWorld
+from citronpin.tests.platforms.requests import instance_headers
+
+# Promised: of the requests that come later than this after the fifth crash, at most
+# three reach instances, and sound ones are served again after twice the time.
+STABILITY_WINDOW_S = 3.0
+MAX_LATE_REQUESTS = 3
+WARM_UP_S = 2.0
+
+
+def run_poison(world, seconds=12.0):
+    """Serve sound requests, then mix in some with the part that crashes."""
+    world.run(WARM_UP_S)
+    world.run(seconds, poison_per_s=10)
+
+
+def check_poison_was_stopped(world):
+    fifth_s = world.crashed_s[4] if len(world.crashed_s) > 4 else world.crashed_s[-1]
+    late = world.poison_sent_after(fifth_s + STABILITY_WINDOW_S)
+    assert late <= MAX_LATE_REQUESTS, f"{late} requests with the part came late"
+
+
+def check_sound_requests_are_served(world):
+    last_s = world.crashed_s[min(4, len(world.crashed_s) - 1)]
+    share = world.served_share(last_s + 2 * STABILITY_WINDOW_S)
+    assert share > 0.9, f"{share:.2f} of the sound requests are served"
+
+
+@pytest.mark.parametrize("seed, entries", [(0, 9), (1, 9), (2, 3), (3, 24)])
+def test_requests_under_which_instances_crash_are_not_sent_to_one_after_the_other(
+    paused_clock, seed, entries
+):
+    world = CrashWorld(clock=paused_clock, seed=seed, entries=entries)
+    run_poison(world)
+    check_poison_was_stopped(world)
+    check_sound_requests_are_served(world)
+    assert world.quarantined() == [{POISON}] * len(world.entries)
+
+
+class Never(QuarantinePolicy):
+    """Quarantines nothing, as before."""
+
+    def is_harmful(self, history, *, now_s):
+        return False
+
+
+class CountsCrashes(QuarantinePolicy):
+    """Quarantines each part with some crashes, whatever was served."""
+
+    def is_harmful(self, history, *, now_s):
+        return len(history.crashes) >= 1
+
+
+def test_check_of_late_requests_detects_a_policy_that_never_quarantines(paused_clock):
+    world = CrashWorld(clock=paused_clock, policy=Never())
+    run_poison(world)
+    with pytest.raises(AssertionError, match="came late"):
+        check_poison_was_stopped(world)
+
+
+def test_check_of_sound_requests_detects_a_policy_that_blames_all_parts(paused_clock):
+    world = CrashWorld(clock=paused_clock, policy=CountsCrashes())
+    run_poison(world)
+    with pytest.raises(AssertionError, match="sound requests are served"):
+        check_sound_requests_are_served(world)
+
+
+def test_refused_request_tells_why_and_when_to_come_back(paused_clock):
+    world = CrashWorld(clock=paused_clock)
+    run_poison(world, 4.0)
+    reply = world.send(CALLER_PART, POISON)
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert POISON in reply.body.decode()
+    assert float(reply.headers["retry-after"]) > QUARANTINE_S / 2
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_instances_lost_together_put_no_part_in_quarantine(paused_clock, seed):
+    world = CrashWorld(clock=paused_clock, seed=seed)
+    for _ in range(4):
+        world.run(1.3, sound_per_s=60)
+        for name in world.rng.sample(sorted(world.replicas), 12):
+            world.replicas[name].crash()
+    world.run(0.5)
+    assert world.quarantined() == [set()] * len(world.entries)
+
+
+def test_entry_that_starts_during_a_quarantine_learns_of_it(paused_clock):
+    world = CrashWorld(clock=paused_clock)
+    run_poison(world, 4.0)
+    late = world.start_entry()
+    paused_clock.advance(1.5)
+    assert late.quarantine.find_quarantined([POISON]) == POISON
+
+
+def test_entry_that_was_cut_off_learns_of_a_quarantine_when_it_is_back(paused_clock):
+    world = CrashWorld(clock=paused_clock)
+    lonely = world.entries[0]
+    lonely.is_cut_off = True
+    for entry in world.entries[1:]:
+        del entry.peers[lonely.name]
+    world.run(WARM_UP_S)
+    for _ in range(40):
+        world.send(POISON, entry=world.rng.choice(world.entries[1:]))
+        world.run(0.1)
+    assert lonely.quarantine.find_quarantined([POISON]) is None
+    lonely.is_cut_off = False
+    for entry in world.entries[1:]:
+        entry.peers[lonely.name] = str(lonely.name)
+    paused_clock.advance(1.5)
+    assert lonely.quarantine.find_quarantined([POISON]) == POISON
+
+
+def test_part_released_by_an_operator_is_sent_again_by_all_entries(paused_clock):
+    world = CrashWorld(clock=paused_clock)
+    run_poison(world, 4.0)
+    world.entries[3].quarantine.release(POISON, now_s=paused_clock.now())
+    paused_clock.advance(1.5)
+    assert world.quarantined() == [set()] * len(world.entries)
+
+
+def make_instance(number):
+    return FleetInstance(
+        id=InstanceId(f"i-{number}"),
+        service="engines",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        slots=9,
+    )
+
+
+@pytest.fixture
+def quarantine():
+    return PromptQuarantine(policy=ConsecutiveCrashes())
+
+
+def crash(quarantine, parts, start_s, count=3):
+    """Record crashes of instances, half a second apart."""
+    for number in range(count):
+        at_s = start_s + 0.5 * number
+        instance = make_instance(f"{start_s}-{number}")
+        quarantine.record_crash(parts, instance, now_s=at_s)
+
+
+def test_quarantine_ends_after_its_time_and_one_more_crash_renews_it(quarantine):
+    crash(quarantine, ["p"], 0.0)
+    assert quarantine.find_quarantined(["o", "p"]) == "p"
+    quarantine.expire(now_s=1.0 + QUARANTINE_S)
+    assert quarantine.find_quarantined(["p"]) is None
+    crash(quarantine, ["p"], 2.0 + QUARANTINE_S, count=1)
+    assert quarantine.find_quarantined(["p"]) == "p"
+
+
+def test_part_that_was_served_lately_takes_more_crashes(quarantine):
+    quarantine.record_success(["p"], now_s=0.0)
+    crash(quarantine, ["p"], 1.0, count=11)
+    assert quarantine.find_quarantined(["p"]) is None
+    crash(quarantine, ["p"], 7.0, count=1)
+    assert quarantine.find_quarantined(["p"]) == "p"
+
+
+def test_crashes_of_one_instance_count_once(quarantine):
+    for at_s in range(9):
+        quarantine.record_crash(["p"], make_instance(1), now_s=float(at_s))
+    assert quarantine.find_quarantined(["p"]) is None
+
+
+def test_success_anywhere_refutes_earlier_crashes_everywhere(quarantine):
+    other = PromptQuarantine(policy=ConsecutiveCrashes())
+    crash(quarantine, ["p"], 0.0)
+    other.record_success(["p"], now_s=2.0)
+    other.merge(quarantine.reports(now_s=2.1), now_s=2.1)
+    assert other.find_quarantined(["p"]) is None
+    quarantine.merge(other.reports(now_s=2.2), now_s=2.2)
+    assert quarantine.find_quarantined(["p"]) is None
+
+
+def test_memory_of_parts_is_bounded(quarantine):
+    for number in range(3 * MAX_SUSPECTS):
+        quarantine.record_crash([f"c{number}"], make_instance(1), now_s=1.0)
+    for number in range(2 * MAX_KNOWN_PARTS):
+        quarantine.record_success([f"s{number}"], now_s=1.0)
+    assert len(quarantine._suspects) <= MAX_SUSPECTS
+    assert len(quarantine._succeeded_s) <= MAX_KNOWN_PARTS
+
+
+def test_part_in_quarantine_is_not_forgotten_for_others(quarantine):
+    crash(quarantine, ["p"], 0.0)
+    for number in range(3 * MAX_SUSPECTS):
+        quarantine.record_crash([f"c{number}"], make_instance(1), now_s=5.0)
+    assert quarantine.find_quarantined(["p"]) == "p"
+
+
+def test_world_can_be_run_without_crashes():
+    world = CrashWorld(clock=PausedClock())
+    world.run(WARM_UP_S)
+    world.clock.advance(1.0)
+    assert not world.crashed_s and world.served_share(0.0) == 1.0
+
+
+def test_stream_that_ends_without_an_event_is_not_taken_for_an_answer(paused_clock):
+    # An answer without a length ends with its connection, also when the instance ends.
+    world = CrashWorld(clock=paused_clock, entries=1)
+
+    def end_at_once(exchange):
+        exchange.answer(200, headers=instance_headers(exchange))
+
+    for replica in world.replicas.values():
+        world.entries[0].scripts[replica.name] = end_at_once
+    reply = world.send("p")
+    paused_clock.advance(1.0)
+    assert reply.status == 502
