Give up an answer without end at its bound

An instance may send bytes that are no answer and never end, in a head or a body. The client dropped what a buffered answer had over its limit, but went on reading until the time-out, where there is one, and counted no heads before the final one.

Each sink has a limit, which the client enforces: it closes the connection as soon as the body exceeds it, 64 MiB for a stream. Heads together are limited to 64 KiB, a report or the answer to an order to 256 KiB. test_answer_without_end_is_given_up_at_its_bound sends seven kinds over loopback; before, early hints, a body to the end of the connection, and chunks were read without end.

--- a/citronpin/platform/orders.py
+++ b/citronpin/platform/orders.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_S = 0.3
 HTTP_OK = 200
 
+MAX_ANSWER_BYTES = 256 * 1024  # a report takes a few hundred bytes
 RESULT_BY_STATUS = {
     200: OrderResult.ALREADY_APPLIED,
     202: OrderResult.STARTED,
@@ -54,7 +55,7 @@
             address=to.address,
             method="POST",
             target=ORDER_PATH,
-            sink=BufferedSink(done=on_answer),
+            sink=BufferedSink(done=on_answer, limit_bytes=MAX_ANSWER_BYTES),
             headers=(
                 ("Content-Type", "application/json"),
                 (HEADERS.expect_instance, to.id),
@@ -81,7 +82,7 @@
             address=of.address,
             method="GET",
             target=REPORT_PATH,
-            sink=BufferedSink(done=on_answer),
+            sink=BufferedSink(done=on_answer, limit_bytes=MAX_ANSWER_BYTES),
             headers=((HEADERS.expect_instance, of.id),),
             timeout_s=REPORT_TIMEOUT_S,
             connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -5,12 +5,16 @@
 
 import pytest
 
-from citronpin.basics.errors import TimedOut
+from citronpin.basics.errors import ConnectionLost, TimedOut
 from citronpin.tests.conftest import wait_until
-from citronpin.web.clients import BufferedSink, HttpClient
+from citronpin.web.clients import MAX_HEADER_BYTES, BufferedSink, HttpClient
 
 POOLED_CONNECTIONS = 3
 TIMEOUT_S = 0.3
+BODY_LIMIT_BYTES = 100_000
+# What the kernel buffers on both sides of a connection, and one read of the client.
+BUFFERED_BYTES = 16 * 1024 * 1024
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -97,3 +101,73 @@
     wait_until(lambda: repeated)
     answer, error = repeated[0]
     assert error is None and answer[0] == 200
+
+
+class EndlessServer:
+    """A server that sends the start of an answer and then one piece without end."""
+
+    def __init__(self, start, piece):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._start, self._piece = start, piece
+        self.sent_bytes = 0
+        self.was_closed = False
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _serve(self):
+        conn, _ = self._listener.accept()
+        with conn:
+            try:
+                conn.recv(4_096)
+                conn.sendall(self._start)
+                while self.sent_bytes < 4 * BUFFERED_BYTES:
+                    conn.sendall(self._piece)
+                    self.sent_bytes += len(self._piece)
+            except OSError:
+                self.was_closed = True
+
+
+@pytest.mark.parametrize(
+    "start, piece",
+    [
+        (b"", b"x" * 1_000),
+        (OK_LINE, b"X-Header: more\r\n" * 100),
+        (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+        (OK_LINE + b"\r\n", b"x" * 1_000),
+        (
+            OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"3e8\r\n" + b"x" * 1_000 + b"\r\n",
+        ),
+        (
+            OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-Trailer: more\r\n" * 100,
+        ),
+        (OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 1_000),
+    ],
+    ids=["no-head", "headers", "early-hints", "body", "chunks", "trailers", "size"],
+)
+def test_answer_without_end_is_given_up_at_its_bound(loops, start, piece):
+    endless = EndlessServer(start, piece)
+    loop, client = loops(lambda clock: HttpClient(clock=clock))
+    answers = []
+    loop.call(
+        lambda: client.request(
+            address=endless.address,
+            method="GET",
+            target="/",
+            sink=BufferedSink(
+                done=lambda *answer: answers.append(answer),
+                limit_bytes=BODY_LIMIT_BYTES,
+            ),
+            timeout_s=None,
+        )
+    )
+    wait_until(lambda: answers and endless.was_closed)
+    assert isinstance(answers[0][1], ConnectionLost)
+    read_bytes = client.counters.bytes_received
+    # Each read takes up to 64 KiB, and a chunked body is larger than its data.
+    assert read_bytes <= 2 * (BODY_LIMIT_BYTES + MAX_HEADER_BYTES)
+    endless.close()
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -33,7 +33,9 @@
 MS_PER_S = 1_000
 MAX_IDLE_S = 30.0
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
-MAX_HEADER_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 64 * 1024  # of the final response and those before it
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
 
 
@@ -41,9 +43,12 @@
     """Receives a response piece by piece, in the event loop.
 
     The calls are ``head`` once, ``data`` any number of times and ``end``. ``failed``
-    may come at any point before ``end`` and is then the last call.
+    may come at any point before ``end`` and is then the last call. A body of more than
+    ``limit_bytes`` fails as soon as it exceeds them.
     """
 
+    limit_bytes = MAX_STREAM_BYTES
+
     @abstractmethod
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Receive the status and the headers, whose names are in lower case."""
@@ -72,10 +77,9 @@
     ``(None, error)``.
     """
 
-    def __init__(self, *, done, limit_bytes: int = 16 * 1024 * 1024) -> None:
+    def __init__(self, *, done, limit_bytes: int = MAX_BUFFERED_BYTES) -> None:
         self._done = done
-        self._limit_bytes = limit_bytes
-        self._size_bytes = 0
+        self.limit_bytes = limit_bytes
         self._parts: list[bytes] = []
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -85,14 +89,9 @@
         self.headers = headers
 
     def data(self, data: bytes) -> None:
-        self._size_bytes += len(data)
-        if self._size_bytes <= self._limit_bytes:
-            self._parts.append(data)
+        self._parts.append(data)
 
     def end(self) -> None:
-        if self._size_bytes > self._limit_bytes:
-            self.failed(ConnectionLost("The response is larger than its limit."))
-            return
         self._done((self.status, self.headers, b"".join(self._parts)), None)
 
     def failed(self, error: CitronpinError) -> None:
@@ -124,6 +123,8 @@
         self.timeout_s = timeout_s
         self.timer: TimerHandle | None = None
         self.conn: Connection | None = None
+        self.head_bytes = 0  # received before the body
+        self.body_bytes = 0
         self.ended = False
 
 
@@ -363,6 +364,8 @@
 
     def _parse(self, conn: Connection, data: bytes) -> None:
         exchange = conn.exchange
+        if conn.parser.their_state is h11.SEND_RESPONSE:
+            exchange.head_bytes += len(data)
         try:
             conn.parser.receive_data(data)
             while not exchange.ended:
@@ -370,11 +373,21 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
                 self._deliver(conn, exchange, event)
+            if (
+                not exchange.ended
+                and conn.parser.their_state is h11.SEND_RESPONSE
+                and exchange.head_bytes > MAX_HEADER_BYTES
+            ):
+                self._fail_connection(conn, "The head of the response is too long.")
         except h11.RemoteProtocolError as exc:
             self._fail_connection(conn, str(exc))
 
     def _deliver(self, conn: Connection, exchange: Exchange, event) -> None:
         if isinstance(event, h11.Data):
+            exchange.body_bytes += len(event.data)
+            if exchange.body_bytes > exchange.sink.limit_bytes:
+                self._fail_connection(conn, "The response is larger than its limit.")
+                return
             exchange.sink.data(bytes(event.data))
         elif isinstance(event, h11.Response):
             headers = {
