Show what is in quarantine, and let soaks crash instances under a part of a prompt

citronpin status asks each entry for the views that it has, and shows quarantines with the age of the first and the latest crash.

The soak sends requests with one part, under which instances end, to all nodes for 7 s beside the other faults, and checks that at most three reach instances 3 s after the fifth crash; the check is shown to fail.

--- a/citronpin/commands/commands_entries.py
+++ b/citronpin/commands/commands_entries.py
@@ -28,6 +28,7 @@
     "leases",
     "peers",
     "limits",
+    "quarantines",
 )
 
 
@@ -88,10 +89,11 @@
         if not FLAGS.entry:
             print("citronpin status: --entry is missing.", file=sys.stderr)
             return EXIT_USAGE
-        targets = [f"/admin/{view}" for view in STATUS_VIEWS]
         if FLAGS.call:
-            targets = [f"/admin/calls/{FLAGS.call}"]
-        fetches = [Fetch(entry, target) for entry in FLAGS.entry for target in targets]
+            target = f"/admin/calls/{FLAGS.call}"
+            fetches = [Fetch(entry, target) for entry in FLAGS.entry]
+        else:
+            fetches = self._find_views(FLAGS.entry)
         status: dict[str, dict] = {}
         failed = False
         for result in fetch_all(fetches):
@@ -105,6 +107,17 @@
         self._print_status(status)
         return EXIT_FAILED if failed else 0
 
+    def _find_views(self, entries: list[str]) -> list[Fetch]:
+        """Return the fetches of the views that each entry has."""
+        fetches = []
+        for result in fetch_all([Fetch(entry, "/admin") for entry in entries]):
+            try:
+                views = [view for view in STATUS_VIEWS if view in result.json()]
+            except CitronpinError:
+                views = STATUS_VIEWS[:1]  # its fetch tells the error
+            fetches += [Fetch(result.fetch.address, f"/admin/{view}") for view in views]
+        return fetches
+
     def _print_status(self, status: dict[str, dict]) -> None:
         if FLAGS.json:
             print(json.dumps(status, indent=2, sort_keys=True))
--- a/citronpin/tests/soaks/callers.py
+++ b/citronpin/tests/soaks/callers.py
@@ -13,6 +13,7 @@
 
 REQUEST_TIMEOUT_S = 8.0
 MAX_PAUSE_S = 0.02
+SHARED_PART = "c0ffee"  # of the prompts of all callers
 
 
 class Kind(Enum):
@@ -57,8 +58,8 @@
             self.outcomes.append(self.send_request(kind))
         self._close_connection()
 
-    def send_request(self, kind):
-        """Send one request and return its outcome."""
+    def send_request(self, kind, part=SHARED_PART):
+        """Send one request, whose prompt has a part, and return its outcome."""
         if self._conn is None or self._rng.random() < 0.05:
             self._close_connection()
             self._node = self._rng.choice(sorted(self._front_addresses))
@@ -73,13 +74,13 @@
             start_s=time.monotonic(),
         )
         try:
-            self._exchange(kind, outcome)
+            self._exchange(kind, part, outcome)
         except (OSError, http.client.HTTPException):
             self._close_connection()
         outcome.end_s = time.monotonic()
         return outcome
 
-    def _exchange(self, kind, outcome):
+    def _exchange(self, kind, part, outcome):
         """Send a request and store the response in the outcome as it arrives."""
         headers = {
             "Host": HOST,
@@ -89,6 +90,8 @@
         }
         if kind is Kind.STREAM:
             headers[HEADERS.model] = self._rng.choice(["small", "big"])
+            parts = f"{SHARED_PART}:40,{part}:100,{outcome.attempt}:8"
+            headers[HEADERS.prompt_parts] = parts
         method = "GET" if kind is Kind.SAFE else "POST"
         body = None if kind is Kind.SAFE else b"text"
         self._conn.request(method, kind.value, body, headers)
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -22,6 +22,8 @@
 REWRITE_DELAY_S = 0.2  # until the operator and the instances write lost records again
 LAST_EVENT = 20  # number of the last event of a stream; the first is 0
 EVENT_INTERVAL_S = 0.03
+CRASH_DELAY_S = 0.03  # from the start of an answer under which the instance crashes
+RESTART_S = 2.0
 SERVICE_TIME_S = 0.02
 NOT_RUN_HEADERS = {HEADERS.not_run: "1"}
 
@@ -89,6 +91,8 @@
         )
         self.fleet.serve = self._serve_request
         self.runs = defaultdict(list)  # attempt -> instances that started to run it
+        self.crashing_parts = {}  # part of a prompt -> clock times of requests with it
+        self.crashes = defaultdict(list)  # part -> clock times at which instances ended
         self.config_version = 0
         self.instance_proxies = {}  # instance -> proxy
         store_port = self._listen(free_port(), self._handle_store_request)
@@ -211,6 +215,13 @@
         last_received = exchange.headers.get(HEADERS.last_event)
         answer_headers = {HEADERS.attempt: attempt, HEADERS.digest: "stream"}
         exchange.reply.start(200, "text/event-stream", answer_headers)
+        part = self._find_crashing_part(exchange)
+        if part is not None:
+            self.crashing_parts[part].append(self.clock.now())
+            self.clock.call_later(
+                CRASH_DELAY_S, lambda: self._crash(instance, exchange, part)
+            )
+            return
         self._send_events(
             instance,
             exchange,
@@ -218,6 +229,23 @@
             0 if not last_received else int(last_received) + 1,
         )
 
+    def _find_crashing_part(self, exchange):
+        text = exchange.headers.get(HEADERS.prompt_parts, "")
+        parts = [entry.partition(":")[0] for entry in text.split(",")]
+        return next((part for part in parts if part in self.crashing_parts), None)
+
+    def _crash(self, instance, exchange, part):
+        """End an instance and all its connections, and start it again later."""
+        exchange.reply.abort()
+        if instance.dead:
+            return
+        self.crashes[part].append(self.clock.now())
+        instance.kill()
+        self.instance_proxies[instance.name].reset_connections()
+        self.clock.call_later(
+            RESTART_S, lambda: instance.restart() if instance.dead else None
+        )
+
     def _send_answer(self, instance, exchange, attempt):
         if not instance.dead:
             body = answer_body(attempt)
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -23,6 +23,8 @@
 # A fault excuses failures for this time after its end, as a fault of the platform does.
 FAULT_EFFECT_S = 3.0
 START_LIMIT_S = 30.0
+CRASHING_PROMPTS_S = 7.0
+CRASHING_PROMPT_INTERVAL_S = 0.2
 RECOVERY_LIMIT_S = 30.0  # leaves room for a busy machine
 PROBE_INTERVAL_S = 0.25
 
@@ -111,6 +113,7 @@
         self.violations = []
         self._faults = []  # (start_s, end_s); the end includes `FAULT_EFFECT_S`
         self._config_faults = []  # (node, start_s, end_s) of those that delay a change
+        self._poison_outcomes = []  # of requests under which instances crash
         self._planned_stops = []  # (node, start_s, end_s)
         self._config_observations = []  # (incarnation_id, version, status)
         self._config_write_times = {}  # version -> monotonic time in s
@@ -355,6 +358,28 @@
             lambda: self.platform.call(instance.restart) if instance.dead else None,
         )
 
+    def _do_send_prompts_that_crash_instances(self):
+        """Send requests with one part, under which instances crash, to all nodes."""
+        part = f"bad{len(self.platform.crashing_parts)}"
+        self.platform.crashing_parts[part] = []
+        senders = [
+            Caller(
+                name=f"{part}-{node.name}",
+                seed=number,
+                front_addresses={node.name: ("127.0.0.1", node.front_port)},
+            )
+            for number, node in enumerate(self.nodes)
+        ]
+        start_s = time.monotonic()
+        self._record_fault(start_s, float("inf"), ())
+        end_s = start_s + CRASHING_PROMPTS_S
+        while time.monotonic() < end_s:
+            sender = self._rng.choice(senders)
+            self._poison_outcomes.append(sender.send_request(Kind.STREAM, part))
+            time.sleep(CRASHING_PROMPT_INTERVAL_S)
+        self._record_fault(start_s, time.monotonic() + FAULT_EFFECT_S, ())
+        self._faults.remove((start_s, float("inf")))
+
     def _do_leave_order_unanswered(self):
         """Make an instance leave its next order unanswered and apply it late."""
         name = f"i-{self._rng.randrange(10)}"
@@ -415,7 +440,7 @@
                     f"{node.name} exited unexpectedly with code {code}"
                 )
         outcomes = [outcome for caller in self.callers for outcome in caller.outcomes]
-        outcomes += self._probe_outcomes
+        outcomes += self._probe_outcomes + self._poison_outcomes
         runs = {
             attempt: list(instance_names)
             for attempt, instance_names in self.platform.runs.items()
@@ -430,5 +455,10 @@
             outcomes, runs, self._planned_stops, self._faults
         )
         self.violations += checks.check_versions(self._config_observations)
+        self.violations += checks.check_crashing_parts(
+            self.platform.crashing_parts,
+            self.platform.crashes,
+            [times for _, *times in self._config_faults + self._planned_stops],
+        )
         self.violations += self.platform.fleet.violations
         self.violations += self.platform.store.violations
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
+from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.nodes import GatewayNode, NodeSettings, PlatformConnector
 from citronpin.gateway.ports import DomainLeases, InstanceControl
 from citronpin.platform.names import HEADERS
@@ -165,3 +166,33 @@
     paused_clock.advance(GRACE_S)
     assert len(connector.released_s) == 1
     assert connector.released_s == connector.stopped_s
+
+
+class JsonReply:
+    """Records the JSON answer of an admin page."""
+
+    def json(self, status, value):
+        self.status, self.value = status, value
+
+
+def test_admin_page_shows_and_releases_a_quarantined_part(paused_clock, node):
+    for number in range(3):
+        instance = FleetInstance(
+            id=InstanceId(f"i-{number}"),
+            service="engines",
+            address="10.0.0.1:80",
+            failure_domain="a",
+            slots=9,
+        )
+        node.quarantine.record_crash(["p"], instance, now_s=float(number))
+    paused_clock.advance(3.0)
+    reply = JsonReply()
+    node._answer_quarantines(None, reply)
+    (row,) = reply.value
+    assert (row["part"], row["crashes"], row["last_crash_age_s"]) == ("p", 3, 1.0)
+    node._release_part(None, reply, "p")
+    assert reply.status == 200
+    node._answer_quarantines(None, reply)
+    assert reply.value == []
+    node._release_part(None, reply, "unknown")
+    assert reply.status == 404
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -111,3 +111,12 @@
     ]
     assert not checks.check_versions(observations)
     assert checks.check_versions(observations + [("front-1/1", 2, 404)])
+
+
+def test_requests_with_a_crashing_part_that_come_late_are_reported():
+    crashes = {"bad": [1.0, 1.1, 1.2, 1.3, 1.4]}
+    late = {"bad": [1.0, 4.5, 4.6, 4.7, 4.8]}
+    assert checks.check_crashing_parts(late, crashes, [])
+    assert not checks.check_crashing_parts(late, crashes, [(4.55, 4.65)])
+    assert not checks.check_crashing_parts({"bad": [1.0, 4.3, 4.39]}, crashes, [])
+    assert not checks.check_crashing_parts(late, {"bad": [1.0, 1.1]}, [])
