--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -65,6 +65,7 @@
         self._connected: set[str] = set()
         self._last_update: StatusUpdate | None = None
         self._last_sent_s = float("-inf")
+        self._last_parts_s = float("-inf")  # when the suspected parts were last sent
         self._timer: TimerHandle | None = None
 
     def start(self) -> None:
@@ -115,8 +116,9 @@
             # Lease renewals detect a lost store sooner than a waiting read does.
             positions = self._feeds.own_positions(records=self.role.is_forwarding)
             update = msgspec.structs.replace(update, positions=positions)
-        if not self._quarantine.is_empty:
+        if self._are_parts_due(now_s):
             self._quarantine.has_news = False
+            self._last_parts_s = now_s
             reports = self._quarantine.reports(now_s=now_s)
             update = msgspec.structs.replace(update, parts=reports)
         self._links.send_all(self._connected, update)
@@ -141,6 +143,13 @@
             return True
         return since_s >= UNCHANGED_UPDATE_INTERVAL_S
 
+    def _are_parts_due(self, now_s: float) -> bool:
+        """Return whether an update carries the suspected parts of prompts."""
+        if self._quarantine.has_news:
+            return True
+        since_s = now_s - self._last_parts_s
+        return not self._quarantine.is_empty and since_s >= UNCHANGED_UPDATE_INTERVAL_S
+
     def _all_entries_lost_store(self, now_s: float) -> bool:
         """Return whether every entry that sent a recent update has lost the store."""
         recent = [
