--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -64,7 +64,12 @@
     priority: int
     spent_s: float = 0.0  # by the caller in earlier attempts, estimated
     engine: EngineSpec | None = None
-    prompt_parts: tuple[PromptPartId, ...] = ()  # that other requests share
+    prompt_parts: tuple[PromptPartId, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the parts of the prompt but the last, which only this request has."""
+        return self.prompt_parts[:-1]
 
     @property
     def end_s(self) -> float:
@@ -306,7 +311,7 @@
     def _refuse_quarantined(self) -> bool:
         """Refuse a request with a quarantined part; return whether it has one."""
         quarantine = self._context.quarantine
-        part = quarantine.find_quarantined(self._task.prompt_parts)
+        part = quarantine.find_quarantined(self._task.shared_parts)
         if part is None:
             return False
         self._reason = f"prompt part {part} is quarantined"
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -88,7 +88,7 @@
         if engine is not None:
             names = self._context.names
             model = ModelName(req.headers.get(names.model, ""))
-            prompt_parts = parse_shared_parts(req.headers.get(names.prompt_parts, ""))
+            prompt_parts = parse_prompt_parts(req.headers.get(names.prompt_parts, ""))
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
@@ -143,12 +143,9 @@
         send_refusal(reply, refusal, {self._context.names.attempt: attempt})
 
 
-def parse_shared_parts(text: str) -> tuple[PromptPartId, ...]:
-    """Return the parts of a prompt but the last, which no other request has.
-
-    ``text`` lists ID:TOKENS entries, separated by commas.
-    """
-    entries = text.split(",")[:-1][:MAX_PROMPT_PARTS]
+def parse_prompt_parts(text: str) -> tuple[PromptPartId, ...]:
+    """Return the parts of a prompt, given as ID:TOKENS entries separated by commas."""
+    entries = text.split(",")[-MAX_PROMPT_PARTS:]
     return tuple(
         PromptPartId(part)
         for entry in entries
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -55,7 +55,7 @@
                 "reason": reason,
                 "ms": round(duration_s * MS_PER_S),
                 "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
-                "parts": list(task.prompt_parts) if status not in OK_STATUSES else [],
+                "parts": list(task.shared_parts) if status not in OK_STATUSES else [],
                 "attempts": [attempt.summary() for attempt in attempts],
             },
         )
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -164,7 +164,7 @@
         super()._report_fault(attempt, fault)
         if self._is_crash(attempt, fault):
             self._context.quarantine.record_crash(
-                self._task.prompt_parts,
+                self._task.shared_parts,
                 attempt.instance,
                 now_s=self._context.clock.now(),
             )
@@ -175,7 +175,7 @@
 
     def _may_retry(self, fault: Fault, *, midway: bool = False) -> bool:
         last = self._last_attempt
-        parts = self._task.prompt_parts
+        parts = self._task.shared_parts
         if parts and last is not None and self._is_crash(last, fault):
             # A part that no instance has served may end the next one too.
             now_s = self._context.clock.now()
@@ -195,7 +195,7 @@
         if self._done or last is None or last.is_over or last.events:
             return
         quarantine = self._context.quarantine
-        if quarantine.find_quarantined(self._task.prompt_parts) is None:
+        if quarantine.find_quarantined(self._task.shared_parts) is None:
             return
         last.cancel(Fault.LOST, "withdrawn: a part of its prompt is quarantined")
         self._context.loads.request_ended(last.instance.id)
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -62,6 +62,7 @@
         self.name = name
         self.running = []
         self.is_down = False
+        self.crashes_at_next_answer = False
         self.life = 0
 
     def handle(self, exchange):
@@ -85,7 +86,8 @@
         exchange.head(
             200, instance_headers(exchange, **{"content-type": "text/event-stream"})
         )
-        if POISON in parts:
+        if POISON in parts or self.crashes_at_next_answer:
+            self.crashes_at_next_answer = False
             self.world.crashed_s.append(self.world.clock.now())
             self.crash()
             return
--- a/citronpin/tests/test_quarantines.py
+++ b/citronpin/tests/test_quarantines.py
@@ -13,7 +13,13 @@
     PromptQuarantine,
     QuarantinePolicy,
 )
-from citronpin.tests.platforms.crashes import CALLER_PART, POISON, CrashWorld
+from citronpin.platform.names import HEADERS
+from citronpin.tests.platforms.crashes import (
+    CALLER_PART,
+    FIRST_EVENT_S,
+    POISON,
+    CrashWorld,
+)
 from citronpin.tests.platforms.requests import instance_headers
 
 # Promised: of the requests that come later than this after the fifth crash, at most
@@ -225,3 +231,27 @@
     reply = world.send("p")
     paused_clock.advance(1.0)
     assert reply.status == 502
+
+
+def test_crash_under_parts_that_were_served_is_followed_by_another_attempt(
+    paused_clock,
+):
+    # A later turn of a session shares what was the last part of the turn before.
+    world = CrashWorld(clock=paused_clock, entries=1)
+    entry = world.entries[0]
+    entry.send("/draft/1", **{HEADERS.prompt_parts: "sys:40,turn1:100"})
+    paused_clock.advance(2.0)
+    reply = entry.send("/draft/1", **{HEADERS.prompt_parts: "sys:40,turn1:100,turn2:9"})
+    paused_clock.advance(FIRST_EVENT_S / 2)
+    for replica in world.replicas.values():
+        if replica.running:
+            replica.crashes_at_next_answer = True
+    paused_clock.advance(3.0)
+    assert reply.status == 200 and len(world.sent) == 3
+
+
+def test_crash_under_a_part_that_nobody_was_served_is_not_repeated(paused_clock):
+    world = CrashWorld(clock=paused_clock, entries=1)
+    reply = world.send(POISON)
+    paused_clock.advance(3.0)
+    assert reply.status == 502 and len(world.crashed_s) == 1
