Let single requests show which of two parts of prompts is to blame

An entry that booted, heard no other one and saw three requests with the same two parts end instances kept both out: also the sound one, which sound requests of the same caller have, until it heard others again.

While the crashes under one part are all crashes under another one that is quarantined too, a request with the first part and without the other is let through every 2 s. A first event clears the part; a crash leaves it without an explanation, and no more are tried. A request on trial is not withdrawn by the quarantine that it was let through.

citronpin story shows when a part of the prompt of a request was quarantined, however long before.

--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -310,18 +310,18 @@
 
     def _refuse_quarantined(self) -> bool:
         """Refuse a request with a quarantined part; return whether it has one."""
-        quarantine = self._context.quarantine
-        part = quarantine.find_quarantined(self._task.shared_parts)
-        if part is None:
-            return False
-        self._reason = f"prompt part {part} is quarantined"
-        self._answer_quarantined(
-            quarantine_refusal(
-                part=part,
-                wait_s=quarantine.remaining_s(part, now_s=self._context.clock.now()),
-            )
+        part = self._context.quarantine.admit(
+            self._task.shared_parts, now_s=self._context.clock.now()
         )
-        return True
+        if part is not None:
+            self._refuse_part(part)
+        return part is not None
+
+    def _refuse_part(self, part: PromptPartId) -> None:
+        now_s = self._context.clock.now()
+        wait_s = self._context.quarantine.remaining_s(part, now_s=now_s)
+        self._reason = f"prompt part {part} is quarantined"
+        self._answer_quarantined(quarantine_refusal(part=part, wait_s=wait_s))
 
     def _answer_quarantined(self, refusal: Refusal) -> None:
         """Answer a request that must not be sent to another instance."""
--- a/citronpin/gateway/quarantines.py
+++ b/citronpin/gateway/quarantines.py
@@ -3,7 +3,7 @@
 import logging
 import zlib
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -21,6 +21,7 @@
 # All entries know of a success within it. Instances that are lost together crash within
 # less.
 MIN_SPREAD_S = 0.4
+TRIAL_INTERVAL_S = 2.0  # by then a request has its first event, or ended an instance
 SUCCESS_REPORT_S = 5.0  # for which a success that refutes crashes is reported
 MAX_CRASHES = MIN_CRASHES_AFTER_SUCCESS  # kept of a part
 MAX_SUSPECTS = 512
@@ -35,7 +36,13 @@
     # By the life of the instance that crashed; only those since the last success.
     crashes: dict[int, float] = {}
     succeeded_s: float = float("-inf")  # latest first event on the part
-    is_quarantined: bool = False
+    quarantined_s: float | None = None  # since when it is quarantined
+    tried_s: float = float("-inf")  # when a request with it was last let through
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Return whether requests with the part are kept out."""
+        return self.quarantined_s is not None
 
     @property
     def first_crash_s(self) -> float:
@@ -80,6 +87,10 @@
     The histories of entries are merged: crashes are united, and a success on any entry
     refutes the earlier ones. The last part of a prompt belongs to one request and is
     not considered.
+
+    An entry that has only seen requests with the same parts cannot tell which of them
+    is to blame. While another quarantined part explains all crashes under a part,
+    single requests with it and without the other one are let through.
     """
 
     def __init__(self, *, policy: QuarantinePolicy) -> None:
@@ -115,14 +126,45 @@
         self.record_success([part], now_s=now_s)
         return is_known
 
-    def find_quarantined(self, parts: Iterable[PromptPartId]) -> PromptPartId | None:
-        """Return a quarantined part, or ``None`` if requests with these may be sent."""
-        for part in parts:
-            history = self._suspects.get(part)
-            if history is not None and history.is_quarantined:
+    def admit(
+        self, parts: Collection[PromptPartId], *, now_s: float
+    ) -> PromptPartId | None:
+        """Return the part for which a request is kept out, or ``None`` to send it."""
+        quarantined = self._quarantined(parts)
+        for part in quarantined:
+            if not self.may_try(part, parts, now_s=now_s):
+                return part
+        for part in quarantined:
+            self._suspects[part].tried_s = now_s
+        return None
+
+    def may_try(
+        self, part: PromptPartId, parts: Collection[PromptPartId], *, now_s: float
+    ) -> bool:
+        """Return whether a request with these parts may show that one is harmless."""
+        history = self._suspects[part]
+        return now_s - history.tried_s >= TRIAL_INTERVAL_S and any(
+            other.is_quarantined and history.crashes.keys() <= other.crashes.keys()
+            for name, other in self._suspects.items()
+            if name not in parts
+        )
+
+    def find_quarantined(
+        self, parts: Iterable[PromptPartId], *, since_s: float = float("-inf")
+    ) -> PromptPartId | None:
+        """Return a part that was put in quarantine after ``since_s``, or ``None``."""
+        for part in self._quarantined(parts):
+            if self._suspects[part].quarantined_s > since_s:
                 return part
         return None
 
+    def _quarantined(self, parts: Iterable[PromptPartId]) -> list[PromptPartId]:
+        return [
+            part
+            for part in parts
+            if part in self._suspects and self._suspects[part].is_quarantined
+        ]
+
     def remaining_s(self, part: PromptPartId, *, now_s: float) -> float:
         """Return for how many seconds a part stays quarantined without a crash."""
         return max(self._suspects[part].last_crash_s + QUARANTINE_S - now_s, 0.0)
@@ -254,7 +296,7 @@
         is_harmful = self._policy.is_harmful(history, now_s=now_s)
         if is_harmful is history.is_quarantined:
             return
-        history.is_quarantined = is_harmful
+        history.quarantined_s = now_s if is_harmful else None
         logger.warning(
             "prompt part quarantined" if is_harmful else "prompt part released",
             extra={
--- a/citronpin/gateway/stories.py
+++ b/citronpin/gateway/stories.py
@@ -18,9 +18,6 @@
         "configuration in force",
         "event loop blocked",
         "lines left out",
-        "prompt part quarantined",
-        "prompt part released",
-        "prompt part released by an operator",
         "reload",
         "start",
         "stop",
@@ -30,6 +27,13 @@
         "store restored from an older copy",
     }
 )
+PROMPT_PART_MESSAGES = frozenset(
+    {
+        "prompt part quarantined",
+        "prompt part released",
+        "prompt part released by an operator",
+    }
+)
 HEADER_FIELDS = frozenset({"time", "level", "logger", "entry", "message"})
 
 
@@ -96,7 +100,8 @@
     These are the line of the request itself and, from `MARGIN_BEFORE_S` before its
     start until `MARGIN_AFTER_S` after its end, the lines of its entry about the store
     and the configuration and the lines of any entry about the instances and groups
-    that the request was sent to.
+    that the request was sent to. Lines of its entry about a part of its prompt are
+    returned from any time before.
     """
     own = [line for line in lines if line.fields.get("request") == request]
     if not own:
@@ -107,11 +112,13 @@
     end += timedelta(seconds=MARGIN_AFTER_S)
     entries = {line.entry for line in own}
     names = _target_names(own)
+    parts = {part for line in own for part in line.fields.get("parts", [])}
     return [
         line
         for line in lines
         if line in own
         or (begin <= line.time <= end and _is_related(line, entries, names))
+        or (line.time <= end and _is_about_parts(line, entries, parts))
     ]
 
 
@@ -133,6 +140,14 @@
     return names - {""}
 
 
+def _is_about_parts(line: LogLine, entries: set[str], parts: set[str]) -> bool:
+    return (
+        line.message in PROMPT_PART_MESSAGES
+        and line.entry in entries
+        and line.fields.get("part") in parts
+    )
+
+
 def _is_related(line: LogLine, entries: set[str], names: set[str]) -> bool:
     if line.message == "request":
         return False
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -194,12 +194,14 @@
         last = self._last_attempt
         if self._done or last is None or last.is_over or last.events:
             return
-        quarantine = self._context.quarantine
-        if quarantine.find_quarantined(self._task.shared_parts) is None:
+        part = self._context.quarantine.find_quarantined(
+            self._task.shared_parts, since_s=last.sent_s
+        )
+        if part is None:
             return
         last.cancel(Fault.LOST, "withdrawn: a part of its prompt is quarantined")
         self._context.loads.request_ended(last.instance.id)
-        self._refuse_quarantined()
+        self._refuse_part(part)
 
     def _on_fault(self, fault: Fault) -> None:
         if self._may_retry(fault, midway=self._started):
--- a/citronpin/tests/test_stories.py
+++ b/citronpin/tests/test_stories.py
@@ -41,3 +41,17 @@
 
 def test_an_unknown_request_has_no_related_lines():
     assert select_request_lines(read_lines(LOG), "a9") == []
+
+
+def test_story_of_a_request_that_was_kept_out_tells_when_its_part_was_quarantined():
+    log = [
+        line(2.0, "n1", "prompt part quarantined", part="bad0", crashes=3),
+        line(2.1, "n2", "prompt part quarantined", part="bad0", crashes=3),
+        line(3.0, "n1", "prompt part quarantined", part="other", crashes=3),
+        line(50.0, "n1", "request", request="a1", ms=0, parts=["c0ffee", "bad0"]),
+    ]
+    selected = select_request_lines(read_lines(log), "a1")
+    assert [(found.entry, found.fields.get("part")) for found in selected] == [
+        ("n1", "bad0"),
+        ("n1", None),
+    ]
