Compare registrations in the product and not in the adapter

Whether a registration from a copy is outdated is a decision; the adapter only translates. RegistrationHistory takes it, in gateway/registrations.py. The line of a late configuration is logged once, when a read tells that it is current. A metric counts quarantined parts.

--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -128,6 +128,11 @@
             "Seconds for which the event loop did not run, in pauses of 0.25 or more.",
             lambda: self.loop_lag.total_s,
         )
+        self.metrics.gauges.add(
+            "quarantined_parts",
+            "Parts of prompts that are kept out, since instances crash under them.",
+            lambda: len(self.quarantine.rows(now_s=clock.now())),
+        )
         self._rng = rng or random.Random()
         self._stopping_s: float | None = None
         self._leases_released = False
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -23,6 +23,7 @@
 )
 from citronpin.gateway.fleets import FleetInstance, Membership, Phase
 from citronpin.gateway.ports import Report
+from citronpin.gateway.registrations import Registration
 from citronpin.gateway.routings import (
     CallerLimits,
     EngineSpec,
@@ -292,18 +293,6 @@
     )
 
 
-class Registration(msgspec.Struct, frozen=True):
-    """The registration of an instance; ``sequence`` rises with each since its start."""
-
-    instance: FleetInstance
-    sequence: int
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """Return a key that rises with each registration under the same id."""
-        return (self.instance.born_ms, self.sequence)
-
-
 def decode_registration(
     name: str, data: bytes
 ) -> Result[Registration, UnreadableRecord]:
--- a/citronpin/platform/directories.py
+++ b/citronpin/platform/directories.py
@@ -102,7 +102,7 @@
         self._entries = {}
         self._clock.call_later(REANNOUNCEMENT_S, lambda: self._drop_unconfirmed(era))
         self._propose_frame_key()
-        return f"{read}, wrote the frame key and the announcement of this entry"
+        return f"{read}, write the frame key and the announcement of this entry"
 
     def _drop_unconfirmed(self, era: int) -> None:
         """Forget the entries that have not announced themselves in an era."""
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -11,9 +11,14 @@
 from citronpin.basics.ids import EntryId, InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import SharedFeeds
+from citronpin.gateway.registrations import (
+    Freshness,
+    Registration,
+    RegistrationHistory,
+)
 from citronpin.gateway.routings import GatewayConfig
 from citronpin.peers.messages import FeedPosition
-from citronpin.platform.decoders import Registration, decode_config, decode_registration
+from citronpin.platform.decoders import decode_config, decode_registration
 from citronpin.platform.stores import (
     LONG_POLL_MARGIN_S,
     EraListener,
@@ -42,7 +47,6 @@
 MIN_CONFIRMATIONS = 2  # a single relay may have lost the store without noticing
 FOLLOW_CHECK_INTERVAL_S = 0.3  # update interval of a relay
 MAX_FORWARDED_AGE_S = 3_600.0  # stands for an unknown age too
-MAX_GONE_INSTANCES = 4_096  # registered ones included
 MAX_FORWARDED_RECORDS = 64  # keeps frames small; entries read more from the store
 
 
@@ -328,7 +332,7 @@
 
     def _on_read_succeeded(self, current_s: float) -> None:
         age_s = self.age_s()
-        if self._apply_s < age_s < float("inf"):
+        if current_s > self._known_s and self._apply_s < age_s < float("inf"):
             logger.warning(
                 "configuration read late",
                 extra={
@@ -357,13 +361,6 @@
         self._apply(cfg)
 
 
-class RegistrationStamp(msgspec.Struct, frozen=True):
-    """Orders the registrations of one id; an instance that left keeps its last one."""
-
-    order: tuple[int, int]  # start in Unix ms, number of the registration since then
-    is_gone: bool = False
-
-
 class FleetFeed(KeyedFeed):
     """Updates a fleet from the registrations of the instances.
 
@@ -385,8 +382,7 @@
         self._fleet = fleet
         # Instances as other entries need them for routing.
         self._routing_views: dict[str, FleetInstance] = {}
-        # Latest registration of each instance, also of those that are gone.
-        self._latest: dict[str, RegistrationStamp] = {}
+        self._history = RegistrationHistory()
         self._unforwarded_changes: list[Record] = []
         self._forwarded_upto: int | None = None
 
@@ -432,39 +428,33 @@
         return super().on_new_era()
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
-        present = {record.key for record in records if record.value is not None}
+        present = set()
         for record in records:
-            # The copy of a store that went back may hold what is known to be outdated.
-            if record.value is not None and not self._apply_if_newer(record):
-                present.discard(record.key)
+            if record.value is None:
+                continue
+            registration = self._decode(record)
+            freshness = Freshness.CURRENT
+            if registration is not None:
+                # A store that went back may return what is known to be outdated.
+                freshness = self._history.compare(registration)
+            if freshness is not Freshness.GONE:
+                present.add(record.key)
+            if registration is not None and freshness is Freshness.CURRENT:
+                self._apply_registration(record, registration)
         for key in set(self._routing_views) - present:
             del self._routing_views[key]
         self._forwarded_upto = None  # keys deleted meanwhile have no record to forward
         self._fleet.reconcile(map(InstanceId, present), now_s=self._clock.now())
 
-    def _apply_if_newer(self, record: Record) -> bool:
-        """Apply a registration unless it is outdated; return whether to list it."""
-        latest = self._latest.get(record.key)
-        registration = self._decode(record)
-        if registration is None or latest is None:
-            self._apply_registration(record, registration)
-            return True
-        if registration.order < latest.order:
-            return not latest.is_gone
-        if latest.is_gone and registration.order == latest.order:
-            return False
-        self._apply_registration(record, registration)
-        return True
-
     def _apply_record(self, record: Record) -> None:
-        if record.value is not None:
-            self._apply_registration(record, self._decode(record))
+        if record.value is None:
+            self._history.record_removal(record.key)
+            self._record_change(record, None)
+            self._fleet.deregister(InstanceId(record.key), now_s=self._clock.now())
             return
-        latest = self._latest.get(record.key)
-        if latest is not None:
-            self._set_latest(record.key, RegistrationStamp(latest.order, is_gone=True))
-        self._record_change(record, None)
-        self._fleet.deregister(InstanceId(record.key), now_s=self._clock.now())
+        registration = self._decode(record)
+        if registration is not None:
+            self._apply_registration(record, registration)
 
     def _decode(self, record: Record) -> Registration | None:
         result = decode_registration(record.key, record.value)
@@ -473,26 +463,11 @@
             return None
         return result.ok_value
 
-    def _apply_registration(
-        self, record: Record, registration: Registration | None
-    ) -> None:
-        if registration is None:
-            return
-        self._set_latest(record.key, RegistrationStamp(registration.order))
+    def _apply_registration(self, record: Record, registration: Registration) -> None:
+        self._history.record(registration)
         self._record_change(record, registration.instance)
         self._fleet.register(registration.instance, now_s=self._clock.now())
 
-    def _set_latest(self, key: str, stamp: "RegistrationStamp") -> None:
-        """Keep the stamp of a registration, and limit the number of those kept."""
-        self._latest.pop(key, None)
-        self._latest[key] = stamp
-        if len(self._latest) <= MAX_GONE_INSTANCES:
-            return
-        gone = (name for name, latest in self._latest.items() if latest.is_gone)
-        oldest = next(gone, None)
-        if oldest is not None:
-            del self._latest[oldest]
-
     def _on_read_succeeded(self, current_s: float) -> None:
         self._fleet.read_succeeded(now_s=self._clock.now())
 
--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -134,7 +134,7 @@
         )
         self._generation = 0
         self._is_era_known = False
-        return "joined the reader group" if not self._has_left else ""
+        return "join the reader group" if not self._has_left else ""
 
     def _join(self) -> None:
         self._timer = self._clock.call_later(RENEWAL_INTERVAL_S, self._join)
--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -144,7 +144,7 @@
 
     @abstractmethod
     def on_new_era(self) -> str:
-        """Discard what the store may have lost; return what is read or written anew."""
+        """Discard what the store may have lost; return what to read or write anew."""
 
 
 class LogStore:
