Announce only what an entry saw itself as news of prompt parts

With more than twelve crashes on a part, two entries that kept different ones told each other of the rest, dropped it again, and counted that as news: an update at every tick.

--- a/citronpin/gateway/quarantines.py
+++ b/citronpin/gateway/quarantines.py
@@ -18,8 +18,7 @@
 SUCCESS_MEMORY_S = 60.0
 MIN_CRASHES = 3  # two may end by chance under a part that few requests have
 MIN_CRASHES_AFTER_SUCCESS = 12
-# All entries know of a success within it. Instances that are lost together crash within
-# less.
+# Within it all entries know of a success; instances lost together crash within less.
 MIN_SPREAD_S = 0.4
 TRIAL_INTERVAL_S = 2.0  # by then a request has its first event, or ended an instance
 SUCCESS_REPORT_S = 5.0  # for which a success that refutes crashes is reported
@@ -97,7 +96,7 @@
         self._policy = policy
         self._suspects: dict[PromptPartId, PartHistory] = {}
         self._succeeded_s: dict[PromptPartId, float] = {}  # latest use last
-        self.has_news = False  # whether something changed that others may not know
+        self.has_news = False  # whether this entry saw what others do not know
 
     def record_success(self, parts: Iterable[PromptPartId], *, now_s: float) -> None:
         """Record that an instance sent an event of an answer to a prompt."""
@@ -105,8 +104,8 @@
             self._succeeded_s.pop(part, None)
             self._succeeded_s[part] = now_s
             history = self._suspects.get(part)
-            if history is not None:
-                self._refute(part, history, now_s)
+            if history is not None and self._refute(part, history, now_s):
+                self.has_news = True
         while len(self._succeeded_s) > MAX_KNOWN_PARTS:
             del self._succeeded_s[next(iter(self._succeeded_s))]
 
@@ -254,7 +253,6 @@
             is_new = life not in history.crashes
             if is_new and crashed_s > history.succeeded_s:
                 history.crashes[life] = crashed_s
-                self.has_news = True
         while len(history.crashes) > MAX_CRASHES:
             # The first one and the latest ones tell for how long it goes on.
             ordered = sorted(history.crashes, key=history.crashes.__getitem__)
@@ -277,8 +275,8 @@
 
     def _refute(
         self, part: PromptPartId, history: PartHistory, succeeded_s: float
-    ) -> None:
-        """Drop the crashes before a success."""
+    ) -> bool:
+        """Drop the crashes before a success; return whether there were any."""
         history.succeeded_s = max(history.succeeded_s, succeeded_s)
         refuted = [
             life for life, at_s in history.crashes.items() if at_s <= succeeded_s
@@ -286,8 +284,8 @@
         for life in refuted:
             del history.crashes[life]
         if refuted:
-            self.has_news = True
             self._decide(part, succeeded_s)
+        return bool(refuted)
 
     def _decide(self, part: PromptPartId, now_s: float) -> None:
         history = self._suspects.get(part)
--- a/citronpin/tests/test_quarantines.py
+++ b/citronpin/tests/test_quarantines.py
@@ -277,3 +277,15 @@
     crash(quarantine, ["p"], 2.1, count=1)
     assert quarantine.admit(["p"], now_s=9.0) == "p"
     assert quarantine.admit(["q"], now_s=9.0) is None
+
+
+def test_entries_with_many_crashes_do_not_answer_each_other_without_end():
+    pair = [PromptQuarantine(policy=ConsecutiveCrashes()) for _ in range(2)]
+    for number, one in enumerate(pair):
+        crash(one, ["p"], float(number), count=40)
+        one.has_news = False
+    for step in range(20):
+        for one, other in (pair, pair[::-1]):
+            now_s = 30.0 + 0.15 * step
+            other.merge(one.reports(now_s=now_s), now_s=now_s + 0.1)
+    assert not any(one.has_news for one in pair)
