--- a/citronpin/basics/metrics.py
+++ b/citronpin/basics/metrics.py
@@ -1,10 +1,11 @@
 """Metrics of one process in the Prometheus text format, with HDR histograms."""
 
 import logging
+from bisect import bisect_left
 from collections.abc import Callable, Iterable, Sequence
+from itertools import accumulate
 
 import msgspec
-import numpy
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, generate_latest
 from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
@@ -17,7 +18,7 @@
 SIGNIFICANT_DIGITS = 2  # a histogram takes 24 KB; with 3 digits, 172 KB
 US_PER_S = 1_000_000
 QUANTILES = (0.5, 0.95, 0.99)
-MAX_LABEL_SETS = 200  # rendering one of them blocks the event loop for 70 us
+MAX_LABEL_SETS = 200  # rendering one of them blocks the event loop for 0.1 ms
 
 LATENCIES = {
     "first_token": "Seconds from the request to the first token.",
@@ -34,13 +35,15 @@
     """
     if not histogram.total_count:
         return [0] * len(quantiles)
-    counts = numpy.frombuffer(histogram.counts, dtype=numpy.uint64)
+    totals = list(accumulate(histogram.counts[:]))  # a slice converts them at once
     targets = [
         histogram.get_target_count_at_percentile(quantile * 100)
         for quantile in quantiles
     ]
-    indexes = numpy.searchsorted(numpy.cumsum(counts), targets)
-    values = [histogram.get_value_from_index(int(index)) for index in indexes]
+    values = [
+        histogram.get_value_from_index(bisect_left(totals, target))
+        for target in targets
+    ]
     return [
         histogram.get_highest_equivalent_value(value) if quantile else value
         for quantile, value in zip(quantiles, values)
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -1,6 +1,11 @@
 """Tests of the platform package: decoders, store client, feeds, leases, settings."""
 
 import json
+import re
+import subprocess
+import sys
+from importlib import metadata
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -46,6 +51,7 @@
     "born": 12,
     "sequence": 4,
 }
+REQUIREMENTS = Path(__file__).parents[2] / "requirements.txt"
 DEEPLY_NESTED = b"[" * 30_000
 CONFIG_APPLY_S = 2.0
 STALE_S = 5.0
@@ -440,3 +446,29 @@
     path = tmp_path / "settings.json"
     path.write_text(text)
     assert "Correct the file" in str(read_process_settings(path).unwrap_err())
+
+
+def test_gateway_needs_only_the_libraries_that_the_deployment_installs():
+    # Deployed nodes start on clean machines with what requirements.txt names.
+    script = "import sys, citronpin.platform.programs; print(*sys.modules)"
+    listed = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    imported = {name.partition(".")[0] for name in listed.stdout.split()}
+    deployed = {
+        _normalized(line)
+        for line in REQUIREMENTS.read_text(encoding="utf-8").splitlines()
+    }
+    for name in list(deployed):
+        needed = metadata.requires(name) or ()
+        deployed |= {_normalized(line) for line in needed if "extra ==" not in line}
+    distributions = metadata.packages_distributions()
+    for name in imported & distributions.keys():
+        found = {_normalized(distribution) for distribution in distributions[name]}
+        assert found & (deployed | {"citronpin", "setuptools"}), name
+
+
+def _normalized(requirement):
+    """Return the normalized name of a distribution from a requirement."""
+    name = re.split(r"[^A-Za-z0-9._-]", requirement, maxsplit=1)[0]
+    return re.sub(r"[-_.]+", "-", name).lower()
