Cut an answer of the stand-in also when its frames are due at once

Traced: the fault cut_after_frames waits until the frames are flushed; when the loop ran late, all frames were due in one batch, and the final one ended the reply before. A writer that has to cut ends no reply now. test_answer_is_cut_also_when_all_its_frames_are_due_at_once fails without it.

--- a/citronpin/standins/standin_frames.py
+++ b/citronpin/standins/standin_frames.py
@@ -59,6 +59,7 @@
         self._delayed_count = 0
         self._swapped_frame: Frame | None = None
         self._has_final_frame = False
+        self._is_cut = False
         reply.start(200, NDJSON_TYPE)
 
     def write(self, frames: list[Frame]) -> None:
@@ -122,6 +123,7 @@
         if frames:
             self._reply.push(b"".join([_encode(frame) + b"\n" for frame in frames]))
         if must_cut:
+            self._is_cut = True
             self._cut_when_flushed()
 
     def _cut_when_flushed(self) -> None:
@@ -134,5 +136,5 @@
         self._clock.call_later(FLUSH_POLL_INTERVAL_S, cut_if_flushed)
 
     def _finish_if_done(self) -> None:
-        if self._has_final_frame and not self._delayed_count:
+        if self._has_final_frame and not self._delayed_count and not self._is_cut:
             self._reply.finish()
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -6,7 +6,7 @@
 import pytest
 
 from citronpin.backends.dispatches import AnswerSink, Dispatch, DispatchLimits, Target
-from citronpin.backends.engines import FrameSink, Order, OrderKind, Submission
+from citronpin.backends.engines import Frame, FrameSink, Order, OrderKind, Submission
 from citronpin.backends.http_engines import HttpEngineClient
 from citronpin.basics.errors import (
     ConnectionFailed,
@@ -18,6 +18,7 @@
 from citronpin.standins.standin_batches import Batch, EngineSpeed
 from citronpin.standins.standin_caches import PrefixCache
 from citronpin.standins.standin_engines import EngineStandin
+from citronpin.standins.standin_frames import EngineFaults, HttpFrameWriter
 from citronpin.standins.standin_loaders import TimedLoader
 from citronpin.standins.standin_reports import DelayedLoadReport
 from citronpin.standins.standin_services import ServiceStandin
@@ -407,3 +408,44 @@
         request = urllib.request.Request(url, b"{}", {"Idempotency-Key": "k"})
         assert urllib.request.urlopen(request, timeout=10).status == 201
     assert [service.effects for service in services] == [{"k": 1}] * 2
+
+
+class FrameReply:
+    """Records what a frame writer does with a reply."""
+
+    buffered_bytes = 0
+    ended = False
+
+    def __init__(self):
+        self.lines = []
+        self.is_finished = False
+
+    def start(self, status, content_type):
+        """Start the reply."""
+
+    def push(self, data):
+        self.lines += data.splitlines()
+
+    def finish(self):
+        self.is_finished = True
+
+
+def test_answer_is_cut_also_when_all_its_frames_are_due_at_once(paused_clock):
+    # A busy machine runs the loop late; the answer then ended whole in place of cut.
+    reply, cuts = FrameReply(), []
+    writer = HttpFrameWriter(
+        reply=reply,
+        first_sequence=0,
+        clock=paused_clock,
+        rng=random.Random(1),
+        faults=lambda: EngineFaults(cut_after_frames=5),
+        on_cut=lambda: cuts.append(paused_clock.now()),
+    )
+    writer.write(
+        [
+            Frame(request="r", attempt=1, sequence=n, text="x", final=n == 9)
+            for n in range(10)
+        ]
+    )
+    paused_clock.advance(1.0)
+    assert len(reply.lines) == 5 and cuts and not reply.is_finished
