Reset connections in soaks also while the proxy waits for their data

The proxy closed the sockets, but a thread that waited in a read kept the connection open, so a reset reached nobody: instances of the soak that crash under a part of a prompt fell silent instead, the part was not found, and the check saw too few requests to tell. Reading is shut down first now. test_reset_ends_a_connection_on_which_the_proxy_waits_for_data timed out before.

--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -242,9 +242,11 @@
         self.crashes[part].append(self.clock.now())
         instance.kill()
         self.instance_proxies[instance.name].reset_connections()
-        self.clock.call_later(
-            RESTART_S, lambda: instance.restart() if instance.dead else None
-        )
+        self.clock.call_later(RESTART_S, lambda: self._restart(instance))
+
+    def _restart(self, instance):
+        if instance.dead:
+            instance.restart()
 
     def _send_answer(self, instance, exchange, attempt):
         if not instance.dead:
--- a/citronpin/tests/soaks/proxies.py
+++ b/citronpin/tests/soaks/proxies.py
@@ -105,6 +105,8 @@
     with contextlib.suppress(OSError):
         if reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            # A thread that waits for data would keep the connection open.
+            sock.shutdown(socket.SHUT_RD)
         else:
             sock.shutdown(socket.SHUT_RDWR)
     sock.close()
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -1,6 +1,7 @@
 """Invariants of gateway processes under faults, and checks that detect violations."""
 
 import os
+import socket
 
 import msgspec
 import pytest
@@ -10,6 +11,7 @@
 from citronpin.tests.soaks import checks
 from citronpin.tests.soaks.callers import Kind, Outcome
 from citronpin.tests.soaks.platforms import LAST_EVENT, answer_body, body_digest
+from citronpin.tests.soaks.proxies import FaultProxy
 from citronpin.tests.soaks.soaks import Soak
 
 SHORT_RUN_S = 8.0
@@ -32,6 +34,18 @@
     run_soak(int(os.environ["CITRONPIN_SOAK_SEED"]), LONG_RUN_S, tmp_path)
 
 
+def test_reset_ends_a_connection_on_which_the_proxy_waits_for_data():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        proxy = FaultProxy(port=0, target_port=server.getsockname()[1])
+        with socket.create_connection(("127.0.0.1", proxy.port), timeout=5.0) as conn:
+            accepted, _ = server.accept()
+            proxy.reset_connections()
+            with pytest.raises(ConnectionResetError):
+                conn.recv(1)
+            accepted.close()
+        proxy.close()
+
+
 def make_outcome(kind=Kind.UNSAFE, status=200, **changes):
     """Return the outcome of a valid answer with the given fields changed."""
     body = whole_stream(last=LAST_EVENT) if kind is Kind.STREAM else answer_body("a-1")
