--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -131,6 +131,18 @@
         """Return whether the answer states that the request did not run."""
         return self._names.not_run in self.headers or self.status == MISDIRECTED_STATUS
 
+    @property
+    def named_limit(self) -> float | None:
+        """Return the requests per second that the answer says the instance takes.
+
+        ``None`` means that it names none. A value that is no such number is ignored.
+        """
+        try:
+            limit = float(self.headers.get(self._names.request_limit, ""))
+        except ValueError:
+            return None
+        return limit if 0.0 <= limit < float("inf") else None
+
     @property
     def is_genuine(self) -> bool:
         """Return whether the answer carries the instance's digest and no encoding."""
@@ -200,6 +212,8 @@
             fields["group"] = f"{membership.group}/{membership.epoch}"
         if self.status:
             fields["status"] = self.status
+        if self.named_limit is not None:
+            fields["limit"] = self.named_limit
         if self.first_s is not None:
             fields["first_ms"] = round((self.first_s - self.sent_s) * 1000)
         if self.ended_s is not None:
--- a/citronpin/platform/names.py
+++ b/citronpin/platform/names.py
@@ -15,4 +15,5 @@
     prompt_parts="x-citronpin-prompt-prefix",
     urgency="x-citronpin-request-urgency",
     last_event="last-event-id",
+    request_limit="server-limit",
 )
