--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -39,6 +39,8 @@
         proxy = FaultProxy(port=0, target_port=server.getsockname()[1])
         with socket.create_connection(("127.0.0.1", proxy.port), timeout=5.0) as conn:
             accepted, _ = server.accept()
+            conn.sendall(b"x")
+            assert accepted.recv(1) == b"x"  # the proxy forwards and waits for more
             proxy.reset_connections()
             with pytest.raises(ConnectionResetError):
                 conn.recv(1)
