--- a/citronpin/benches/bench_overload.py
+++ b/citronpin/benches/bench_overload.py
@@ -23,6 +23,7 @@
 )
 from citronpin.benches.benches import Bench, Figure, register
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import (
     FirstEventTimes,
@@ -165,6 +166,7 @@
             fleet=run.fleet,
             loads=self.loads,
             suspects=self.suspects,
+            limits=InstanceLimits(now=run.clock.now),
             failure_domain=FailureDomainName("a"),
             rng=rng,
             limit_policy=policy,
--- a/citronpin/gateway/buffered_exchanges.py
+++ b/citronpin/gateway/buffered_exchanges.py
@@ -32,6 +32,7 @@
         return self.MAX_CONNECTION_IDLE_S if safe else 0.0
 
     def attempt_head(self, attempt: Attempt) -> None:
+        super().attempt_head(attempt)
         self._parts = []
         self._buffered_bytes = 0
 
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -22,17 +22,26 @@
     quarantine_refusal,
     send_refusal,
 )
-from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, OutgoingRequest
+from citronpin.gateway.attempts import (
+    MISDIRECTED_STATUS,
+    Attempt,
+    AttemptOwner,
+    Fault,
+    OutgoingRequest,
+)
 from citronpin.gateway.budgets import RetryBudget
-from citronpin.gateway.fleets import Fleet
+from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import (
     FirstEventTimes,
+    LimitedRetryDelays,
     Pending,
     RetryDelays,
     urgency,
 )
-from citronpin.gateway.placers import Demand, PlacementFailure, Placer
+from citronpin.gateway.permits import Permits
+from citronpin.gateway.placers import Demand, Placement, PlacementFailure, Placer
 from citronpin.gateway.ports import HeaderNames
 from citronpin.gateway.quarantines import PromptQuarantine
 from citronpin.gateway.request_logs import RequestLog
@@ -48,6 +57,8 @@
     "trailer transfer-encoding upgrade content-length host expect".split()
 )
 MAX_SENDS = 4  # of one request, counting those that instances refused
+MAX_REFUSED_PERMITS = 2  # of one request; asking for another delays it further
+MAX_LOGGED_LIMITS = 4
 
 
 class Task(msgspec.Struct, frozen=True, kw_only=True):
@@ -95,6 +106,8 @@
         loads: LoadTracker,
         suspects: Suspects,
         quarantine: PromptQuarantine,
+        limits: InstanceLimits,
+        permits: Permits,
         first_event_times: FirstEventTimes,
         log: RequestLog,
         rng: random.Random,
@@ -108,6 +121,8 @@
         self.loads = loads
         self.suspects = suspects
         self.quarantine = quarantine
+        self.limits = limits
+        self.permits = permits
         self.log = log
         self.rng = rng
         self.table: RoutingTable | None = None
@@ -115,6 +130,7 @@
         self.is_table_current: Callable[[], bool] = lambda: True
         self.first_event_times = first_event_times
         self.retry_delays = RetryDelays()
+        self.limited_retry_delays = LimitedRetryDelays()
         self.entry_count = 1  # entries that share the retry budgets
         self._initial_times_s: dict[str, float] = {}
         self.open_exchanges: set["Exchange"] = set()
@@ -152,6 +168,8 @@
         self._timer: TimerHandle | None = None
         self._done = False
         self._reason = ""  # why the request was refused, for the log
+        self._limit_rows: list[dict[str, object]] = []  # that decided, for the log
+        self._refused_permits = 0
         self._outgoing = OutgoingRequest(
             method=task.req.method,
             target=task.req.target,
@@ -189,6 +207,7 @@
             pending=self._pending(),
             engine=self._task.engine,
             excluded=self._excluded,
+            accepts_limited=self._refused_permits < MAX_REFUSED_PERMITS,
         )
 
     def _pending(self) -> Pending:
@@ -207,15 +226,41 @@
         """Return whether the caller has received part of the answer."""
         return False
 
-    def _send_next(self) -> bool:
-        """Send to another instance; return false when none can take the request."""
+    def _send_next(self) -> None:
+        """Send to another instance, or answer when none can take the request."""
         now_s = self._context.clock.now()
         if self._refuse_quarantined():
-            return False
+            return
         placement = self._context.placer.place(demand=self._demand(), now_s=now_s)
         if isinstance(placement, PlacementFailure):
             self._on_placement_failure(placement)
-            return False
+            return
+        self._context.permits.acquire(
+            placement.instance, lambda granted: self._on_permit(placement, granted)
+        )
+
+    def _on_permit(self, placement: Placement, granted: bool) -> None:
+        if self._done:
+            return
+        if granted and self._is_registered(placement.instance):
+            self._start_attempt(placement)
+            return
+        if not granted:
+            self._refused_permits += 1
+            self._log_limit(placement.instance)
+        self._send_next()
+
+    def _is_registered(self, instance: FleetInstance) -> bool:
+        """Return whether an instance has not left while a permit was requested."""
+        known = self._context.fleet.get(instance.id)
+        return known is not None and not known.draining
+
+    def _log_limit(self, instance: FleetInstance) -> None:
+        row = self._context.limits.row(instance)
+        if row and len(self._limit_rows) < MAX_LOGGED_LIMITS:
+            self._limit_rows.append(row)
+
+    def _start_attempt(self, placement: Placement) -> None:
         attempt = Attempt(
             owner=self,
             instance=placement.instance,
@@ -228,7 +273,12 @@
         self._excluded.add(placement.instance.id)
         self._context.loads.request_started(placement.instance.id)
         attempt.send(self._outgoing, self._headers(attempt), self._max_idle_s())
-        return True
+
+    def attempt_head(self, attempt: Attempt) -> None:
+        if attempt.status != MISDIRECTED_STATUS:
+            self._context.limits.record_answer(
+                attempt.instance, rate=attempt.named_limit, sent_s=attempt.sent_s
+            )
 
     def _max_idle_s(self) -> float:
         return self.MAX_CONNECTION_IDLE_S
@@ -306,7 +356,26 @@
 
     def _refuse_placement(self, failure: PlacementFailure) -> None:
         self._reason = f"{failure.reason}: {failure.candidates}, load {failure.load}"
-        self._refuse(failure.reason)
+        if failure.limited:
+            self._refuse_limited(failure)
+        else:
+            self._refuse(failure.reason)
+
+    def _refuse_limited(self, failure: PlacementFailure) -> None:
+        """Refuse a request that no limit admits now, until a permit is expected."""
+        limits, now_s = self._context.limits, self._context.clock.now()
+        for instance in failure.limited:
+            self._log_limit(instance)
+        rate = sum(limits.rate(instance) or 0.0 for instance in failure.limited)
+        wait_s = self._context.limited_retry_delays.delay_s(
+            service=self._task.service,
+            rate=rate / self._context.entry_count,
+            first_s=min(limits.wait_s(instance) for instance in failure.limited),
+            left_s=self._task.deadline_s - now_s,
+            draw=self._context.rng.random(),
+            now_s=now_s,
+        )
+        self._answer(no_place_refusal(reason=failure.reason, wait_s=wait_s))
 
     def _refuse_quarantined(self) -> bool:
         """Refuse a request with a quarantined part; return whether it has one."""
@@ -404,6 +473,7 @@
             status=status,
             attempts=self._attempts,
             reason=self._reason,
+            limits=self._limit_rows,
             now_s=self._context.clock.now(),
         )
 
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -9,13 +9,22 @@
 from citronpin.basics.ids import EntryId, InstanceId
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet, Membership, PeerGroupReport, Phase
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
+from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.ports import DomainLeases, SharedFeeds
 from citronpin.gateway.quarantines import PromptQuarantine
 from citronpin.gateway.relays import MAX_MESH_ENTRIES, RelayRole
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
-from citronpin.peers.messages import NO_LOAD, HeadStatus, Message, StatusUpdate
+from citronpin.peers.messages import (
+    NO_LOAD,
+    HeadStatus,
+    Message,
+    PermitReply,
+    PermitRequest,
+    StatusUpdate,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +32,8 @@
 UNCHANGED_UPDATE_INTERVAL_S = 0.75  # repeats an update before it expires
 RELAY_UPDATE_INTERVAL_S = 0.3  # with more than MAX_MESH_ENTRIES entries
 RELAY_EXPIRY_S = 2.0
+OWNER_EXPIRY_S = 1.5  # two updates of an entry
+PRESENCE_S = 7_200.0  # for which part of the limits is kept for a silent entry
 
 
 class Gossip:
@@ -42,6 +53,8 @@
         loads: LoadTracker,
         suspects: Suspects,
         quarantine: PromptQuarantine,
+        limits: InstanceLimits,
+        permits: SharedPermits,
         fleet: Fleet,
         fabrics: Fabrics,
         leases: DomainLeases,
@@ -50,18 +63,23 @@
         clock: Clock,
     ) -> None:
         self.role = role
+        self._entry = role.name
         self._feeds = feeds
         self._links = links
         self._addresses = addresses
         self._loads = loads
         self._suspects = suspects
         self._quarantine = quarantine
+        self._limits = limits
+        self._permits = permits
         self._fleet = fleet
         self._fabrics = fabrics
         self._leases = leases
         self._clock = clock
         self._store_lost_reports: dict[EntryId, tuple[float, bool]] = {}
         self._relay_update_s: dict[EntryId, float] = {}  # time of the latest update
+        self._heard_s: dict[EntryId, float] = {}
+        self._listed_s: dict[EntryId, float] = {}  # first seen among the addresses
         self._connected: set[str] = set()
         self._last_update: StatusUpdate | None = None
         self._last_sent_s = float("-inf")
@@ -71,6 +89,7 @@
     def start(self) -> None:
         """Open the links and start sending updates."""
         self._links.open(self._receive)
+        self._permits.connect(self._send)
         self._tick()
 
     def set_key(self, key: bytes) -> None:
@@ -94,6 +113,7 @@
         self.role.update(others=others, store_lost=self._leases.store_lost, now_s=now_s)
         self._leases.set_participating(self.role.is_relay)
         self._feeds.set_following(not self.role.is_relay)
+        self._update_permits(others, now_s)
         heads = self._fabrics.heads()
         for head in heads:
             self._loads.record_pace(head.instance, pace=head.pace, now_s=now_s)
@@ -116,6 +136,9 @@
             # Lease renewals detect a lost store sooner than a waiting read does.
             positions = self._feeds.own_positions(records=self.role.is_forwarding)
             update = msgspec.structs.replace(update, positions=positions)
+        if self._limits.has_news:
+            limits = self._limits.take_news()
+            update = msgspec.structs.replace(update, limits=limits)
         if self._are_parts_due(now_s):
             self._quarantine.has_news = False
             self._last_parts_s = now_s
@@ -139,10 +162,39 @@
         since_s = now_s - self._last_sent_s
         if not is_mesh and self.role.is_relay:
             return since_s >= RELAY_UPDATE_INTERVAL_S - UPDATE_INTERVAL_S / 2
-        if self._quarantine.has_news or update != self._last_update:
+        if self._quarantine.has_news or self._limits.has_news:
+            return True
+        if update != self._last_update:
             return True
         return since_s >= UNCHANGED_UPDATE_INTERVAL_S
 
+    def _update_permits(self, others: dict[EntryId, str], now_s: float) -> None:
+        """Update which entries own limits, and the part that this entry may deal."""
+        self._limits.expire(present=self._fleet.get)
+        owners = {
+            name
+            for name in others
+            if now_s - self._relay_update_s.get(name, float("-inf")) <= OWNER_EXPIRY_S
+        }
+        if self.role.is_relay:
+            owners.add(self._entry)
+        self._listed_s = {name: self._listed_s.get(name, now_s) for name in others}
+        last_signs_s = {
+            name: max(listed_s, self._heard_s.get(name, listed_s))
+            for name, listed_s in self._listed_s.items()
+        }
+        expected = 1 + sum(now_s - at_s <= PRESENCE_S for at_s in last_signs_s.values())
+        heard = 1 + sum(self._is_heard(name, now_s) for name in others)
+        share = 1.0 if 2 * heard > expected else heard / expected
+        self._permits.set_members(owners=owners, share=share)
+
+    def _is_heard(self, entry: EntryId, now_s: float) -> bool:
+        return now_s - self._heard_s.get(entry, float("-inf")) <= RELAY_EXPIRY_S
+
+    def _send(self, entry: EntryId, message: Message) -> bool:
+        address = self._addresses().get(entry)
+        return address is not None and self._links.send(f"tcp://{address}", message)
+
     def _are_parts_due(self, now_s: float) -> bool:
         """Return whether an update carries the suspected parts of prompts."""
         if self._quarantine.has_news:
@@ -167,9 +219,13 @@
         self._connected = wanted
 
     def _receive(self, sender: EntryId, message: Message) -> None:
+        if isinstance(message, (PermitRequest, PermitReply)):
+            self._permits.receive(sender, message)
+            return
         if not isinstance(message, StatusUpdate):
             return
         now_s = self._clock.now()
+        self._apply_limits(sender, message, now_s)
         self._loads.record_peer_loads(entry=sender, loads=message.loads, now_s=now_s)
         for instance in message.suspects:
             self._suspects.suspected_by_peer(InstanceId(instance), now_s=now_s)
@@ -191,6 +247,28 @@
                     head.instance, load=head.load, now_s=now_s
                 )
 
+    def _apply_limits(
+        self, sender: EntryId, message: StatusUpdate, now_s: float
+    ) -> None:
+        """Apply the limits in an update, and pass on those that this entry owns.
+
+        With relays, the others hear of a limit only from its owner. An entry that was
+        not heard for a while is told all of them.
+        """
+        if not self._is_heard(sender, now_s):
+            for instance in self._limits.current():
+                self._pass_on_limit(instance)
+        self._heard_s[sender] = now_s
+        is_mesh = len(self._addresses()) < MAX_MESH_ENTRIES
+        for report in message.limits:
+            has_changed = self._limits.apply_report(report, source=sender)
+            if has_changed and not is_mesh:
+                self._pass_on_limit(report.instance)
+
+    def _pass_on_limit(self, instance: InstanceId) -> None:
+        if self._permits.owner(instance) == self._entry:
+            self._limits.add_news(instance)
+
 
 def _without_load(head: HeadStatus) -> HeadStatus:
     return msgspec.structs.replace(head, load=NO_LOAD)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -19,8 +19,10 @@
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.fronts import FrontHandler
 from citronpin.gateway.gossips import Gossip
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
+from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.placers import LeastLoaded
 from citronpin.gateway.planners import SparePlanner
 from citronpin.gateway.ports import (
@@ -121,6 +123,8 @@
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
         self.loads = LoadTracker()
         self.quarantine = PromptQuarantine(policy=ConsecutiveCrashes())
+        self.limits = InstanceLimits(now=clock.now)
+        self.permits = SharedPermits(entry=cfg.name, limits=self.limits, clock=clock)
         self.metrics = Metrics()
         self.loop_lag = LoopLag(clock=clock)
         self.metrics.gauges.add(
@@ -133,6 +137,11 @@
             "Parts of prompts that are kept out, since instances crash under them.",
             lambda: len(self.quarantine.rows(now_s=clock.now())),
         )
+        self.metrics.gauges.add(
+            "limited_instances",
+            "Instances that name a limit on their requests per second.",
+            lambda: len(self.limits.current()),
+        )
         self._rng = rng or random.Random()
         self._stopping_s: float | None = None
         self._leases_released = False
@@ -163,6 +172,7 @@
             fleet=self.fleet,
             loads=self.loads,
             suspects=self.suspects,
+            limits=self.limits,
             failure_domain=self.cfg.failure_domain,
             rng=self._rng,
             limit_policy=ObjectiveLoadLimit(first_event_times=first_event_times),
@@ -176,6 +186,8 @@
             loads=self.loads,
             suspects=self.suspects,
             quarantine=self.quarantine,
+            limits=self.limits,
+            permits=self.permits,
             first_event_times=first_event_times,
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
@@ -194,6 +206,7 @@
         routes.add("GET", READY_PATH, self._answer_ready)
         routes.add("GET", METRICS_PATH, self._answer_metrics)
         routes.add("GET", "/admin", self._list_views)
+        routes.add("GET", "/admin/limits", self._answer_limits)
         routes.add("GET", "/admin/quarantines", self._answer_quarantines)
         routes.add("POST", "/admin/quarantines/{part}/release", self._release_part)
         self.server = self._serve(self.cfg.front, self.front, "front")
@@ -223,7 +236,15 @@
         reply.send_response(200, self.metrics.text(), METRICS_TYPE)
 
     def _list_views(self, req: HttpRequest, reply: Reply) -> None:
-        reply.json(200, ["quarantines"])
+        reply.json(200, ["quarantines", "limits"])
+
+    def _answer_limits(self, req: HttpRequest, reply: Reply) -> None:
+        rows = [
+            self.limits.row(instance) | {"owner": self.permits.owner(name)}
+            for name in self.limits.current()
+            if (instance := self.fleet.get(name)) is not None
+        ]
+        reply.json(200, rows)
 
     def _answer_quarantines(self, req: HttpRequest, reply: Reply) -> None:
         reply.json(200, self.quarantine.rows(now_s=self.clock.now()))
@@ -284,6 +305,8 @@
             loads=self.loads,
             suspects=self.suspects,
             quarantine=self.quarantine,
+            limits=self.limits,
+            permits=self.permits,
             fleet=self.fleet,
             fabrics=self.fabrics,
             leases=self.connector.leases,
--- a/citronpin/gateway/overloads.py
+++ b/citronpin/gateway/overloads.py
@@ -176,3 +176,36 @@
         delay_s = MIN_RETRY_DELAY_S + share * (MAX_RETRY_DELAY_S - MIN_RETRY_DELAY_S)
         delay_s = min(delay_s, MAX_RETRY_DELAY_SHARE * max(left_s, 0.0))
         return delay_s * (1.0 - RETRY_JITTER_SHARE * draw)
+
+
+class LimitedRetryDelays:
+    """Spreads the retries of refused callers at the rate at which limits admit them.
+
+    It handles a service all of whose instances named limits: each refused caller gets
+    the next of the times at which this entry's part of the permits is free.
+    """
+
+    def __init__(self) -> None:
+        self._next_s: dict[ApplicationName, float] = {}  # time of the latest retry
+
+    def delay_s(
+        self,
+        *,
+        service: ApplicationName,
+        rate: float,
+        first_s: float,
+        left_s: float,
+        draw: float,
+        now_s: float,
+    ) -> float:
+        """Return the retry delay of a refused caller in seconds.
+
+        ``rate`` is this entry's part of the limits in requests per second, ``first_s``
+        the time until the first permit; ``left_s`` and ``draw`` are as in
+        `RetryDelays.refuse`.
+        """
+        latest_s = self._next_s.get(service, float("-inf"))
+        next_s = max(latest_s + 1.0 / max(rate, 1e-3), now_s + first_s)
+        next_s = min(next_s, now_s + MAX_RETRY_DELAY_SHARE * max(left_s, 0.0))
+        self._next_s[service] = next_s
+        return (next_s - now_s) * (1.0 - RETRY_JITTER_SHARE * draw)
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -9,6 +9,7 @@
 
 from citronpin.basics.ids import FailureDomainName, InstanceId, ModelName
 from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import LoadLimitPolicy, Pending
 from citronpin.gateway.routings import EngineSpec
@@ -26,6 +27,7 @@
     pending: Pending
     engine: EngineSpec | None = None
     excluded: Collection[InstanceId] = ()
+    accepts_limited: bool = True  # false once permits were refused
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,11 +39,16 @@
 
 
 class PlacementFailure(msgspec.Struct, frozen=True, kw_only=True):
-    """Why no instance was selected, with the load in requests of the best candidate."""
+    """Why no instance was selected, with the load in requests of the best candidate.
+
+    ``limited`` are the candidates that get no request because of the limits that they
+    named.
+    """
 
     reason: str
     candidates: int
     load: int = 0
+    limited: tuple[FleetInstance, ...] = ()
 
 
 class Placer(ABC):
@@ -74,6 +81,7 @@
         fleet: Fleet,
         loads: LoadTracker,
         suspects: Suspects,
+        limits: InstanceLimits,
         failure_domain: FailureDomainName,
         rng: random.Random,
         limit_policy: LoadLimitPolicy,
@@ -82,6 +90,7 @@
         self._fleet = fleet
         self._loads = loads
         self._suspects = suspects
+        self._limits = limits
         self._failure_domain = failure_domain
         self._rng = rng
         self._limit_policy = limit_policy
@@ -91,9 +100,18 @@
         usable = self._candidates(demand)
         if not usable:
             return PlacementFailure(reason="no instance serves this", candidates=0)
+        permitted = [
+            instance for instance in usable if self._is_permitted(instance, demand)
+        ]
+        if not permitted:
+            return PlacementFailure(
+                reason="all instances are at their request limits",
+                candidates=len(usable),
+                limited=tuple(usable),
+            )
         unsuspected = [
             instance
-            for instance in usable
+            for instance in permitted
             if not self._suspects.is_avoided(instance.id, now_s=now_s)
         ]
         if not unsuspected and demand.pending.midway:
@@ -101,7 +119,7 @@
             return PlacementFailure(
                 reason="no instance answers", candidates=len(usable)
             )
-        selected = self._select(unsuspected or usable)
+        selected = self._select(unsuspected or permitted)
         load = self._loads.load(selected.id)
         if not self._is_below_load_limit(selected, demand):
             return PlacementFailure(
@@ -109,6 +127,12 @@
             )
         return Placement(instance=selected, load=load, candidates=len(usable))
 
+    def _is_permitted(self, instance: FleetInstance, demand: Demand) -> bool:
+        """Return whether the limit of an instance may allow another request now."""
+        if not demand.accepts_limited and self._limits.rate(instance) is not None:
+            return False
+        return self._limits.wait_s(instance) == 0.0
+
     def _select(self, instances: list[FleetInstance]) -> FleetInstance:
         if len(instances) > self._choices:
             instances = self._rng.sample(instances, self._choices)
@@ -150,6 +174,7 @@
         return (
             load_cost
             + self._suspects.load_penalty(instance.id)
+            + self._limits.load_cost(instance)
             + (REMOTE_COST_REQUESTS if remote else 0.0)
         )
 
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, *, name: EntryId) -> None:
-        self._name = name
+        self.name = name
         self._last_update_s: dict[EntryId, float] = {}
         self._too_few_since_s: float | None = None
         self.is_relay = True
@@ -46,7 +46,7 @@
         needs_relays = len(others) >= MAX_MESH_ENTRIES
         lower_relay_count = sum(
             now_s - last_update_s <= RELAY_TIMEOUT_S
-            and relay_rank(entry) < relay_rank(self._name)
+            and relay_rank(entry) < relay_rank(self.name)
             for entry, last_update_s in self._last_update_s.items()
         )
         is_relay = self._should_be_relay(
@@ -83,7 +83,5 @@
         return now_s - self._too_few_since_s >= self._takeover_delay_s(others)
 
     def _takeover_delay_s(self, others: Collection[EntryId]) -> float:
-        lower_count = sum(
-            relay_rank(entry) < relay_rank(self._name) for entry in others
-        )
+        lower_count = sum(relay_rank(entry) < relay_rank(self.name) for entry in others)
         return TAKEOVER_STAGGER_S * (lower_count // RELAY_COUNT)
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -27,11 +27,13 @@
         status: int,
         attempts: Sequence[Attempt],
         reason: str,
+        limits: Sequence[dict[str, object]],
         now_s: float,
     ) -> None:
         """Log a request that got its final answer, and record its metrics.
 
-        ``now_s`` is the clock time in seconds.
+        ``limits`` are those of instances for which it got no permit; ``now_s`` is the
+        clock time in seconds.
         """
         customer = str(task.customer or "")
         self._metrics.count_request(
@@ -56,6 +58,7 @@
                 "ms": round(duration_s * MS_PER_S),
                 "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
                 "parts": list(task.shared_parts) if status not in OK_STATUSES else [],
+                "limits": list(limits),
                 "attempts": [attempt.summary() for attempt in attempts],
             },
         )
--- a/citronpin/gateway/stories.py
+++ b/citronpin/gateway/stories.py
@@ -34,6 +34,7 @@
         "prompt part released by an operator",
     }
 )
+LIMIT_MESSAGES = frozenset({"instance limited", "limit of an instance ended"})
 HEADER_FIELDS = frozenset({"time", "level", "logger", "entry", "message"})
 
 
@@ -100,8 +101,8 @@
     These are the line of the request itself and, from `MARGIN_BEFORE_S` before its
     start until `MARGIN_AFTER_S` after its end, the lines of its entry about the store
     and the configuration and the lines of any entry about the instances and groups
-    that the request was sent to. Lines of its entry about a part of its prompt are
-    returned from any time before.
+    that the request was sent to. Lines of its entry about a part of its prompt, or
+    about limits that decided on it, are returned from any time before.
     """
     own = [line for line in lines if line.fields.get("request") == request]
     if not own:
@@ -113,12 +114,16 @@
     entries = {line.entry for line in own}
     names = _target_names(own)
     parts = {part for line in own for part in line.fields.get("parts", [])}
+    limited = {
+        row.get("instance") for line in own for row in line.fields.get("limits", [])
+    }
     return [
         line
         for line in lines
         if line in own
         or (begin <= line.time <= end and _is_related(line, entries, names))
         or (line.time <= end and _is_about_parts(line, entries, parts))
+        or (line.time <= end and _is_about_limits(line, entries, limited))
     ]
 
 
@@ -148,6 +153,14 @@
     )
 
 
+def _is_about_limits(line: LogLine, entries: set[str], limited: set[object]) -> bool:
+    return (
+        line.message in LIMIT_MESSAGES
+        and line.entry in entries
+        and line.fields.get("instance") in limited
+    )
+
+
 def _is_related(line: LogLine, entries: set[str], names: set[str]) -> bool:
     if line.message == "request":
         return False
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -11,7 +11,7 @@
     Task,
     end_to_end_headers,
 )
-from citronpin.gateway.placers import PlacementFailure
+from citronpin.gateway.placers import Placement, PlacementFailure
 from citronpin.web.replies import Reply
 
 logger = logging.getLogger(__name__)
@@ -48,9 +48,10 @@
         text = self._task.req.headers.get(self._context.names.last_event, "")
         return int(text) if text.isdigit() else None
 
-    def _send_next(self) -> bool:
+    def _start_attempt(self, placement: Placement) -> None:
         self._is_stream = False
-        return super()._send_next()
+        self._unplaced_since_s = None
+        super()._start_attempt(placement)
 
     def _override_headers(self) -> dict[str, str]:
         names = self._context.names
@@ -63,6 +64,7 @@
         return self._started
 
     def attempt_head(self, attempt: Attempt) -> None:
+        super().attempt_head(attempt)
         self._splitter = EventSplitter()
         self._parts = []
         self._buffered_bytes = 0
@@ -240,8 +242,8 @@
         self._context.clock.call_later(RESUME_RETRY_INTERVAL_S, self._retry_resume)
 
     def _retry_resume(self) -> None:
-        if not self._done and self._send_next():
-            self._unplaced_since_s = None
+        if not self._done:
+            self._send_next()
 
     def _abort_stream(self) -> None:
         """Abort an incomplete answer, so that callers do not take it for complete."""
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -222,6 +222,16 @@
     success_age_ms: int = -1  # of the latest success on the part; -1 without one
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests an instance takes from all entries, as its answers say."""
+
+    instance: InstanceId
+    born_ms: int  # start of the life of the instance, Unix time
+    rate: float | None  # requests per second; None after an answer that named no limit
+    # Since the answer that named it; without one, since the request was sent.
+    age_ms: int
+
+
 class StatusUpdate(Message, tag=18):
     """Reports the sender's requests in progress, suspects and serving groups."""
 
@@ -233,6 +243,23 @@
     relay: bool = False  # whether the sender reads the store itself and may hold leases
     positions: tuple[FeedPosition, ...] = ()
     parts: tuple[PartReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()  # that began or ended since the last update
+
+
+class PermitRequest(Message, tag=19):
+    """Requests a permit to send one request to an instance that named a limit."""
+
+    number: int  # of the request for a permit, unique at its sender
+    limit: LimitReport  # as the sender knows it
+
+
+class PermitReply(Message, tag=20):
+    """Answers `PermitRequest`; an unused permit is lost."""
+
+    number: int
+    granted: bool
+    wait_ms: int  # until the sender may ask again
+    limit: LimitReport  # as the owner of the instance's limit knows it
 
 
 AnyMessage = (
@@ -253,4 +280,6 @@
     | CallFinished
     | Demand
     | StatusUpdate
+    | PermitRequest
+    | PermitReply
 )
--- a/citronpin/policy/limits.py
+++ b/citronpin/policy/limits.py
@@ -17,13 +17,23 @@
 class Bucket:
     """A token bucket; ``rate`` is in units per second.
 
-    The bucket holds at most ``burst_s`` seconds of its rate, but no less than one unit.
+    The bucket holds at most ``burst_s`` seconds of its rate, but no less than
+    ``min_capacity`` units. It begins empty or with ``burst_s`` seconds of its rate.
     """
 
-    def __init__(self, *, rate: float, burst_s: float, now_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        rate: float,
+        burst_s: float,
+        now_s: float,
+        min_capacity: float = 1.0,
+        is_empty: bool = False,
+    ) -> None:
         self.rate = rate
         self._burst_s = burst_s
-        self._level = rate * burst_s
+        self._min_capacity = min_capacity
+        self._level = 0.0 if is_empty else rate * burst_s
         self._refilled_s = now_s
 
     def set_rate(self, *, rate: float, now_s: float) -> None:
@@ -51,7 +61,7 @@
         return max(missing, 0.0) / max(self.rate, 1e-9)
 
     def _capacity(self) -> float:
-        return max(self.rate * self._burst_s, 1.0)
+        return max(self.rate * self._burst_s, self._min_capacity)
 
     def _refill(self, now_s: float) -> None:
         gained = (now_s - self._refilled_s) * self.rate
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -5,13 +5,14 @@
 import msgspec
 
 from citronpin.basics.errors import ConnectionFailed
-from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.basics.ids import InstanceId
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.relays import RelayRole
 from citronpin.platform.names import HEADERS
 from citronpin.tests.meshes import MemoryLinks, Network
 from citronpin.tests.platforms.requests import FrontHarness, event, instance_headers
 
+SERVICE_TIME_S = 0.09  # of a request to a plain service
 RESTART_S = 3.0  # from a crash until the instance serves again
 FIRST_EVENT_S = 0.15
 EVENT_INTERVAL_S = 0.05
@@ -57,6 +58,8 @@
 class Replica:
     """An instance that all entries share; it crashes under `POISON`."""
 
+    delay_s = FIRST_EVENT_S  # from the arrival of a request until its answer begins
+
     def __init__(self, *, world, name):
         self.world = world
         self.name = name
@@ -64,28 +67,30 @@
         self.is_down = False
         self.crashes_at_next_answer = False
         self.life = 0
+        self.limit = None  # requests per second that its answers name
+        self.arrivals = []  # (clock time in s, entry)
+        self.named_s = {}  # entry -> clock time of the first answer that named it
 
     def handle(self, exchange):
         if self.is_down:
             exchange.fail(ConnectionFailed("refused"))
             return
+        self.arrivals.append((self.world.clock.now(), exchange.client))
         parts = [
             entry.partition(":")[0]
-            for entry in exchange.headers[HEADERS.prompt_parts].split(",")
+            for entry in exchange.headers.get(HEADERS.prompt_parts, "").split(",")
         ]
         self.world.sent.append((self.world.clock.now(), tuple(parts)))
         self.running.append(exchange)
         life = self.life
         self.world.clock.call_later(
-            FIRST_EVENT_S, lambda: self._begin(exchange, parts, life)
+            self.delay_s, lambda: self._begin(exchange, parts, life)
         )
 
     def _begin(self, exchange, parts, life):
         if life != self.life or exchange.ended:
             return
-        exchange.head(
-            200, instance_headers(exchange, **{"content-type": "text/event-stream"})
-        )
+        exchange.head(200, self._headers(exchange, "text/event-stream"))
         if POISON in parts or self.crashes_at_next_answer:
             self.crashes_at_next_answer = False
             self.world.crashed_s.append(self.world.clock.now())
@@ -93,6 +98,13 @@
             return
         self._send(exchange, 0, life)
 
+    def _headers(self, exchange, content_type):
+        headers = {"content-type": content_type}
+        if self.limit is not None:
+            headers[HEADERS.request_limit] = str(self.limit)
+            self.named_s.setdefault(exchange.client, self.world.clock.now())
+        return instance_headers(exchange, **headers)
+
     def _send(self, exchange, number, life):
         if life != self.life or exchange.ended:
             return
@@ -120,15 +132,32 @@
             entry.set_life(self.name, self.life)
 
 
+class PlainReplica(Replica):
+    """An instance of a plain service, whose answers come whole."""
+
+    delay_s = SERVICE_TIME_S
+
+    def _begin(self, exchange, parts, life):
+        if life != self.life or exchange.ended:
+            return
+        self.running.remove(exchange)
+        exchange.answer(200, b"{}", self._headers(exchange, "application/json"))
+
+
 class Entry(FrontHarness):
     """A front with gossip, whose instances are those of the world."""
 
     def __init__(self, *, world, name, replicas, policy):
-        super().__init__(clock=world.clock, engines=replicas, policy=policy)
-        for replica in world.replicas.values():
+        super().__init__(
+            clock=world.clock,
+            engines=replicas,
+            books=len(world.books),
+            policy=policy,
+            name=name,
+        )
+        for replica in world.all_replicas():
             self.scripts[replica.name] = replica.handle
         self.peers = {}
-        self.name = EntryId(name)
         self.is_cut_off = False
         self.gossip = Gossip(
             links=MemoryLinks(entry=self.name, network=world.network),
@@ -136,6 +165,8 @@
             loads=self.loads,
             suspects=self.suspects,
             quarantine=self.quarantine,
+            limits=self.limits,
+            permits=self.permits,
             fleet=self.fleet,
             fabrics=NoGroups(),
             leases=Leases(),
@@ -154,7 +185,7 @@
 class CrashWorld:
     """Entries and instances; `sent` and `crashed_s` hold what reached an instance."""
 
-    def __init__(self, *, clock, entries=9, replicas=40, policy=None, seed=1):
+    def __init__(self, *, clock, entries=9, replicas=40, books=2, policy=None, seed=1):
         self.clock = clock
         self.rng = random.Random(seed)
         self.network = Network(clock=clock)
@@ -163,6 +194,9 @@
         self.replicas = {
             f"e{n}": Replica(world=self, name=f"e{n}") for n in range(replicas)
         }
+        self.books = {
+            f"b{n}": PlainReplica(world=self, name=f"b{n}") for n in range(books)
+        }
         self.policy = policy
         self.entries = []
         self.sound_replies = []  # (clock time in s, reply)
@@ -170,6 +204,9 @@
         for _ in range(entries):
             self.start_entry()
 
+    def all_replicas(self):
+        return [*self.replicas.values(), *self.books.values()]
+
     def start_entry(self):
         entry = Entry(
             world=self,
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -6,6 +6,7 @@
 from citronpin.basics.ids import (
     ApplicationName,
     DomainName,
+    EntryId,
     FailureDomainName,
     GroupId,
     InstanceId,
@@ -16,8 +17,10 @@
 from citronpin.gateway.exchanges import ExchangeContext
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.fronts import FrontHandler
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
+from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.placers import LeastLoaded
 from citronpin.gateway.quarantines import ConsecutiveCrashes, PromptQuarantine
 from citronpin.gateway.request_logs import RequestLog
@@ -112,7 +115,7 @@
     ``scripts`` maps the name of an instance, or ``"*"``, to a handler of exchanges.
     """
 
-    def __init__(self, *, clock, engines=3, books=2, policy=None, **config):
+    def __init__(self, *, clock, engines=3, books=2, policy=None, name="n0", **config):
         self.clock = clock
         self.client = MemoryClient(clock=clock)
         self.suspects = Suspects()
@@ -120,6 +123,10 @@
         self.scripts = {}
         self.loads = LoadTracker()
         self.quarantine = PromptQuarantine(policy=policy or ConsecutiveCrashes())
+        self.name = EntryId(name)
+        self.limits = InstanceLimits(now=clock.now)
+        self.permits = SharedPermits(entry=self.name, limits=self.limits, clock=clock)
+        self.permits.set_members(owners=[self.name], share=1.0)
         for number in range(engines):
             self.add(f"e{number}", "engines", head=True)
         for number in range(books):
@@ -135,6 +142,7 @@
                 fleet=self.fleet,
                 loads=self.loads,
                 suspects=self.suspects,
+                limits=self.limits,
                 failure_domain=FailureDomainName("a"),
                 rng=rng,
                 limit_policy=ObjectiveLoadLimit(first_event_times=first_event_times),
@@ -142,6 +150,8 @@
             loads=self.loads,
             suspects=self.suspects,
             quarantine=self.quarantine,
+            limits=self.limits,
+            permits=self.permits,
             first_event_times=first_event_times,
             log=RequestLog(metrics=Metrics()),
             rng=rng,
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -12,7 +12,9 @@
     Phase,
 )
 from citronpin.gateway.gossips import MAX_MESH_ENTRIES, Gossip
+from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
+from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.quarantines import ConsecutiveCrashes, PromptQuarantine
 from citronpin.gateway.relays import RELAY_COUNT, RelayRole, relay_rank
 from citronpin.gateway.suspects import Suspects
@@ -66,6 +68,8 @@
         self.loads = LoadTracker()
         self.suspects = Suspects()
         self.quarantine = PromptQuarantine(policy=ConsecutiveCrashes())
+        self.limits = InstanceLimits(now=clock.now)
+        self.permits = SharedPermits(entry=self.name, limits=self.limits, clock=clock)
         self.fleet = Fleet()
         self.fleet.register(head_instance(), now_s=0.0)
         self.leases = FakeLeases()
@@ -79,6 +83,8 @@
             loads=self.loads,
             suspects=self.suspects,
             quarantine=self.quarantine,
+            limits=self.limits,
+            permits=self.permits,
             fleet=self.fleet,
             fabrics=self.fabrics,
             leases=self.leases,
--- a/citronpin/tests/test_stories.py
+++ b/citronpin/tests/test_stories.py
@@ -55,3 +55,14 @@
         ("n1", "bad0"),
         ("n1", None),
     ]
+
+
+def test_story_of_a_refused_request_tells_since_when_instances_are_limited():
+    log = [
+        line(2.0, "n1", "instance limited", instance="i-1", rate=1.6, source="n2"),
+        line(2.0, "n2", "instance limited", instance="i-1", rate=1.6),
+        line(2.1, "n1", "instance limited", instance="i-7", rate=1.6),
+        line(50.0, "n1", "request", request="a1", limits=[{"instance": "i-1"}]),
+    ]
+    selected = select_request_lines(read_lines(log), "a1")
+    assert [found.fields.get("source") for found in selected] == ["n2", None]
