--- a/citronpin/tests/soaks/callers.py
+++ b/citronpin/tests/soaks/callers.py
@@ -41,11 +41,15 @@
 class Caller(threading.Thread):
     """Sends requests one after another and mostly reuses the connection."""
 
-    def __init__(self, *, name, seed, front_addresses):
+    def __init__(
+        self, *, name, seed, front_addresses, kinds=Kind, max_pause_s=MAX_PAUSE_S
+    ):
         super().__init__(daemon=True)
         self.name = name
         self._rng = random.Random(seed)
         self._front_addresses = front_addresses  # node -> (host, port)
+        self._kinds = list(kinds)
+        self._max_pause_s = max_pause_s
         self._conn = None
         self._node = None
         self._request_count = 0
@@ -53,8 +57,8 @@
         self.stop_requested = threading.Event()
 
     def run(self):
-        while not self.stop_requested.wait(MAX_PAUSE_S * self._rng.random()):
-            kind = self._rng.choice(list(Kind))
+        while not self.stop_requested.wait(self._max_pause_s * self._rng.random()):
+            kind = self._rng.choice(self._kinds)
             self.outcomes.append(self.send_request(kind))
         self._close_connection()
 
--- a/citronpin/tests/soaks/checks.py
+++ b/citronpin/tests/soaks/checks.py
@@ -3,6 +3,7 @@
 import re
 
 from citronpin.platform.names import HEADERS
+from citronpin.tests.platforms.limits import count_excess
 from citronpin.tests.platforms.requests import whole_stream
 from citronpin.tests.soaks.callers import Kind
 from citronpin.tests.soaks.platforms import LAST_EVENT, answer_body, body_digest
@@ -142,3 +143,31 @@
         if len(late_s) > MAX_LATE_REQUESTS:
             violations.append(f"{len(late_s)} requests with part {part} came late")
     return violations
+
+
+def check_limits(episodes, nodes, disturbances):
+    """Check that instances that named a limit got no more requests than allowed.
+
+    ``nodes`` maps attempts to the nodes that took them. ``disturbances`` are
+    ``(node, start_s, end_s)``; requests of a node during its own are not counted.
+    """
+    violations = []
+    for episode in episodes:
+        told_s = {}
+        for at_s, attempt in episode.answers:
+            told_s.setdefault(nodes.get(attempt), at_s)
+        arrivals = [
+            (at_s, nodes.get(attempt))
+            for at_s, attempt in episode.arrivals
+            if not any(
+                nodes.get(attempt) == node and start_s <= at_s <= end_s
+                for node, start_s, end_s in disturbances
+            )
+        ]
+        excess = count_excess(arrivals, told_s, episode.rate)
+        if excess:
+            violations.append(
+                f"an instance got {excess:.1f} requests too many in 4 s, "
+                f"of {episode.rate} a second"
+            )
+    return violations
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -63,6 +63,16 @@
         self._on_exchange(LiveExchange(req, reply))
 
 
+class LimitEpisode:
+    """A limit that one life of an instance names; attempts with their clock times."""
+
+    def __init__(self, *, rate, born):
+        self.rate = rate  # requests per second
+        self.born = born
+        self.arrivals = []
+        self.answers = []  # that named the limit
+
+
 class NetworkStub:
     """Takes what the fleet registers at its network; requests go through sockets."""
 
@@ -93,6 +103,8 @@
         self.runs = defaultdict(list)  # attempt -> instances that started to run it
         self.crashing_parts = {}  # part of a prompt -> clock times of requests with it
         self.crashes = defaultdict(list)  # part -> clock times at which instances ended
+        self.limits = {}  # instance -> its latest `LimitEpisode`, while it lasts
+        self.limit_episodes = []
         self.config_version = 0
         self.instance_proxies = {}  # instance -> proxy
         store_port = self._listen(free_port(), self._handle_store_request)
@@ -139,6 +151,37 @@
             lambda exchange: self._handle_instance_request(new_instance, exchange),
         )
 
+    def limit_instances(self, service, rate):
+        """Let all instances of a service name a limit, or none any more."""
+        for instance in self.fleet.instances.values():
+            if instance.service == service:
+                self.limits.pop(instance.name, None)
+                if rate is not None:
+                    self._begin_episode(instance, rate)
+
+    def _begin_episode(self, instance, rate):
+        episode = LimitEpisode(rate=rate, born=instance.born)
+        self.limits[instance.name] = episode
+        self.limit_episodes.append(episode)
+        return episode
+
+    def _find_episode(self, instance):
+        episode = self.limits.get(instance.name)
+        if episode is not None and episode.born != instance.born:
+            return self._begin_episode(instance, episode.rate)
+        return episode
+
+    def _answer_headers(self, instance, attempt, digest=None):
+        """Return the headers of an answer, with the limit of the instance."""
+        headers = {HEADERS.attempt: attempt}
+        if digest is not None:
+            headers[HEADERS.digest] = digest
+        episode = self._find_episode(instance)
+        if episode is not None:
+            headers[HEADERS.request_limit] = str(episode.rate)
+            episode.answers.append((self.clock.now(), attempt))
+        return headers
+
     def publish_config(self):
         """Write the next configuration to the store and return its version.
 
@@ -202,6 +245,9 @@
     def _serve_request(self, instance, exchange):
         """Run a request of a caller: a single answer, or a stream by a group's head."""
         attempt = exchange.headers.get(HEADERS.attempt, "")
+        episode = self._find_episode(instance)
+        if episode is not None:
+            episode.arrivals.append((self.clock.now(), attempt))
         if instance.service != "engines":
             self.runs[attempt].append(instance.name)
             self.clock.call_later(
@@ -209,11 +255,12 @@
             )
             return
         if instance not in self.fleet.open_heads():
-            exchange.answer(503, headers=NOT_RUN_HEADERS | {HEADERS.attempt: attempt})
+            headers = self._answer_headers(instance, attempt)
+            exchange.answer(503, headers=NOT_RUN_HEADERS | headers)
             return
         self.runs[attempt].append(instance.name)
         last_received = exchange.headers.get(HEADERS.last_event)
-        answer_headers = {HEADERS.attempt: attempt, HEADERS.digest: "stream"}
+        answer_headers = self._answer_headers(instance, attempt, "stream")
         exchange.reply.start(200, "text/event-stream", answer_headers)
         part = self._find_crashing_part(exchange)
         if part is not None:
@@ -251,9 +298,8 @@
     def _send_answer(self, instance, exchange, attempt):
         if not instance.dead:
             body = answer_body(attempt)
-            exchange.answer(
-                200, body, {HEADERS.attempt: attempt, HEADERS.digest: body_digest(body)}
-            )
+            headers = self._answer_headers(instance, attempt, body_digest(body))
+            exchange.answer(200, body, headers)
 
     def _send_events(self, instance, exchange, member, number):
         """Send event ``number`` and schedule the next one.
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -27,6 +27,8 @@
 CRASHING_PROMPT_INTERVAL_S = 0.2
 RECOVERY_LIMIT_S = 30.0  # leaves room for a busy machine
 PROBE_INTERVAL_S = 0.25
+LIMIT_S = 9.0  # for which instances name a limit
+LIMITED_REQUEST_INTERVAL_S = 0.03
 
 
 class GatewayNode:
@@ -102,18 +104,24 @@
 class Soak:
     """One run of ``seconds`` with faults drawn from ``seed``.
 
-    `violations` lists the invariants that did not hold.
+    ``faults`` are the names of the faults to draw from, all by default. `violations`
+    lists the invariants that did not hold.
     """
 
-    def __init__(self, *, seed, seconds, folder, callers=4):
+    def __init__(self, *, seed, seconds, folder, callers=4, faults=None):
         self._rng = random.Random(seed)
         self._seconds = seconds
+        # `dir` sorts: another order of the names changes the faults of every seed.
+        self._fault_names = faults or [
+            name[1:] for name in dir(self) if name.startswith("_do_")
+        ]
         self._folder = folder
         self.injected = Counter()
         self.violations = []
         self._faults = []  # (start_s, end_s); the end includes `FAULT_EFFECT_S`
         self._config_faults = []  # (node, start_s, end_s) of those that delay a change
         self._poison_outcomes = []  # of requests under which instances crash
+        self._limited_outcomes = []  # of requests to instances that name limits
         self._planned_stops = []  # (node, start_s, end_s)
         self._config_observations = []  # (incarnation_id, version, status)
         self._config_write_times = {}  # version -> monotonic time in s
@@ -197,10 +205,8 @@
     def _inject(self):
         """Run random `_do_` methods until the run has lasted its ``seconds``."""
         end_s = time.monotonic() + self._seconds
-        # `dir` sorts: another order of the names changes the faults of every seed.
-        names = [name[1:] for name in dir(self) if name.startswith("_do_")]
         while time.monotonic() < end_s:
-            name = self._rng.choice(names)
+            name = self._rng.choice(self._fault_names)
             self.injected[name] += 1
             thread = threading.Thread(target=getattr(self, "_" + name), daemon=True)
             self._threads.append(thread)
@@ -380,6 +386,33 @@
         self._record_fault(start_s, time.monotonic() + FAULT_EFFECT_S, ())
         self._faults.remove((start_s, float("inf")))
 
+    def _do_limit_instances(self):
+        """Let instances name limits while more requests come than these allow."""
+        service, kinds = self._rng.choice(
+            [("book", [Kind.SAFE, Kind.UNSAFE]), ("engines", [Kind.STREAM])]
+        )
+        rate = self._rng.choice([0.5, 1.6, 4.0])
+        self.platform.call(lambda: self.platform.limit_instances(service, rate))
+        senders = [
+            Caller(
+                name=f"limited-{time.monotonic_ns()}-{number}",
+                seed=number,
+                front_addresses={node.name: ("127.0.0.1", node.front_port)},
+                kinds=kinds,
+                max_pause_s=2 * LIMITED_REQUEST_INTERVAL_S,
+            )
+            for number, node in enumerate(self.nodes * 2)
+        ]
+        for sender in senders:
+            sender.start()
+        time.sleep(LIMIT_S)
+        for sender in senders:
+            sender.stop_requested.set()
+        for sender in senders:
+            sender.join()
+            self._limited_outcomes += sender.outcomes
+        self.platform.call(lambda: self.platform.limit_instances(service, None))
+
     def _do_leave_order_unanswered(self):
         """Make an instance leave its next order unanswered and apply it late."""
         name = f"i-{self._rng.randrange(10)}"
@@ -441,6 +474,7 @@
                 )
         outcomes = [outcome for caller in self.callers for outcome in caller.outcomes]
         outcomes += self._probe_outcomes + self._poison_outcomes
+        outcomes += self._limited_outcomes
         runs = {
             attempt: list(instance_names)
             for attempt, instance_names in self.platform.runs.items()
@@ -460,5 +494,10 @@
             self.platform.crashes,
             [times for _, *times in self._config_faults + self._planned_stops],
         )
+        self.violations += checks.check_limits(
+            self.platform.limit_episodes,
+            {outcome.attempt: outcome.node for outcome in outcomes},
+            self._config_faults + self._planned_stops,
+        )
         self.violations += self.platform.fleet.violations
         self.violations += self.platform.store.violations
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -10,7 +10,12 @@
 from citronpin.tests.platforms.requests import event, whole_stream
 from citronpin.tests.soaks import checks
 from citronpin.tests.soaks.callers import Kind, Outcome
-from citronpin.tests.soaks.platforms import LAST_EVENT, answer_body, body_digest
+from citronpin.tests.soaks.platforms import (
+    LAST_EVENT,
+    LimitEpisode,
+    answer_body,
+    body_digest,
+)
 from citronpin.tests.soaks.proxies import FaultProxy
 from citronpin.tests.soaks.soaks import Soak
 
@@ -18,8 +23,8 @@
 LONG_RUN_S = 20.0
 
 
-def run_soak(seed, seconds, folder):
-    soak = Soak(seed=seed, seconds=seconds, folder=folder)
+def run_soak(seed, seconds, folder, faults=None):
+    soak = Soak(seed=seed, seconds=seconds, folder=folder, faults=faults)
     soak.run()
     print(f"seed {seed}: {dict(soak.injected)}; {dict(soak.outcome_counts)}")
     assert soak.violations == []
@@ -29,6 +34,11 @@
     run_soak(1, SHORT_RUN_S, tmp_path)
 
 
+def test_limits_hold_under_faults(tmp_path):
+    names = ["do_limit_instances", "do_pause_node", "do_stop_node_as_planned"]
+    run_soak(3, SHORT_RUN_S, tmp_path, names)
+
+
 @pytest.mark.soak
 def test_invariants_hold_under_faults_for_longer(tmp_path):
     run_soak(int(os.environ["CITRONPIN_SOAK_SEED"]), LONG_RUN_S, tmp_path)
@@ -136,3 +146,16 @@
     assert not checks.check_crashing_parts(late, crashes, [(4.55, 4.65)])
     assert not checks.check_crashing_parts({"bad": [1.0, 4.3, 4.39]}, crashes, [])
     assert not checks.check_crashing_parts(late, {"bad": [1.0, 1.1]}, [])
+
+
+def test_requests_beyond_a_limit_are_reported():
+    episode = LimitEpisode(rate=1.0, born=1)
+    episode.answers = [(0.0, "a-0"), (0.1, "b-0")]
+    episode.arrivals = [(5.0 + 0.2 * n, f"{'ab'[n % 2]}-{n}") for n in range(14)]
+    nodes = {f"{name}-{n}": f"front-{name}" for name in "ab" for n in range(14)}
+    assert checks.check_limits([episode], nodes, [])
+    assert not checks.check_limits([episode], nodes, [("front-a", 4.0, 9.0)])
+    episode.answers = episode.answers[:1]  # the other node was not told
+    assert not checks.check_limits([episode], nodes, [])
+    episode.answers, episode.arrivals = [(0.0, "a-0")], episode.arrivals[:11]
+    assert not checks.check_limits([episode], nodes, [])
--- a/tools/measure_quarantine.py
+++ b/tools/measure_updates.py
@@ -1,4 +1,4 @@
-"""Measures what the quarantine of prompt parts costs in messages between entries.
+"""Measures what entries send each other, calm and in trouble, in bytes and messages.
 
 Entries, instances and requests are simulated on a paused clock, with real frames.
 """
@@ -8,19 +8,33 @@
 
 from citronpin.basics.clocks import PausedClock
 from citronpin.tests.platforms.crashes import CrashWorld
+from citronpin.tests.platforms.limits import limit_instances
 
 WARM_UP_S = 2.0
 MEASURED_S = 8.0
 POISON_PER_S = 10
+LIMIT = 1.6  # requests per second
+LIMITED_SHARE = 0.7
+# Requests per second and instances, as many for each entry in every case.
+SOUND_PER_S_ENTRY = 8
+REPLICAS_PER_ENTRY = 3
+CASES = ("calm", "crashes", "limits")
 
 
-def measure(entries: int, poison_per_s: int) -> dict[str, float]:
+def measure(entries: int, case: str) -> dict[str, float]:
     """Return bytes and messages a second for each entry, and the crashes."""
-    world = CrashWorld(clock=PausedClock(), entries=entries)
-    world.run(WARM_UP_S)
+    world = CrashWorld(
+        clock=PausedClock(), entries=entries, replicas=REPLICAS_PER_ENTRY * entries
+    )
+    sound_per_s = SOUND_PER_S_ENTRY * entries
+    world.run(WARM_UP_S, sound_per_s=sound_per_s)
+    if case == "limits":
+        replicas = list(world.replicas.values())
+        limit_instances(replicas[: round(LIMITED_SHARE * len(replicas))], LIMIT)
     before = _sent(world)
     started_s = time.process_time()
-    world.run(MEASURED_S, poison_per_s=poison_per_s)
+    poison_per_s = POISON_PER_S if case == "crashes" else 0
+    world.run(MEASURED_S, sound_per_s=sound_per_s, poison_per_s=poison_per_s)
     used_s = time.process_time() - started_s
     sent_bytes, sent_messages = (
         after - earlier for after, earlier in zip(_sent(world), before)
@@ -43,8 +57,8 @@
 
 def main() -> None:
     for entries in map(int, sys.argv[1:] or ("9", "89")):
-        for poison_per_s in (0, POISON_PER_S):
-            print(entries, poison_per_s, measure(entries, poison_per_s), flush=True)
+        for case in CASES:
+            print(entries, case, measure(entries, case), flush=True)
 
 
 if __name__ == "__main__":
