--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -4,6 +4,7 @@
 import random
 from abc import abstractmethod
 from collections.abc import Callable
+from functools import cached_property
 
 import msgspec
 
@@ -14,6 +15,7 @@
     InstanceId,
     ModelName,
     PromptPartId,
+    RequestFingerprint,
 )
 from citronpin.gateway.answers import (
     Refusal,
@@ -30,6 +32,7 @@
     OutgoingRequest,
 )
 from citronpin.gateway.budgets import RetryBudget
+from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
@@ -44,7 +47,7 @@
 from citronpin.gateway.placers import Demand, Placement, PlacementFailure, Placer
 from citronpin.gateway.ports import HeaderNames
 from citronpin.gateway.quarantines import PromptQuarantine
-from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.request_logs import OK_STATUSES, RequestLog
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.web.clients import HttpClient
@@ -108,6 +111,7 @@
         quarantine: PromptQuarantine,
         limits: InstanceLimits,
         permits: Permits,
+        fingerprints: Fingerprints,
         first_event_times: FirstEventTimes,
         log: RequestLog,
         rng: random.Random,
@@ -123,6 +127,7 @@
         self.quarantine = quarantine
         self.limits = limits
         self.permits = permits
+        self.fingerprints = fingerprints
         self.log = log
         self.rng = rng
         self.table: RoutingTable | None = None
@@ -178,6 +183,10 @@
             body=task.req.body,
         )
 
+    @cached_property
+    def _fingerprint(self) -> RequestFingerprint:
+        return self._context.fingerprints.of(self._task.req, self._task.customer)
+
     def start(self) -> None:
         """Send the request to an instance, or refuse it if none can take it."""
         now_s = self._context.clock.now()
@@ -474,6 +483,7 @@
             attempts=self._attempts,
             reason=self._reason,
             limits=self._limit_rows,
+            fingerprint="" if status in OK_STATUSES else self._fingerprint,
             now_s=self._context.clock.now(),
         )
 
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -16,6 +16,7 @@
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.exchanges import ExchangeContext
 from citronpin.gateway.fabrics import Fabrics
+from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.fronts import FrontHandler
 from citronpin.gateway.gossips import Gossip
@@ -125,6 +126,7 @@
         self.quarantine = PromptQuarantine(policy=ConsecutiveCrashes())
         self.limits = InstanceLimits(now=clock.now)
         self.permits = SharedPermits(entry=cfg.name, limits=self.limits, clock=clock)
+        self.fingerprints = Fingerprints()
         self.metrics = Metrics()
         self.loop_lag = LoopLag(clock=clock)
         self.metrics.gauges.add(
@@ -188,6 +190,7 @@
             quarantine=self.quarantine,
             limits=self.limits,
             permits=self.permits,
+            fingerprints=self.fingerprints,
             first_event_times=first_event_times,
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
@@ -290,6 +293,7 @@
         self._update_entry_count()
         if frame_key is None or self._stopping_s is not None:
             return
+        self.fingerprints.set_key(frame_key)
         if self.gossip is not None:
             self.gossip.set_key(frame_key)
             return
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -9,7 +9,7 @@
 
 logger = logging.getLogger(__name__)
 
-OK_STATUSES = range(200, 300)  # parts of prompts explain only failures
+OK_STATUSES = range(200, 300)  # parts and fingerprints explain only failures
 
 
 class RequestLog:
@@ -28,6 +28,7 @@
         attempts: Sequence[Attempt],
         reason: str,
         limits: Sequence[dict[str, object]],
+        fingerprint: str,
         now_s: float,
     ) -> None:
         """Log a request that got its final answer, and record its metrics.
@@ -58,6 +59,7 @@
                 "ms": round(duration_s * MS_PER_S),
                 "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
                 "parts": list(task.shared_parts) if status not in OK_STATUSES else [],
+                "fingerprint": fingerprint,
                 "limits": list(limits),
                 "attempts": [attempt.summary() for attempt in attempts],
             },
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -15,6 +15,7 @@
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.exchanges import ExchangeContext
+from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.fronts import FrontHandler
 from citronpin.gateway.limits import InstanceLimits
@@ -125,6 +126,8 @@
         self.quarantine = PromptQuarantine(policy=policy or ConsecutiveCrashes())
         self.name = EntryId(name)
         self.limits = InstanceLimits(now=clock.now)
+        self.fingerprints = Fingerprints()
+        self.fingerprints.set_key(b"shared")
         self.permits = SharedPermits(entry=self.name, limits=self.limits, clock=clock)
         self.permits.set_members(owners=[self.name], share=1.0)
         for number in range(engines):
@@ -152,6 +155,7 @@
             quarantine=self.quarantine,
             limits=self.limits,
             permits=self.permits,
+            fingerprints=self.fingerprints,
             first_event_times=first_event_times,
             log=RequestLog(metrics=Metrics()),
             rng=rng,
@@ -193,7 +197,7 @@
     def script(self, name):
         return self.scripts.get(name) or self.scripts["*"]
 
-    def send(self, path, method="POST", **headers):
+    def send(self, path, method="POST", body=b"text", **headers):
         """Send a request and return its reply."""
         self.request_count += 1
         reply = CallerReply()
@@ -217,7 +221,7 @@
                 for name, value in default_headers.items()
                 if value is not None
             },
-            body=b"text",
+            body=body,
             peer="10.2.0.1",
         )
         self.front.handle(req, reply)
