--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -1,4 +1,4 @@
-"""Several entries before shared instances that crash under a part of a prompt."""
+"""Several entries before shared instances that crash under some requests."""
 
 import random
 
@@ -17,6 +17,7 @@
 FIRST_EVENT_S = 0.15
 EVENT_INTERVAL_S = 0.05
 LAST_EVENT = 10
+CRASH_S = 0.06  # from the arrival of a request until the instance crashes under it
 CALLER_PART = "c0ffee"
 POISON = "bad0"
 
@@ -56,7 +57,11 @@
 
 
 class Replica:
-    """An instance that all entries share; it crashes under `POISON`."""
+    """An instance that all entries share.
+
+    It crashes under `POISON` when its answer begins, and under requests to
+    ``world.deadly_targets`` when it begins to run them.
+    """
 
     delay_s = FIRST_EVENT_S  # from the arrival of a request until its answer begins
 
@@ -83,6 +88,10 @@
         self.world.sent.append((self.world.clock.now(), tuple(parts)))
         self.running.append(exchange)
         life = self.life
+        if exchange.target in self.world.deadly_targets:
+            self.world.deadly_sent.append((self.world.clock.now(), exchange.target))
+            self._begin_deadly(exchange, life)
+            return
         self.world.clock.call_later(
             self.delay_s, lambda: self._begin(exchange, parts, life)
         )
@@ -98,6 +107,16 @@
             return
         self._send(exchange, 0, life)
 
+    def _begin_deadly(self, exchange, life):
+        if self.world.crashes_after_head:
+            exchange.head(200, self._headers(exchange, "text/event-stream"))
+        self.world.clock.call_later(CRASH_S, lambda: self._crash_under(exchange, life))
+
+    def _crash_under(self, exchange, life):
+        if life == self.life and not exchange.ended:
+            self.world.deadly_crashed_s.append(self.world.clock.now())
+            self.crash()
+
     def _headers(self, exchange, content_type):
         headers = {"content-type": content_type}
         if self.limit is not None:
@@ -191,6 +210,11 @@
         self.network = Network(clock=clock)
         self.sent = []  # (clock time in s, parts)
         self.crashed_s = []
+        self.deadly_targets = set()  # under which instances crash
+        self.crashes_after_head = False
+        self.deadly_sent = []  # (clock time in s, target) of those that reached one
+        self.deadly_crashed_s = []
+        self.reads = []  # (clock time in s, reply) of sound requests to plain services
         self.replicas = {
             f"e{n}": Replica(world=self, name=f"e{n}") for n in range(replicas)
         }
@@ -254,6 +278,36 @@
                     send()
             self.clock.advance(step_s)
 
+    def send_read(self):
+        """Send a sound request to a plain service, half of them the same one."""
+        own = "hot" if self.rng.random() < 0.5 else f"{self.rng.getrandbits(32):x}"
+        entry = self.rng.choice(self.entries)
+        reply = entry.send(f"/look-up/{own}", "GET", b"")
+        self.reads.append((self.clock.now(), reply))
+
+    def run_deadly(self, seconds, *, target, reads_per_s=12, deadly_per_s=2):
+        """Send a request under which instances crash among sound ones."""
+        self.deadly_targets.add(target)
+        method = "GET" if target.startswith("/look-up/") else "POST"
+        body = b"" if method == "GET" else b"deadly"
+        for step in range(round(seconds / 0.01)):
+            for rate, send in (
+                (reads_per_s, self.send_read),
+                (10 * reads_per_s, self.send_sound),
+                (
+                    deadly_per_s,
+                    lambda: self.rng.choice(self.entries).send(target, method, body),
+                ),
+            ):
+                if int((step + 1) * 0.01 * rate) > int(step * 0.01 * rate):
+                    send()
+            self.clock.advance(0.01)
+
+    def reads_served_share(self, start_s):
+        """Return the share of sound reads since a time that were served."""
+        served = [reply.status == 200 for at_s, reply in self.reads if at_s > start_s]
+        return sum(served) / len(served)
+
     def poison_sent_after(self, start_s):
         """Return how many requests with the part reached instances after a time."""
         return sum(at_s > start_s and POISON in parts for at_s, parts in self.sent)
--- a/citronpin/tests/test_quarantines.py
+++ b/citronpin/tests/test_quarantines.py
@@ -289,3 +289,35 @@
             now_s = 30.0 + 0.15 * step
             other.merge(one.reports(now_s=now_s), now_s=now_s + 0.1)
     assert not any(one.has_news for one in pair)
+
+
+def check_deadly_request_was_stopped(world):
+    """Check that at most three come late, after it has crashed three instances."""
+    assert len(world.deadly_crashed_s) >= 3
+    third_s = world.deadly_crashed_s[2]
+    late = sum(at_s > third_s + STABILITY_WINDOW_S for at_s, _ in world.deadly_sent)
+    assert late <= MAX_LATE_REQUESTS, f"{late} of {len(world.deadly_sent)} came late"
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED 8")
+@pytest.mark.parametrize("entries", [3, 9, 24])
+@pytest.mark.parametrize(
+    "target, after_head",
+    [
+        ("/look-up/deadly", False),
+        ("/swap/deadly", False),
+        ("/draft/deadly", False),
+        ("/draft/deadly", True),
+    ],
+)
+def test_one_request_does_not_crash_instance_after_instance(
+    paused_clock, target, after_head, entries
+):
+    world = CrashWorld(clock=paused_clock, entries=entries, books=3)
+    world.crashes_after_head = after_head
+    world.run_deadly(2.0, target=target, deadly_per_s=0)
+    world.run_deadly(20.0, target=target)
+    check_deadly_request_was_stopped(world)
+    start_s = world.deadly_crashed_s[2] + 2 * STABILITY_WINDOW_S
+    assert world.reads_served_share(start_s) > 0.95
+    assert world.served_share(start_s) > 0.95
