--- a/citronpin/tests/soaks/callers.py
+++ b/citronpin/tests/soaks/callers.py
@@ -62,8 +62,11 @@
             self.outcomes.append(self.send_request(kind))
         self._close_connection()
 
-    def send_request(self, kind, part=SHARED_PART):
-        """Send one request, whose prompt has a part, and return its outcome."""
+    def send_request(self, kind, part=SHARED_PART, path=None):
+        """Send one request and return its outcome.
+
+        Its prompt has a part, and its path is that of the kind by default.
+        """
         if self._conn is None or self._rng.random() < 0.05:
             self._close_connection()
             self._node = self._rng.choice(sorted(self._front_addresses))
@@ -78,13 +81,13 @@
             start_s=time.monotonic(),
         )
         try:
-            self._exchange(kind, part, outcome)
+            self._exchange(kind, part, path or kind.value, outcome)
         except (OSError, http.client.HTTPException):
             self._close_connection()
         outcome.end_s = time.monotonic()
         return outcome
 
-    def _exchange(self, kind, part, outcome):
+    def _exchange(self, kind, part, path, outcome):
         """Send a request and store the response in the outcome as it arrives."""
         headers = {
             "Host": HOST,
@@ -98,7 +101,7 @@
             headers[HEADERS.prompt_parts] = parts
         method = "GET" if kind is Kind.SAFE else "POST"
         body = None if kind is Kind.SAFE else b"text"
-        self._conn.request(method, kind.value, body, headers)
+        self._conn.request(method, path, body, headers)
         response = self._conn.getresponse()
         outcome.headers = {n.lower(): v for n, v in response.getheaders()}
         outcome.status = response.status
--- a/citronpin/tests/soaks/checks.py
+++ b/citronpin/tests/soaks/checks.py
@@ -8,10 +8,11 @@
 from citronpin.tests.soaks.callers import Kind
 from citronpin.tests.soaks.platforms import LAST_EVENT, answer_body, body_digest
 
-# Of the requests with a part under which instances crash, those that come later than
-# this after the fifth crash, and how many of them may reach instances.
-CRASHING_PART_LIMIT_S = 3.0
-CRASHES_BEFORE_LIMIT = 5
+# Of the requests with a key under which instances crash, those that come later than
+# this after the third or fifth crash, and how many of them may reach instances.
+CRASHING_KEY_LIMIT_S = 3.0
+CRASHES_OF_REQUEST = 3
+CRASHES_OF_PART = 5
 MAX_LATE_REQUESTS = 3
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -123,25 +124,28 @@
     return violations
 
 
-def check_crashing_parts(requests, crashes, faults):
+def check_crashing_keys(requests, crashes, faults):
     """Check that requests under which instances crash soon reach none.
 
-    ``requests`` and ``crashes`` map a part of prompts to clock times. ``faults`` are
-    ``(start_s, end_s)`` during which entries may not hear each other.
+    ``requests`` and ``crashes`` map a part of prompts, or the target of a request, to
+    clock times. ``faults`` are ``(start_s, end_s)`` during which entries may not hear
+    each other.
     """
     violations = []
-    for part, crashed_s in crashes.items():
-        if len(crashed_s) < CRASHES_BEFORE_LIMIT:
+    for key, crashed_s in crashes.items():
+        is_target = key.startswith("/")
+        count = CRASHES_OF_REQUEST if is_target else CRASHES_OF_PART
+        if len(crashed_s) < count:
             continue
-        limit_s = sorted(crashed_s)[CRASHES_BEFORE_LIMIT - 1] + CRASHING_PART_LIMIT_S
+        limit_s = sorted(crashed_s)[count - 1] + CRASHING_KEY_LIMIT_S
         late_s = [
             sent_s
-            for sent_s in requests[part]
+            for sent_s in requests[key]
             if sent_s > limit_s
             and not any(start_s <= sent_s <= end_s for start_s, end_s in faults)
         ]
         if len(late_s) > MAX_LATE_REQUESTS:
-            violations.append(f"{len(late_s)} requests with part {part} came late")
+            violations.append(f"{len(late_s)} requests with {key} came late")
     return violations
 
 
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -101,8 +101,10 @@
         )
         self.fleet.serve = self._serve_request
         self.runs = defaultdict(list)  # attempt -> instances that started to run it
-        self.crashing_parts = {}  # part of a prompt -> clock times of requests with it
-        self.crashes = defaultdict(list)  # part -> clock times at which instances ended
+        # Clock times of the requests with a part of a prompt, or a target, under which
+        # instances crash, and times at which instances ended under it.
+        self.crashing_keys = {}
+        self.crashes = defaultdict(list)
         self.limits = {}  # instance -> its latest `LimitEpisode`, while it lasts
         self.limit_episodes = []
         self.config_version = 0
@@ -250,6 +252,9 @@
             episode.arrivals.append((self.clock.now(), attempt))
         if instance.service != "engines":
             self.runs[attempt].append(instance.name)
+            if exchange.target in self.crashing_keys:
+                self._crash_soon(instance, exchange, exchange.target)
+                return
             self.clock.call_later(
                 SERVICE_TIME_S, lambda: self._send_answer(instance, exchange, attempt)
             )
@@ -262,12 +267,9 @@
         last_received = exchange.headers.get(HEADERS.last_event)
         answer_headers = self._answer_headers(instance, attempt, "stream")
         exchange.reply.start(200, "text/event-stream", answer_headers)
-        part = self._find_crashing_part(exchange)
-        if part is not None:
-            self.crashing_parts[part].append(self.clock.now())
-            self.clock.call_later(
-                CRASH_DELAY_S, lambda: self._crash(instance, exchange, part)
-            )
+        key = self._find_crashing_key(exchange)
+        if key is not None:
+            self._crash_soon(instance, exchange, key)
             return
         self._send_events(
             instance,
@@ -276,17 +278,24 @@
             0 if not last_received else int(last_received) + 1,
         )
 
-    def _find_crashing_part(self, exchange):
+    def _find_crashing_key(self, exchange):
         text = exchange.headers.get(HEADERS.prompt_parts, "")
         parts = [entry.partition(":")[0] for entry in text.split(",")]
-        return next((part for part in parts if part in self.crashing_parts), None)
+        keys = [exchange.target, *parts]
+        return next((key for key in keys if key in self.crashing_keys), None)
+
+    def _crash_soon(self, instance, exchange, key):
+        self.crashing_keys[key].append(self.clock.now())
+        self.clock.call_later(
+            CRASH_DELAY_S, lambda: self._crash(instance, exchange, key)
+        )
 
-    def _crash(self, instance, exchange, part):
+    def _crash(self, instance, exchange, key):
         """End an instance and all its connections, and start it again later."""
         exchange.reply.abort()
         if instance.dead:
             return
-        self.crashes[part].append(self.clock.now())
+        self.crashes[key].append(self.clock.now())
         instance.kill()
         self.instance_proxies[instance.name].reset_connections()
         self.clock.call_later(RESTART_S, lambda: self._restart(instance))
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -366,11 +366,21 @@
 
     def _do_send_prompts_that_crash_instances(self):
         """Send requests with one part, under which instances crash, to all nodes."""
-        part = f"bad{len(self.platform.crashing_parts)}"
-        self.platform.crashing_parts[part] = []
+        part = f"bad{len(self.platform.crashing_keys)}"
+        self._press_with_crashes(part, Kind.STREAM, part=part)
+
+    def _do_send_request_that_crashes_instances(self):
+        """Send one request, under which instances crash, to all nodes."""
+        kind = self._rng.choice(list(Kind))
+        path = f"{kind.value}-deadly{len(self.platform.crashing_keys)}"
+        self._press_with_crashes(path, kind, path=path)
+
+    def _press_with_crashes(self, key, kind, **request):
+        """Send requests under which instances crash for `CRASHING_PROMPTS_S`."""
+        self.platform.crashing_keys[key] = []
         senders = [
             Caller(
-                name=f"{part}-{node.name}",
+                name=f"{key.replace('/', '-')}-{node.name}",
                 seed=number,
                 front_addresses={node.name: ("127.0.0.1", node.front_port)},
             )
@@ -381,7 +391,7 @@
         end_s = start_s + CRASHING_PROMPTS_S
         while time.monotonic() < end_s:
             sender = self._rng.choice(senders)
-            self._poison_outcomes.append(sender.send_request(Kind.STREAM, part))
+            self._poison_outcomes.append(sender.send_request(kind, **request))
             time.sleep(CRASHING_PROMPT_INTERVAL_S)
         self._record_fault(start_s, time.monotonic() + FAULT_EFFECT_S, ())
         self._faults.remove((start_s, float("inf")))
@@ -489,8 +499,8 @@
             outcomes, runs, self._planned_stops, self._faults
         )
         self.violations += checks.check_versions(self._config_observations)
-        self.violations += checks.check_crashing_parts(
-            self.platform.crashing_parts,
+        self.violations += checks.check_crashing_keys(
+            self.platform.crashing_keys,
             self.platform.crashes,
             [times for _, *times in self._config_faults + self._planned_stops],
         )
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -39,6 +39,11 @@
     run_soak(3, SHORT_RUN_S, tmp_path, names)
 
 
+def test_one_deadly_request_is_stopped_under_faults(tmp_path):
+    names = ["do_send_request_that_crashes_instances", "do_limit_instances"]
+    run_soak(2, SHORT_RUN_S, tmp_path, names)
+
+
 @pytest.mark.soak
 def test_invariants_hold_under_faults_for_longer(tmp_path):
     run_soak(int(os.environ["CITRONPIN_SOAK_SEED"]), LONG_RUN_S, tmp_path)
@@ -142,10 +147,17 @@
 def test_requests_with_a_crashing_part_that_come_late_are_reported():
     crashes = {"bad": [1.0, 1.1, 1.2, 1.3, 1.4]}
     late = {"bad": [1.0, 4.5, 4.6, 4.7, 4.8]}
-    assert checks.check_crashing_parts(late, crashes, [])
-    assert not checks.check_crashing_parts(late, crashes, [(4.55, 4.65)])
-    assert not checks.check_crashing_parts({"bad": [1.0, 4.3, 4.39]}, crashes, [])
-    assert not checks.check_crashing_parts(late, {"bad": [1.0, 1.1]}, [])
+    assert checks.check_crashing_keys(late, crashes, [])
+    assert not checks.check_crashing_keys(late, crashes, [(4.55, 4.65)])
+    assert not checks.check_crashing_keys({"bad": [1.0, 4.3, 4.39]}, crashes, [])
+    assert not checks.check_crashing_keys(late, {"bad": [1.0, 1.1, 1.2]}, [])
+
+
+def test_one_crashing_request_that_comes_late_is_reported():
+    crashes = {"/swap/1-deadly0": [1.0, 1.1, 1.2]}
+    late = {"/swap/1-deadly0": [1.0, 4.3, 4.4, 4.5, 4.6]}
+    assert checks.check_crashing_keys(late, crashes, [])
+    assert not checks.check_crashing_keys(late, {"/swap/1-deadly0": [1.0, 1.1]}, [])
 
 
 def test_requests_beyond_a_limit_are_reported():
--- a/tools/measure_updates.py
+++ b/tools/measure_updates.py
@@ -18,7 +18,8 @@
 # Requests per second and instances, as many for each entry in every case.
 SOUND_PER_S_ENTRY = 8
 REPLICAS_PER_ENTRY = 3
-CASES = ("calm", "crashes", "limits")
+DEADLY_PER_S = 2
+CASES = ("calm", "parts", "requests", "limits")
 
 
 def measure(entries: int, case: str) -> dict[str, float]:
@@ -33,8 +34,17 @@
         limit_instances(replicas[: round(LIMITED_SHARE * len(replicas))], LIMIT)
     before = _sent(world)
     started_s = time.process_time()
-    poison_per_s = POISON_PER_S if case == "crashes" else 0
-    world.run(MEASURED_S, sound_per_s=sound_per_s, poison_per_s=poison_per_s)
+    if case == "requests":
+        world.run_deadly(
+            MEASURED_S,
+            target="/draft/deadly",
+            sound_per_s=sound_per_s,
+            reads_per_s=0,
+            deadly_per_s=DEADLY_PER_S,
+        )
+    else:
+        poison_per_s = POISON_PER_S if case == "parts" else 0
+        world.run(MEASURED_S, sound_per_s=sound_per_s, poison_per_s=poison_per_s)
     used_s = time.process_time() - started_s
     sent_bytes, sent_messages = (
         after - earlier for after, earlier in zip(_sent(world), before)
@@ -42,7 +52,7 @@
     return {
         "bytes_s": round(sent_bytes / MEASURED_S / entries),
         "messages_s": round(sent_messages / MEASURED_S / entries, 1),
-        "crashes": len(world.crashed_s),
+        "crashes": len(world.crashed_s) + len(world.deadly_crashed_s),
         "processor_s": round(used_s, 2),
     }
 
