--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -172,7 +172,7 @@
         return since_s >= UNCHANGED_UPDATE_INTERVAL_S
 
     def _update_permits(self, others: dict[EntryId, str], now_s: float) -> None:
-        """Update which entries own limits, and the part that this entry may deal."""
+        """Update which entries own limits, and the part that this entry may issue."""
         self._limits.expire(present=self._fleet.get)
         owners = {
             name
@@ -209,9 +209,9 @@
                 self._quarantine.record_alive(instance, since_s=since_s)
         if now_s - self._refreshed_s >= CRASH_REFRESH_S:
             self._refreshed_s = now_s
-            self._pass_on_crashes(self._quarantine.notable())
+            self._forward_crashes(self._quarantine.notable())
 
-    def _pass_on_crashes(self, keys: Collection[CrashKey]) -> None:
+    def _forward_crashes(self, keys: Collection[CrashKey]) -> None:
         for key in keys:
             if self._owns(key):
                 self._quarantine.add_news(key)
@@ -272,14 +272,14 @@
                 )
 
     def _apply_news(self, sender: EntryId, message: StatusUpdate, now_s: float) -> None:
-        """Apply the limits and crashes in an update, and pass on those owned here.
+        """Apply the limits and crashes in an update, and forward those owned here.
 
         With relays, the others hear of a limit or a key only from its owner. An entry
         that was not heard for a while is told all that it may have missed.
         """
         if not self._is_heard(sender, now_s):
             for instance in self._limits.current():
-                self._pass_on_limit(instance)
+                self._forward_limit(instance)
             for key in self._quarantine.notable():
                 self._quarantine.add_news(key)
         self._heard_s[sender] = now_s
@@ -287,13 +287,13 @@
         for report in message.limits:
             has_changed = self._limits.apply_report(report, source=sender)
             if has_changed and not is_mesh:
-                self._pass_on_limit(report.instance)
+                self._forward_limit(report.instance)
         changed = self._quarantine.merge(message.crashes, now_s=now_s)
         if not is_mesh:
-            self._pass_on_crashes(set(changed) & set(self._quarantine.notable()))
+            self._forward_crashes(set(changed) & set(self._quarantine.notable()))
         self._quarantine.merge_alive(message.alive, now_s=now_s)
 
-    def _pass_on_limit(self, instance: InstanceId) -> None:
+    def _forward_limit(self, instance: InstanceId) -> None:
         if self._owns(instance):
             self._limits.add_news(instance)
 
--- a/citronpin/gateway/limits.py
+++ b/citronpin/gateway/limits.py
@@ -29,7 +29,7 @@
 
     born_ms: int  # start of the life, Unix time
     rate: float | None  # requests per second; None after an answer without a limit
-    told_s: float  # see `LimitReport.age_ms`
+    as_of_s: float  # see `LimitReport.age_ms`
     changed_s: float  # when this entry learned that the limit began or ended
     source: str  # `OWN_ANSWER` or the entry that reported it
     exhausted_until_s: float = float("-inf")  # no permit is expected before
@@ -56,23 +56,25 @@
 
         ``sent_s`` is the clock time at which its request was sent.
         """
-        told_s = sent_s if rate is None else self._now()
-        if self._apply(instance.id, instance.born_ms, rate, told_s, OWN_ANSWER):
+        as_of_s = sent_s if rate is None else self._now()
+        if self._apply(instance.id, instance.born_ms, rate, as_of_s, OWN_ANSWER):
             self._news[instance.id] = None
 
     def apply_report(self, report: LimitReport, *, source: str) -> bool:
         """Apply what another entry knows; return whether a limit began or ended."""
-        told_s = self._now() - report.age_ms / MS_PER_S
+        as_of_s = self._now() - report.age_ms / MS_PER_S
         if report.rate is None:
-            told_s -= MESSAGE_DELAY_S
-        return self._apply(report.instance, report.born_ms, report.rate, told_s, source)
+            as_of_s -= MESSAGE_DELAY_S
+        return self._apply(
+            report.instance, report.born_ms, report.rate, as_of_s, source
+        )
 
     def _apply(
         self,
         instance: InstanceId,
         born_ms: int,
         rate: float | None,
-        told_s: float,
+        as_of_s: float,
         source: str,
     ) -> bool:
         known = self._known.get(instance)
@@ -84,18 +86,18 @@
             known = KnownLimit(
                 born_ms=born_ms,
                 rate=None,
-                told_s=float("-inf"),
+                as_of_s=float("-inf"),
                 changed_s=self._now(),
                 source=source,
             )
             self._known[instance] = known
             self._limit_size()
-        if told_s < known.told_s:
+        if as_of_s < known.as_of_s:
             return False
         has_changed = (rate is None) is not (known.rate is None)
         if has_changed:
             self._change(instance, known, rate, source)
-        known.rate, known.told_s = rate, told_s
+        known.rate, known.as_of_s = rate, as_of_s
         return has_changed
 
     def _change(
@@ -114,7 +116,7 @@
 
     def _limit_size(self) -> None:
         if len(self._known) > MAX_KNOWN_LIMITS:
-            oldest = min(self._known, key=lambda name: self._known[name].told_s)
+            oldest = min(self._known, key=lambda name: self._known[name].as_of_s)
             del self._known[oldest]
 
     def _find(self, instance: FleetInstance) -> KnownLimit | None:
@@ -135,7 +137,7 @@
         return self._report(instance, known)
 
     def _report(self, instance: InstanceId, known: KnownLimit) -> LimitReport:
-        age_ms = max(int((self._now() - known.told_s) * MS_PER_S), 0)
+        age_ms = max(int((self._now() - known.as_of_s) * MS_PER_S), 0)
         return LimitReport(instance, known.born_ms, known.rate, age_ms)
 
     def began_s(self, instance: InstanceId) -> float:
@@ -161,7 +163,7 @@
         if known is None:
             return 0.0
         if known.rate is not None:
-            is_confirmed = self._now() - known.told_s < CONFIRMATION_S
+            is_confirmed = self._now() - known.as_of_s < CONFIRMATION_S
             return LIMITED_COST_REQUESTS if is_confirmed else 0.0
         since_s = self._now() - known.changed_s
         return RAMP_COST_REQUESTS * max(1.0 - since_s / RAMP_S, 0.0)
@@ -191,7 +193,7 @@
     def expire(self, *, present: Callable[[InstanceId], object]) -> None:
         """Forget instances that are gone; ``present`` returns ``None`` for them."""
         for name, known in list(self._known.items()):
-            if self._now() - known.told_s > FORGET_AFTER_S and present(name) is None:
+            if self._now() - known.as_of_s > FORGET_AFTER_S and present(name) is None:
                 del self._known[name]
 
     def row(self, instance: FleetInstance) -> dict[str, object]:
@@ -202,7 +204,7 @@
         return {
             "instance": instance.id,
             "rate": known.rate,
-            "age_ms": round((self._now() - known.told_s) * MS_PER_S),
+            "age_ms": round((self._now() - known.as_of_s) * MS_PER_S),
             "source": known.source,
             "wait_ms": round(self.wait_s(instance) * MS_PER_S),
         }
--- a/citronpin/gateway/permits.py
+++ b/citronpin/gateway/permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to instances that named a limit, dealt by one entry each."""
+"""Permits to send requests to instances that named a limit; one entry issues each."""
 
 import logging
 from abc import ABC, abstractmethod
@@ -63,12 +63,12 @@
 
 
 class SharedPermits(Permits):
-    """Deals the permits of the limits that this entry owns, and requests the others.
+    """Issues the permits of the limits that this entry owns, and requests the others.
 
     Limits can be as small as one request a second, and entries as many as 89: a share
     for each entry would be far below one request. Each limit has one owner instead,
     whose token bucket all entries take from. An owner that hears only part of the other
-    entries deals that part of the limit, unless it is more than half.
+    entries issues that part of the limit, unless it is more than half.
     """
 
     def __init__(self, *, entry: EntryId, limits: InstanceLimits, clock: Clock) -> None:
@@ -78,7 +78,7 @@
         self._send: Callable[[EntryId, Message], bool] = lambda entry, message: False
         self._owners: frozenset[EntryId] = frozenset()
         self._owners_since_s = float("-inf")
-        self._share = 0.0  # of the limits that this entry may deal
+        self._share = 0.0  # of the limits that this entry may issue
         self._owned: dict[tuple[InstanceId, int], OwnedLimit] = {}
         self._pending: dict[int, PendingPermit] = {}
         self._number = 0
@@ -88,7 +88,7 @@
         self._send = send
 
     def set_members(self, *, owners: Collection[EntryId], share: float) -> None:
-        """Set which entries own limits, and the part of them that this entry may deal.
+        """Set which entries own limits, and the part of them that this entry may issue.
 
         An entry that loses a limit and owns it again begins with no permits.
         """
@@ -102,7 +102,7 @@
                 del self._owned[key]
 
     def owner(self, instance: InstanceId) -> EntryId | None:
-        """Return the entry that deals the permits of an instance, if one is known."""
+        """Return the entry that issues the permits of an instance, if one is known."""
         return owner_of(instance, self._owners) if self._owners else None
 
     def acquire(self, instance, done):
@@ -161,7 +161,7 @@
         return max(owned.next_ask_s - now_s, MIN_WAIT_S)
 
     def _add_owned(self, key: tuple[InstanceId, int], rate: float) -> OwnedLimit:
-        """Begin to deal the permits of a limit, from its begin or since it is owned."""
+        """Begin to issue the permits of a limit, from its begin or when it is owned."""
         since_s = max(self._limits.began_s(key[0]), self._owners_since_s)
         bucket = Bucket(
             rate=rate,
--- a/citronpin/gateway/quarantines.py
+++ b/citronpin/gateway/quarantines.py
@@ -25,11 +25,13 @@
 # One request is in progress at few instances at once, so it needs no spread.
 MIN_PART_SPREAD_S = 0.4
 TRIAL_INTERVAL_S = 2.0  # by then a request has its first event, or ended an instance
+RETRIAL_S = 60.0  # until a request is tried that no other key explains; then doubled
 MAX_CRASHES = MIN_CRASHES_AFTER_SUCCESS  # kept of a key
 MAX_SUSPECTS = 1_024
 MAX_REPORTED_KEYS = 64  # keeps updates small
 MAX_KNOWN_KEYS = 8_192
-MAX_KNOWN_LIVES = 1_024
+MAX_KNOWN_LIVES = 4_096
+LIFE_CHECK_S = 60.0  # by then an instance that goes on has registered again
 MIN_REPORTED_CRASHES = (
     2  # of keys that are repeated to entries; most have one by chance
 )
@@ -41,7 +43,7 @@
 CrashKey = PromptPartId | RequestFingerprint
 
 
-@lru_cache(maxsize=MAX_SUSPECTS)
+@lru_cache(maxsize=MAX_KNOWN_LIVES)
 def _life_number(instance: str, born_ms: int) -> int:
     return zlib.crc32(f"{instance}/{born_ms}".encode())
 
@@ -117,7 +119,8 @@
     An entry that has only seen requests with the same keys cannot tell which of them
     is to blame. While another quarantined key explains all crashes under a key, single
     requests with it and without the other one are let through: with a part at each
-    entry, of a fingerprint at one entry at a time.
+    entry, of a fingerprint at one entry at a time. A request that none explains is
+    tried so a minute after its latest crash, and later with each crash more.
     """
 
     def __init__(self, *, policy: QuarantinePolicy) -> None:
@@ -179,7 +182,7 @@
 
     @property
     def has_lives(self) -> bool:
-        """Return whether any instance is taken to have crashed."""
+        """Return whether an instance that is taken to have crashed may live on."""
         return bool(self._lives)
 
     def release(self, key: CrashKey, *, now_s: float) -> bool:
@@ -203,9 +206,15 @@
     ) -> bool:
         """Return whether a request with these keys may show that one is harmless."""
         history = self._suspects[key]
-        if is_fingerprint(key) and not self._is_turn(key, history, now_s):
+        if now_s - history.tried_s < TRIAL_INTERVAL_S:
             return False
-        return now_s - history.tried_s >= TRIAL_INTERVAL_S and any(
+        if is_fingerprint(key):
+            if not self._is_turn(key, history, now_s):
+                return False
+            retrial_s = RETRIAL_S * 2 ** (len(history.crashes) - MIN_CRASHES)
+            if now_s - history.last_crash_s >= retrial_s:
+                return True
+        return any(
             other.is_quarantined and history.crashes.keys() <= other.crashes.keys()
             for name, other in self._suspects.items()
             if name not in keys
@@ -258,12 +267,9 @@
             is_over = now_s > history.last_crash_s + 2 * QUARANTINE_S
             if is_over and key not in self._news:
                 del self._suspects[key]
-        if len(self._lives) > MAX_SUSPECTS:
-            self._lives = {
-                life: crashed_s
-                for history in self._suspects.values()
-                for life, crashed_s in history.crashes.items()
-            }
+        for life, crashed_s in list(self._lives.items()):
+            if now_s > crashed_s + LIFE_CHECK_S:
+                del self._lives[life]
 
     @property
     def has_news(self) -> bool:
--- a/citronpin/tests/test_quarantines.py
+++ b/citronpin/tests/test_quarantines.py
@@ -442,3 +442,18 @@
         tried = [one.admit(["request-hot"], now_s=now_s) is None for one in kept]
         assert sum(tried) == 1
         assert all(one.admit(["request-dead"], now_s=now_s) for one in kept)
+
+
+def test_request_that_no_other_explains_is_tried_once_a_minute_after_its_crash():
+    entries = [EntryId(f"n{number}") for number in range(9)]
+    kept = [CrashQuarantine(policy=ConsecutiveCrashes()) for _ in entries]
+    for name, one in zip(entries, kept):
+        one.set_members(entry=name, members=entries)
+        crash(one, ["request-1"], 0.0)
+    for now_s in (5.0, 20.0, 50.0):
+        assert all(one.admit(["request-1"], now_s=now_s) for one in kept)
+    assert sum(one.admit(["request-1"], now_s=61.5) is None for one in kept) == 1
+    for one in kept:
+        crash(one, ["request-1"], 61.6, count=1)
+    for now_s in (70.0, 121.0, 150.0):
+        assert all(one.admit(["request-1"], now_s=now_s) for one in kept)
