--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -175,16 +175,32 @@
         self.status, self.value = status, value
 
 
+def make_instance(number):
+    return FleetInstance(
+        id=InstanceId(f"i-{number}"),
+        service="engines",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        slots=9,
+    )
+
+
+def test_admin_page_shows_limits_with_their_age_and_owner(paused_clock, node):
+    instance = make_instance(1)
+    node.fleet.register(instance, now_s=paused_clock.now())
+    node.permits.set_members(owners=["n1", "n2"], share=1.0)
+    node.limits.record_answer(instance, rate=1.6, sent_s=0.0)
+    paused_clock.advance(0.5)
+    reply = JsonReply()
+    node._answer_limits(None, reply)
+    (row,) = reply.value
+    assert (row["instance"], row["rate"], row["age_ms"]) == ("i-1", 1.6, 500)
+    assert row["source"] == "own answer" and row["owner"] in ("n1", "n2")
+
+
 def test_admin_page_shows_and_releases_a_quarantined_part(paused_clock, node):
     for number in range(3):
-        instance = FleetInstance(
-            id=InstanceId(f"i-{number}"),
-            service="engines",
-            address="10.0.0.1:80",
-            failure_domain="a",
-            slots=9,
-        )
-        node.quarantine.record_crash(["p"], instance, now_s=float(number))
+        node.quarantine.record_crash(["p"], make_instance(number), now_s=float(number))
     paused_clock.advance(3.0)
     reply = JsonReply()
     node._answer_quarantines(None, reply)
