--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -290,8 +290,8 @@
             self._context.limits.record_answer(
                 attempt.instance, rate=attempt.named_limit, sent_s=attempt.sent_s
             )
-            self._context.quarantine.record_alive(
-                attempt.instance, since_s=attempt.sent_s
+            self._context.quarantine.record_answer(
+                attempt.instance, sent_s=attempt.sent_s
             )
 
     def _max_idle_s(self) -> float:
--- a/citronpin/gateway/quarantines.py
+++ b/citronpin/gateway/quarantines.py
@@ -31,6 +31,7 @@
 MAX_REPORTED_KEYS = 64  # keeps updates small
 MAX_KNOWN_KEYS = 8_192
 MAX_KNOWN_LIVES = 4_096
+MIN_RESTART_S = 1.0  # later answers may be of a new life under the same id
 LIFE_CHECK_S = 60.0  # by then an instance that goes on has registered again
 MIN_REPORTED_CRASHES = (
     2  # of keys that are repeated to entries; most have one by chance
@@ -161,6 +162,12 @@
             self._decide(key, now_s)
             self._news[key] = None
 
+    def record_answer(self, instance: FleetInstance, *, sent_s: float) -> None:
+        """Record that an instance answered a request that was sent at ``sent_s``."""
+        crashed_s = self._lives.get(life_of(instance), float("-inf"))
+        if sent_s < crashed_s + MIN_RESTART_S:
+            self.record_alive(instance, since_s=sent_s)
+
     def record_alive(self, instance: FleetInstance, *, since_s: float) -> None:
         """Record that the present life of an instance went on after ``since_s``."""
         life = life_of(instance)
--- a/citronpin/tests/test_quarantines.py
+++ b/citronpin/tests/test_quarantines.py
@@ -413,6 +413,20 @@
     assert not front.quarantine.has_lives
 
 
+def test_answer_of_a_new_life_under_the_same_id_does_not_refute_a_crash(paused_clock):
+    front = FrontHarness(clock=paused_clock, books=1)
+    front.scripts["b0"] = LosesAnswers()
+    front.send("/look-up/1", "GET", b"")
+    paused_clock.advance(0.1)
+    front.scripts["b0"] = lambda exchange: exchange.answer(
+        200, b"{}", instance_headers(exchange)
+    )
+    paused_clock.advance(2.0)  # started again; its registration has not been read
+    front.send("/look-up/2", "GET", b"")
+    paused_clock.advance(0.1)
+    assert front.quarantine.has_lives
+
+
 def test_requests_that_were_withdrawn_or_refused_are_not_taken_for_crashes(
     paused_clock,
 ):
