--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import json
-import socket
 from collections import defaultdict
 
 from circuits import Component
@@ -11,6 +10,7 @@
 from citronpin.basics.runners import Runner
 from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.instances import PlatformFleet
+from citronpin.tests.platforms.ports import free_port
 from citronpin.tests.platforms.requests import ROUTES, event
 from citronpin.tests.platforms.simulations import wire_config
 from citronpin.tests.platforms.stores import READ_HEADER, PlatformStore
@@ -28,13 +28,6 @@
 NOT_RUN_HEADERS = {HEADERS.not_run: "1"}
 
 
-def free_port():
-    """Return a TCP port that was free at the time of the call."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class LiveExchange:
     """A request to a server of the simulation, with the interface of its handlers."""
 
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -12,9 +12,10 @@
 from collections import Counter
 from pathlib import Path
 
+from citronpin.tests.platforms.ports import free_port
 from citronpin.tests.soaks import checks
 from citronpin.tests.soaks.callers import Caller, Kind
-from citronpin.tests.soaks.platforms import LivePlatform, free_port
+from citronpin.tests.soaks.platforms import LivePlatform
 from citronpin.tests.soaks.proxies import FaultProxy
 
 NODES = ("front-1", "front-2", "front-3")
--- a/citronpin/tests/test_commands_standins.py
+++ b/citronpin/tests/test_commands_standins.py
@@ -12,6 +12,7 @@
 
 from citronpin.commands.commands_standins import STANDINS
 from citronpin.tests.conftest import wait_until
+from citronpin.tests.platforms.ports import free_port
 
 STATUS_PATHS = {
     "engine": "/v1/status",
@@ -22,11 +23,6 @@
 }
 
 
-def _free_port():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
-
-
 def _fetch(port, path):
     try:
         with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}", timeout=5) as res:
@@ -44,7 +40,7 @@
     assert set(STANDINS) == set(STATUS_PATHS)
     running = []
     for kind in STANDINS:
-        port = _free_port()
+        port = free_port()
         path = tmp_path / f"{kind}.ini"
         path.write_text(f"[standin]\nlisten = 127.0.0.1:{port}\nname = {kind}\n")
         running.append((kind, port, _start_standin(kind, path)))
@@ -65,7 +61,7 @@
     resource.setrlimit(
         resource.RLIMIT_NOFILE, (max(descriptor_limits[0], 2_048), descriptor_limits[1])
     )
-    port = _free_port()
+    port = free_port()
     path = tmp_path / "service.ini"
     path.write_text(f"[standin]\nlisten = 127.0.0.1:{port}\n")
     process = _start_standin("service", path)
--- a/citronpin/tests/test_gateway_signals.py
+++ b/citronpin/tests/test_gateway_signals.py
@@ -3,19 +3,14 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 
 import pytest
 
-MAX_LINES_READ = 200
-
+from citronpin.tests.platforms.ports import free_port
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+MAX_LINES_READ = 200
 
 
 @pytest.fixture
