--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -18,7 +18,7 @@
 from citronpin.tests.soaks.platforms import LivePlatform
 from citronpin.tests.soaks.proxies import FaultProxy
 
-NODES = ("front-1", "front-2", "front-3")
+NODE_COUNT = 3
 GRACE_PERIOD_S = 6.0
 CONFIG_APPLY_LIMIT_S = 2.0  # from the write until an undisturbed node applies it
 # A fault excuses failures for this time after its end, as a fault of the platform does.
@@ -109,7 +109,16 @@
     lists the invariants that did not hold.
     """
 
-    def __init__(self, *, seed, seconds, folder, callers=4, faults=None):
+    def __init__(
+        self,
+        *,
+        seed,
+        seconds,
+        folder,
+        callers=4,
+        faults=None,
+        node_count=NODE_COUNT,
+    ):
         self._rng = random.Random(seed)
         self._seconds = seconds
         # `dir` sorts: another order of the names changes the faults of every seed.
@@ -128,7 +137,8 @@
         self._config_write_times = {}  # version -> monotonic time in s
         self._threads = []
         self._finished = threading.Event()
-        self.platform = LivePlatform(nodes=NODES)
+        names = [f"front-{number + 1}" for number in range(node_count)]
+        self.platform = LivePlatform(nodes=names)
         self.platform.start()
         self.nodes = [
             GatewayNode(name=name, store_address=proxy.address, folder=folder)
@@ -304,7 +314,7 @@
             self._rng.choice([0.5, 2.0]),
             lambda: setattr(store, fault, True),
             lambda: setattr(store, fault, False),
-            NODES,
+            self.platform.store_proxies,
         )
         self._do_configure()
 
@@ -316,7 +326,7 @@
             self._rng.choice([0.1, 1.0]),
             lambda: setattr(platform.store, "down", True),
             lambda: platform.call(lambda: platform.restore_store(lost_s)),
-            NODES,
+            self.platform.store_proxies,
         )
         self._do_configure()
 
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -17,14 +17,20 @@
     body_digest,
 )
 from citronpin.tests.soaks.proxies import FaultProxy
-from citronpin.tests.soaks.soaks import Soak
+from citronpin.tests.soaks.soaks import NODE_COUNT, Soak
 
 SHORT_RUN_S = 8.0
 LONG_RUN_S = 20.0
 
 
-def run_soak(seed, seconds, folder, faults=None):
-    soak = Soak(seed=seed, seconds=seconds, folder=folder, faults=faults)
+def run_soak(seed, seconds, folder, faults=None, node_count=NODE_COUNT):
+    soak = Soak(
+        seed=seed,
+        seconds=seconds,
+        folder=folder,
+        faults=faults,
+        node_count=node_count,
+    )
     soak.run()
     print(f"seed {seed}: {dict(soak.injected)}; {dict(soak.outcome_counts)}")
     assert soak.violations == []
@@ -46,7 +52,12 @@
 
 @pytest.mark.soak
 def test_invariants_hold_under_faults_for_longer(tmp_path):
-    run_soak(int(os.environ["CITRONPIN_SOAK_SEED"]), LONG_RUN_S, tmp_path)
+    run_soak(
+        int(os.environ["CITRONPIN_SOAK_SEED"]),
+        LONG_RUN_S,
+        tmp_path,
+        node_count=int(os.environ.get("CITRONPIN_SOAK_NODES", NODE_COUNT)),
+    )
 
 
 def test_reset_ends_a_connection_on_which_the_proxy_waits_for_data():
