--- a/citronpin/tests/soaks/proxies.py
+++ b/citronpin/tests/soaks/proxies.py
@@ -96,9 +96,11 @@
             while direction in self.dropped_directions and not self._closed:
                 time.sleep(POLL_INTERVAL_S)
         with self._lock:
+            is_open = pair in self._pairs  # else it is being reset, or was closed
             self._pairs.discard(pair)
-        for sock in pair:
-            _close(sock)
+        if is_open:
+            for sock in pair:
+                _close(sock)
 
 
 def _close(sock, reset=False):
