--- a/citronpin/gateway/answers.py
+++ b/citronpin/gateway/answers.py
@@ -48,6 +48,19 @@
         remedy="Try again on a new connection, which leads to another entry.",
         retry_after_s=0.05,
     )
+    FORWARDING_LIMIT = Refusal(
+        status=503,
+        kind="forwarding-limit",
+        detail="The entry takes no more requests from other entries.",
+        remedy="Try again after Retry-After.",
+        retry_after_s=0.2,
+    )
+    NOT_FORWARDED = Refusal(
+        status=503,
+        kind="not-forwarded",
+        detail="The request does not come from another entry of this system.",
+        remedy="Send requests of callers to the address for callers.",
+    )
     NO_ROUTE = Refusal(
         status=404,
         kind="no-route",
@@ -90,6 +103,20 @@
     )
 
 
+def unreachable_refusal(*, wait_s: float) -> Refusal:
+    """Return the refusal of an entry that reaches no instance, also not through others.
+
+    ``wait_s`` is the delay in seconds before a retry.
+    """
+    return Refusal(
+        status=503,
+        kind="unreachable",
+        detail="The request was not run: no instance can be reached from here.",
+        remedy="Try again after Retry-After, on a new connection.",
+        retry_after_s=max(round(wait_s, 2), MIN_RETRY_AFTER_S),
+    )
+
+
 def quarantined_subject(key: str) -> str:
     """Return what a quarantined key stands for, with the key."""
     return key if is_fingerprint(key) else f"prompt part {key}"
--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -1,4 +1,4 @@
-"""Sends a request to one instance and classifies how the attempt ended."""
+"""Sends a request to one recipient and classifies how the attempt ended."""
 
 import logging
 from abc import ABC, abstractmethod
@@ -8,7 +8,7 @@
 
 from citronpin.basics.clocks import Clock
 from citronpin.basics.errors import CitronpinError, ConnectionFailed, TimedOut
-from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.forward_codecs import REFUSAL_HEADER
 from citronpin.gateway.ports import HeaderNames
 from citronpin.web.clients import Exchange, HttpClient, ResponseSink
 
@@ -46,6 +46,18 @@
     body: bytes
 
 
+class AttemptRecipient(ABC):
+    """What an attempt is sent to."""
+
+    address: str  # IP:PORT
+    is_entry = False  # whether it is another entry, which sends to an instance
+    max_runs = 1  # instances that may run the request in one attempt
+
+    @abstractmethod
+    def summary(self) -> dict[str, object]:
+        """Return the log fields that name the recipient."""
+
+
 class AttemptOwner(ABC):
     """Receives the events of an attempt."""
 
@@ -67,14 +79,13 @@
 
 
 class Attempt(ResponseSink):
-    """Sends a request to an instance and checks that the answer belongs to it."""
+    """Sends a request to a recipient and checks that the answer belongs to it."""
 
     def __init__(
         self,
         *,
         owner: AttemptOwner,
-        instance: FleetInstance,
-        load: int,
+        recipient: AttemptRecipient,
         names: HeaderNames,
         client: HttpClient,
         clock: Clock,
@@ -84,8 +95,7 @@
         self._client = client
         self._clock = clock
         self._exchange: Exchange | None = None
-        self.instance = instance
-        self.load = load
+        self.recipient = recipient
         self.sent_s = clock.now()
         self.first_s: float | None = None  # clock time of the first body bytes
         self.ended_s: float | None = None
@@ -109,7 +119,7 @@
         """
         self._id = outgoing.attempt_id
         self._exchange = self._client.request(
-            address=self.instance.address,
+            address=self.recipient.address,
             method=outgoing.method,
             target=outgoing.target,
             host=outgoing.host,
@@ -126,6 +136,16 @@
         """Return whether the attempt has ended or was cancelled."""
         return self.ended_s is not None
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether the attempt still waits for its connection."""
+        return self._exchange is None or self._client.is_unsent(self._exchange)
+
+    @property
+    def refusal(self) -> str:
+        """Return the kind of refusal if the answer is one of another entry itself."""
+        return self.headers.get(REFUSAL_HEADER, "")
+
     @property
     def not_run(self) -> bool:
         """Return whether the answer states that the request did not run."""
@@ -206,14 +226,13 @@
 
     def summary(self) -> dict[str, object]:
         """Return the log fields of the attempt; times in milliseconds."""
-        fields: dict[str, object] = {"instance": self.instance.id, "load": self.load}
-        membership = self.instance.membership
-        if membership is not None:
-            fields["group"] = f"{membership.group}/{membership.epoch}"
+        fields = self.recipient.summary()
         if self.status:
             fields["status"] = self.status
         if self.named_limit is not None:
             fields["limit"] = self.named_limit
+        if self.refusal:
+            fields["refusal"] = self.refusal
         if self.first_s is not None:
             fields["first_ms"] = round((self.first_s - self.sent_s) * 1000)
         if self.ended_s is not None:
--- a/citronpin/gateway/buffered_exchanges.py
+++ b/citronpin/gateway/buffered_exchanges.py
@@ -3,12 +3,8 @@
 import logging
 
 from citronpin.gateway.attempts import MAX_BUFFERED_BYTES, Attempt, Fault
-from citronpin.gateway.exchanges import (
-    MIN_SERVER_ERROR_STATUS,
-    Exchange,
-    ExchangeContext,
-    Task,
-)
+from citronpin.gateway.contexts import ExchangeContext, Task
+from citronpin.gateway.exchanges import MIN_SERVER_ERROR_STATUS, Exchange
 from citronpin.gateway.placers import PlacementFailure
 from citronpin.gateway.routings import RequestKind
 from citronpin.web.replies import Reply
@@ -48,12 +44,14 @@
         self._parts.append(data)
 
     def attempt_ended(self, attempt: Attempt) -> None:
-        self._context.loads.request_ended(attempt.instance.id)
+        attempt.recipient.ended()
+        if attempt.refusal:
+            self._on_refusal(attempt, b"".join(self._parts))
+            return
         self._record_answered(attempt)
         fault = self._classify(attempt)
         if fault is None:
-            now_s = self._context.clock.now()
-            self._context.suspects.succeeded(attempt.instance.id, now_s=now_s)
+            attempt.recipient.record_progress()
             self._deliver_answer(attempt, b"".join(self._parts))
             return
         attempt.fault = fault
--- /dev/null
+++ b/citronpin/gateway/contexts.py
@@ -0,0 +1,184 @@
+"""Accepted requests, and the state that all exchanges of an entry share."""
+
+import logging
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import msgspec
+
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import (
+    ApplicationName,
+    CustomerName,
+    EntryId,
+    ModelName,
+    PromptPartId,
+)
+from citronpin.gateway.budgets import RetryBudget
+from citronpin.gateway.fingerprints import Fingerprints
+from citronpin.gateway.fleets import Fleet
+from citronpin.gateway.forward_codecs import ForwardCodec
+from citronpin.gateway.forward_peers import ForwardPeers
+from citronpin.gateway.limits import InstanceLimits
+from citronpin.gateway.load_trackers import LoadTracker
+from citronpin.gateway.overloads import (
+    FirstEventTimes,
+    LimitedRetryDelays,
+    RetryDelays,
+)
+from citronpin.gateway.permits import Permits
+from citronpin.gateway.placers import Placer
+from citronpin.gateway.ports import HeaderNames
+from citronpin.gateway.quarantines import CrashQuarantine
+from citronpin.gateway.reachabilities import Reachability, ReachListener
+from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
+from citronpin.gateway.suspects import Suspects
+from citronpin.web.clients import HttpClient
+from citronpin.web.replies import HttpRequest
+
+logger = logging.getLogger(__name__)
+
+BLAME_WITHDRAWN_S = 1.0  # covers what a lost path causes until it is noticed
+
+
+class Task(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted request and the configuration that applies to it."""
+
+    req: HttpRequest
+    route: Route
+    service: ApplicationName
+    customer: CustomerName | None
+    model: ModelName | None
+    received_s: float
+    deadline_s: float  # clock time until which the caller waits
+    config_version: int
+    priority: int
+    spent_s: float = 0.0  # by the caller in earlier attempts, estimated
+    engine: EngineSpec | None = None
+    prompt_parts: tuple[PromptPartId, ...] = ()
+    forwarded_by: EntryId | None = None  # the entry that received it from the caller
+    is_counted: bool = False  # in the retry budget of that entry
+
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the parts of the prompt but the last, which only this request has."""
+        return self.prompt_parts[:-1]
+
+    @property
+    def end_s(self) -> float:
+        """Return the clock time at which the request times out, in seconds.
+
+        This is the deadline of the caller or the time-out of the route, whichever is
+        earlier.
+        """
+        return min(self.deadline_s, self.received_s + self.route.timeout_s)
+
+
+class OpenExchange(ABC):
+    """A request in progress, as the components around the exchanges see it."""
+
+    @property
+    @abstractmethod
+    def is_forwarded(self) -> bool:
+        """Return whether another entry passed the request on."""
+
+    @abstractmethod
+    def check_stall(self, now_s: float) -> None:
+        """React to an answer that has not made progress for too long."""
+
+    @abstractmethod
+    def check_quarantine(self) -> None:
+        """Withdraw a request with a quarantined key that no instance has begun."""
+
+    @abstractmethod
+    def on_cut_off(self, service: ApplicationName) -> None:
+        """Move to another entry, if an instance of a lost service has the request."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Abort the request at the end of the process."""
+
+
+class ExchangeContext(ReachListener):
+    """Holds the state and services that all exchanges of an entry share."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        client: HttpClient,
+        names: HeaderNames,
+        fleet: Fleet,
+        placer: Placer,
+        loads: LoadTracker,
+        suspects: Suspects,
+        quarantine: CrashQuarantine,
+        limits: InstanceLimits,
+        permits: Permits,
+        fingerprints: Fingerprints,
+        first_event_times: FirstEventTimes,
+        reach: Reachability,
+        forward_peers: ForwardPeers,
+        forward_codec: ForwardCodec,
+        log: RequestLog,
+        rng: random.Random,
+        make_budget: Callable[[], RetryBudget],
+    ) -> None:
+        self.clock = clock
+        self.client = client
+        self.names = names
+        self.fleet = fleet
+        self.placer = placer
+        self.loads = loads
+        self.suspects = suspects
+        self.quarantine = quarantine
+        self.limits = limits
+        self.permits = permits
+        self.fingerprints = fingerprints
+        self.reach = reach
+        self.forward_peers = forward_peers
+        self.forward_codec = forward_codec
+        self.log = log
+        self.rng = rng
+        self.table: RoutingTable | None = None
+        # Returns whether `table` has every change that must be in force by now.
+        self.is_table_current: Callable[[], bool] = lambda: True
+        self.first_event_times = first_event_times
+        self.retry_delays = RetryDelays()
+        self.limited_retry_delays = LimitedRetryDelays()
+        self.entry_count = 1  # entries that share the retry budgets
+        self._initial_times_s: dict[str, float] = {}
+        self.open_exchanges: set[OpenExchange] = set()
+        self._make_budget = make_budget
+        reach.add_listener(self)
+        self._budgets: dict[ApplicationName, RetryBudget] = {}
+
+    def spent_s(self, *, route: Route, left_s: float) -> float:
+        """Estimate how many seconds a caller spent on earlier attempts.
+
+        All callers of a route start with the same time, so the difference between the
+        longest time left seen on the route and ``left_s`` was spent before.
+        """
+        initial_s = max(self._initial_times_s.get(route.name, 0.0), left_s)
+        self._initial_times_s[route.name] = initial_s
+        return initial_s - left_s
+
+    def budget(self, service: ApplicationName) -> RetryBudget:
+        """Return the retry budget of a service."""
+        if service not in self._budgets:
+            self._budgets[service] = self._make_budget()
+        return self._budgets[service]
+
+    def on_cut_off(self, service: ApplicationName) -> None:
+        """Blame no instance for the lost path, and move the requests in progress."""
+        since_s = self.clock.now() - BLAME_WITHDRAWN_S
+        self.quarantine.withdraw_crashes(since_s=since_s)
+        for instance in list(self.fleet.of_service(service)):
+            self.suspects.discard(instance.id)
+        for exchange in list(self.open_exchanges):
+            exchange.on_cut_off(service)
+
+    def on_regained(self, service: ApplicationName) -> None:
+        """Wait for the next requests, which go to the instances again."""
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -1,20 +1,14 @@
 """Sends a request to instances, retrying within bounds, until it has an answer."""
 
 import logging
-import random
 from abc import abstractmethod
-from collections.abc import Callable
 from functools import cached_property
 
-import msgspec
-
-from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
+from citronpin.basics.clocks import TimerHandle
 from citronpin.basics.ids import (
     ApplicationName,
-    CustomerName,
+    EntryId,
     InstanceId,
-    ModelName,
-    PromptPartId,
     RequestFingerprint,
 )
 from citronpin.gateway.answers import (
@@ -24,144 +18,48 @@
     quarantine_refusal,
     quarantined_subject,
     send_refusal,
+    unreachable_refusal,
 )
-from citronpin.gateway.attempts import (
-    MISDIRECTED_STATUS,
-    Attempt,
-    AttemptOwner,
-    Fault,
-    OutgoingRequest,
-)
-from citronpin.gateway.budgets import RetryBudget
-from citronpin.gateway.fingerprints import Fingerprints
-from citronpin.gateway.fleets import Fleet, FleetInstance
-from citronpin.gateway.limits import InstanceLimits
-from citronpin.gateway.load_trackers import LoadTracker
-from citronpin.gateway.overloads import (
-    FirstEventTimes,
-    LimitedRetryDelays,
-    Pending,
-    RetryDelays,
-    urgency,
+from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, OutgoingRequest
+from citronpin.gateway.contexts import ExchangeContext, OpenExchange, Task
+from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.forward_codecs import REFUSAL_HEADER
+from citronpin.gateway.forward_peers import ForwardPeer
+from citronpin.gateway.overloads import Pending
+from citronpin.gateway.placers import Demand, Placement, PlacementFailure
+from citronpin.gateway.quarantines import CrashKey
+from citronpin.gateway.recipients import (
+    HOP_BY_HOP_HEADERS,
+    EntryRecipient,
+    InstanceRecipient,
+    Recipient,
 )
-from citronpin.gateway.permits import Permits
-from citronpin.gateway.placers import Demand, Placement, PlacementFailure, Placer
-from citronpin.gateway.ports import HeaderNames
-from citronpin.gateway.quarantines import CrashKey, CrashQuarantine
-from citronpin.gateway.request_logs import OK_STATUSES, RequestLog
-from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
-from citronpin.gateway.suspects import Suspects
-from citronpin.web.clients import HttpClient
-from citronpin.web.replies import HttpRequest, Reply
+from citronpin.gateway.request_logs import OK_STATUSES
+from citronpin.web.replies import Reply
 
 logger = logging.getLogger(__name__)
 
-HOP_BY_HOP_HEADERS = frozenset(
-    "connection keep-alive proxy-authenticate proxy-authorization proxy-connection te "
-    "trailer transfer-encoding upgrade content-length host expect".split()
-)
-MAX_SENDS = 4  # of one request, counting those that instances refused
+MAX_SENDS = 4  # of one request to instances, counting those that these refused
+MAX_FORWARDS = 4  # of one request to other entries, counting those that these declined
+MAX_UNSENT = 3  # connections that may fail before another entry is asked
+SILENCE_S = 0.5  # until the path to the instances is doubted
+MOVE_AFTER_S = 0.25  # without progress, when no instance is reached any more
 MAX_REFUSED_PERMITS = 2  # of one request; asking for another delays it further
 MAX_LOGGED_LIMITS = 4
 MIN_SERVER_ERROR_STATUS = 500
-
-
-class Task(msgspec.Struct, frozen=True, kw_only=True):
-    """An accepted request and the configuration that applies to it."""
-
-    req: HttpRequest
-    route: Route
-    service: ApplicationName
-    customer: CustomerName | None
-    model: ModelName | None
-    received_s: float
-    deadline_s: float  # clock time until which the caller waits
-    config_version: int
-    priority: int
-    spent_s: float = 0.0  # by the caller in earlier attempts, estimated
-    engine: EngineSpec | None = None
-    prompt_parts: tuple[PromptPartId, ...] = ()
-
-    @property
-    def shared_parts(self) -> tuple[PromptPartId, ...]:
-        """Return the parts of the prompt but the last, which only this request has."""
-        return self.prompt_parts[:-1]
-
-    @property
-    def end_s(self) -> float:
-        """Return the clock time at which the request times out, in seconds.
-
-        This is the deadline of the caller or the time-out of the route, whichever is
-        earlier.
-        """
-        return min(self.deadline_s, self.received_s + self.route.timeout_s)
-
-
-class ExchangeContext:
-    """Holds the state and services that all exchanges of an entry share."""
-
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        client: HttpClient,
-        names: HeaderNames,
-        fleet: Fleet,
-        placer: Placer,
-        loads: LoadTracker,
-        suspects: Suspects,
-        quarantine: CrashQuarantine,
-        limits: InstanceLimits,
-        permits: Permits,
-        fingerprints: Fingerprints,
-        first_event_times: FirstEventTimes,
-        log: RequestLog,
-        rng: random.Random,
-        make_budget,
-    ) -> None:
-        self.clock = clock
-        self.client = client
-        self.names = names
-        self.fleet = fleet
-        self.placer = placer
-        self.loads = loads
-        self.suspects = suspects
-        self.quarantine = quarantine
-        self.limits = limits
-        self.permits = permits
-        self.fingerprints = fingerprints
-        self.log = log
-        self.rng = rng
-        self.table: RoutingTable | None = None
-        # Returns whether `table` has every change that must be in force by now.
-        self.is_table_current: Callable[[], bool] = lambda: True
-        self.first_event_times = first_event_times
-        self.retry_delays = RetryDelays()
-        self.limited_retry_delays = LimitedRetryDelays()
-        self.entry_count = 1  # entries that share the retry budgets
-        self._initial_times_s: dict[str, float] = {}
-        self.open_exchanges: set["Exchange"] = set()
-        self._make_budget = make_budget
-        self._budgets: dict[ApplicationName, RetryBudget] = {}
-
-    def spent_s(self, *, route: Route, left_s: float) -> float:
-        """Estimate how many seconds a caller spent on earlier attempts.
-
-        All callers of a route start with the same time, so the difference between the
-        longest time left seen on the route and ``left_s`` was spent before.
-        """
-        initial_s = max(self._initial_times_s.get(route.name, 0.0), left_s)
-        self._initial_times_s[route.name] = initial_s
-        return initial_s - left_s
-
-    def budget(self, service: ApplicationName) -> RetryBudget:
-        """Return the retry budget of a service."""
-        if service not in self._budgets:
-            self._budgets[service] = self._make_budget()
-        return self._budgets[service]
-
-
-class Exchange(AttemptOwner):
+# What the refusals of another entry mean here; all others are passed on.
+FAULT_BY_REFUSAL = {
+    "unreachable": Fault.UNSENT,
+    "forwarding-limit": Fault.UNSENT,
+    "stopping": Fault.UNSENT,
+    "not-ready": Fault.UNSENT,
+    "not-forwarded": Fault.UNSENT,
+    "answer-lost": Fault.LOST,
+    "timed-out": Fault.TIMED_OUT,
+}
+
+
+class Exchange(AttemptOwner, OpenExchange):
     """Base class: places and sends a request and gives exactly one final answer."""
 
     MAX_CONNECTION_IDLE_S = 4.0  # instances may close connections idle for longer
@@ -177,6 +75,7 @@
         self._reason = ""  # why the request was refused, for the log
         self._limit_rows: list[dict[str, object]] = []  # that decided, for the log
         self._refused_permits = 0
+        self._is_counted = task.is_counted
         self._outgoing = OutgoingRequest(
             method=task.req.method,
             target=task.req.target,
@@ -194,21 +93,74 @@
         now_s = self._context.clock.now()
         self._context.open_exchanges.add(self)
         self._reply.on_disconnect = self._on_caller_left
-        self._context.budget(self._task.service).count_request(now_s=now_s)
         self._context.retry_delays.count_request(now_s=now_s)
+        if not self._should_forward:
+            self._count()
         self._timer = self._context.clock.call_later(
             self._task.end_s - now_s, self._on_timeout
         )
         self._send_next()
 
+    @property
+    def is_forwarded(self) -> bool:
+        return self._task.forwarded_by is not None
+
+    def _count(self) -> None:
+        """Count the request in the retry budget, once over the entries it passes."""
+        if not self._is_counted:
+            self._is_counted = True
+            now_s = self._context.clock.now()
+            self._context.budget(self._task.service).count_request(now_s=now_s)
+
     @property
     def run_count(self) -> int:
-        """Return in how many attempts the request may have run."""
+        """Return how many instances may have run the request."""
         return sum(
-            attempt.fault is None or attempt.fault.may_have_run
+            attempt.recipient.max_runs
+            for attempt in self._attempts
+            if attempt.fault is None or attempt.fault.may_have_run
+        )
+
+    def _count_attempts(self, *, to_entries: bool, fault: Fault | None = None) -> int:
+        return sum(
+            attempt.recipient.is_entry is to_entries
+            and (fault is None or attempt.fault is fault)
             for attempt in self._attempts
         )
 
+    @property
+    def _should_forward(self) -> bool:
+        """Return whether the next attempt goes to another entry.
+
+        A request that came from another entry is not passed on again.
+        """
+        if self.is_forwarded:
+            return False
+        reach, service = self._context.reach, self._task.service
+        unsent = self._count_attempts(to_entries=False, fault=Fault.UNSENT)
+        if not reach.is_cut_off(service) and unsent < MAX_UNSENT:
+            return False
+        if self._select_peer() is not None:
+            return True
+        # Without another entry, connections that are still open may do.
+        return reach.is_cut_off(service) and not reach.is_heard(service)
+
+    def _select_peer(self) -> ForwardPeer | None:
+        if not self._context.forward_codec.has_key:
+            return None
+        return self._context.forward_peers.select(
+            self._task.service, excluded=self._asked_entries
+        )
+
+    @property
+    def _asked_entries(self) -> set[EntryId]:
+        """Return the entries that did not take the request."""
+        return {
+            attempt.recipient.entry
+            for attempt in self._attempts
+            if attempt.recipient.is_entry and attempt.fault is Fault.UNSENT
+        }
+
     @property
     def _last_attempt(self) -> Attempt | None:
         return self._attempts[-1] if self._attempts else None
@@ -242,6 +194,12 @@
         now_s = self._context.clock.now()
         if self._refuse_quarantined():
             return
+        if self._should_forward:
+            self._send_to_entry()
+            return
+        if self.is_forwarded and self._context.reach.is_cut_off(self._task.service):
+            self._on_placement_failure(PlacementFailure.unreachable())
+            return
         placement = self._context.placer.place(demand=self._demand(), now_s=now_s)
         if isinstance(placement, PlacementFailure):
             self._on_placement_failure(placement)
@@ -254,7 +212,7 @@
         if self._done:
             return
         if granted and self._is_registered(placement.instance):
-            self._start_attempt(placement)
+            self._send_to_instance(placement)
             return
         if not granted:
             self._refused_permits += 1
@@ -271,58 +229,51 @@
         if row and len(self._limit_rows) < MAX_LOGGED_LIMITS:
             self._limit_rows.append(row)
 
-    def _start_attempt(self, placement: Placement) -> None:
+    def _send_to_entry(self) -> None:
+        """Send to another entry, or answer when none takes the request."""
+        peer = self._select_peer()
+        if peer is None or self._count_attempts(to_entries=True) >= MAX_FORWARDS:
+            self._on_placement_failure(PlacementFailure.unreachable())
+            return
+        left = max(self._task.route.max_attempts - self.run_count, 1)
+        recipient = EntryRecipient(
+            peer=peer,
+            service=self._task.service,
+            max_runs=(left + 1) // 2,  # the rest is for an attempt through another one
+            is_counted=self._is_counted,
+            context=self._context,
+        )
+        self._is_counted = True
+        self._start_attempt(recipient)
+
+    def _send_to_instance(self, placement: Placement) -> None:
+        self._count()
+        self._excluded.add(placement.instance.id)
+        self._start_attempt(
+            InstanceRecipient(placement=placement, context=self._context)
+        )
+
+    def _start_attempt(self, recipient: Recipient) -> None:
         attempt = Attempt(
             owner=self,
-            instance=placement.instance,
-            load=placement.load,
+            recipient=recipient,
             names=self._context.names,
             client=self._context.client,
             clock=self._context.clock,
         )
         self._attempts.append(attempt)
-        self._excluded.add(placement.instance.id)
-        self._context.loads.request_started(placement.instance.id)
-        attempt.send(self._outgoing, self._headers(attempt), self._max_idle_s())
+        recipient.started()
+        headers = recipient.headers(
+            self._task, self._pending(), self._override_headers()
+        )
+        attempt.send(self._outgoing, headers, self._max_idle_s())
 
     def attempt_head(self, attempt: Attempt) -> None:
-        if attempt.status != MISDIRECTED_STATUS:
-            self._context.limits.record_answer(
-                attempt.instance, rate=attempt.named_limit, sent_s=attempt.sent_s
-            )
-            self._context.quarantine.record_answer(
-                attempt.instance, sent_s=attempt.sent_s
-            )
+        attempt.recipient.record_head(attempt)
 
     def _max_idle_s(self) -> float:
         return self.MAX_CONNECTION_IDLE_S
 
-    def _headers(self, attempt: Attempt) -> tuple[tuple[str, str], ...]:
-        names = self._context.names
-        dropped = {
-            names.key,
-            names.customer,
-            names.deadline_ms,
-            names.expect_instance,
-            names.urgency,
-            *self._override_headers(),
-        }
-        for name in self._task.req.headers.get("connection", "").split(","):
-            dropped.add(name.strip().lower())
-        headers = [
-            (name, value)
-            for name, value in self._task.req.headers.items()
-            if name not in HOP_BY_HOP_HEADERS and name not in dropped
-        ]
-        left_s = self._task.end_s - self._context.clock.now()
-        headers.append((names.deadline_ms, str(max(int(left_s * MS_PER_S), 1))))
-        headers.append((names.expect_instance, attempt.instance.id))
-        if self._task.customer is not None:
-            headers.append((names.customer, self._task.customer))
-        if self._task.engine is not None:
-            headers.append((names.urgency, str(urgency(self._pending()).value)))
-        return (*headers, *self._override_headers().items())
-
     def _override_headers(self) -> dict[str, str]:
         """Return headers that override those of the caller."""
         return {}
@@ -330,7 +281,7 @@
     def _may_retry(self, fault: Fault, *, midway: bool = False) -> bool:
         """Return whether the request may be retried, and count it in the budget."""
         task = self._task
-        if len(self._attempts) >= MAX_SENDS:
+        if not self._has_attempts_left:
             return False
         if fault.may_have_run:
             if not task.route.repeatable or self.run_count >= task.route.max_attempts:
@@ -342,26 +293,15 @@
             entry_count=self._context.entry_count, midway=midway, now_s=now_s
         )
 
-    def _report_fault(self, attempt: Attempt, fault: Fault) -> None:
-        """Report a fault to the suspects, which later placements take into account."""
-        suspects, now_s = self._context.suspects, self._context.clock.now()
-        if fault is Fault.UNSENT:
-            suspects.unreachable(attempt.instance.id, now_s=now_s)
-        elif fault is Fault.STALLED:
-            suspects.stalled(attempt.instance.id, now_s=now_s)
-        elif fault is Fault.NOT_RUN:
-            if attempt.load < attempt.instance.slots:
-                suspects.refused(attempt.instance.id, now_s=now_s)
-        else:
-            suspects.failed(attempt.instance.id)
-        if fault is Fault.LOST and not self._is_leaving(attempt.instance):
-            self._context.quarantine.record_crash(
-                self._keys_of_crash(attempt), attempt.instance, now_s=now_s
-            )
+    @property
+    def _has_attempts_left(self) -> bool:
+        if self._should_forward:
+            return self._count_attempts(to_entries=True) < MAX_FORWARDS
+        return self._count_attempts(to_entries=False) < MAX_SENDS
 
-    def _is_leaving(self, instance: FleetInstance) -> bool:
-        known = self._context.fleet.get(instance.id)
-        return known is not None and known.draining
+    def _report_fault(self, attempt: Attempt, fault: Fault) -> None:
+        """Report a fault, which later placements take into account."""
+        attempt.recipient.record_fault(attempt, fault, self._keys_of_crash(attempt))
 
     def _keys_of_crash(self, attempt: Attempt) -> tuple[CrashKey, ...]:
         """Return the keys under which the instance of an attempt ended."""
@@ -375,10 +315,60 @@
             )
 
     def attempt_failed(self, attempt: Attempt, fault: Fault) -> None:
-        self._context.loads.request_ended(attempt.instance.id)
+        attempt.recipient.ended()
         self._report_fault(attempt, fault)
         self._on_fault(fault)
 
+    def _cancel_attempt(self, attempt: Attempt, fault: Fault, detail: str) -> None:
+        attempt.cancel(fault, detail)
+        attempt.recipient.ended()
+
+    def _on_refusal(self, attempt: Attempt, body: bytes) -> None:
+        """Handle that another entry refused the request or lost its answer."""
+        fault = FAULT_BY_REFUSAL.get(attempt.refusal)
+        if fault is not None:
+            attempt.fault = fault
+            self._report_fault(attempt, fault)
+            self._on_fault(fault)
+            return
+        attempt.fault = Fault.NOT_RUN
+        if self.run_count or self._midway:
+            self._on_placement_failure(
+                PlacementFailure(reason=attempt.refusal, candidates=0)
+            )
+            return
+        self._reason = f"refused by {attempt.recipient.entry}"
+        self._close(attempt.refusal, attempt.status)
+        self._send_answer_of(attempt, body)
+
+    def check_stall(self, now_s: float) -> None:
+        """Doubt the path to the instances when an answer does not begin."""
+        last = self._last_attempt
+        if self._done or last is None or last.is_over or last.first_s is not None:
+            return
+        if now_s - last.sent_s >= SILENCE_S:
+            last.recipient.doubt()
+
+    def check_quarantine(self) -> None:
+        """Leave the request where it is: an answer that is not streamed comes soon."""
+
+    def on_cut_off(self, service: ApplicationName) -> None:
+        last = self._last_attempt
+        if self._done or last is None or last.is_over or last.recipient.is_entry:
+            return
+        if service != self._task.service:
+            return
+        idle_s = self._context.clock.now() - self._last_progress_s(last)
+        if not last.is_unsent and idle_s < MOVE_AFTER_S:
+            return
+        fault = Fault.UNSENT if last.is_unsent else Fault.STALLED
+        if self._may_retry(fault, midway=self._midway):
+            self._cancel_attempt(last, fault, "no instance is reached")
+            self._send_next()
+
+    def _last_progress_s(self, attempt: Attempt) -> float:
+        return attempt.sent_s if attempt.first_s is None else attempt.first_s
+
     @abstractmethod
     def _on_fault(self, fault: Fault) -> None:
         """Retry or answer after the last attempt failed."""
@@ -389,7 +379,10 @@
 
     def _refuse_placement(self, failure: PlacementFailure) -> None:
         self._reason = f"{failure.reason}: {failure.candidates}, load {failure.load}"
-        if failure.limited:
+        if failure.is_unreachable:
+            wait_s = self._retry_delay_s()
+            self._answer(unreachable_refusal(wait_s=wait_s))
+        elif failure.limited:
             self._refuse_limited(failure)
         else:
             self._refuse(failure.reason)
@@ -437,20 +430,26 @@
 
     def _refuse(self, reason: str) -> None:
         """Answer that the request did not run, with the delay before a retry."""
+        wait_s = self._retry_delay_s()
+        self._answer(no_place_refusal(reason=reason, wait_s=wait_s))
+
+    def _retry_delay_s(self) -> float:
         now_s = self._context.clock.now()
-        wait_s = self._context.retry_delays.refuse(
+        return self._context.retry_delays.refuse(
             left_s=self._task.deadline_s - now_s,
             draw=self._context.rng.random(),
             now_s=now_s,
         )
-        self._answer(no_place_refusal(reason=reason, wait_s=wait_s))
 
     def _answer(self, refusal: Refusal) -> None:
         """Send a final answer that the entry itself produced."""
         if self._done:
             return
         self._close(refusal.kind, refusal.status)
-        send_refusal(self._reply, refusal, self._echo_headers())
+        headers = self._echo_headers()
+        if self.is_forwarded:
+            headers[REFUSAL_HEADER] = refusal.kind
+        send_refusal(self._reply, refusal, headers)
 
     def _echo_headers(self) -> dict[str, str]:
         return {self._context.names.attempt: self._outgoing.attempt_id}
@@ -467,6 +466,9 @@
     def _deliver_answer(self, attempt: Attempt, body: bytes) -> None:
         """Forward the complete answer of an instance unchanged."""
         self._close("delivered", attempt.status)
+        self._send_answer_of(attempt, body)
+
+    def _send_answer_of(self, attempt: Attempt, body: bytes) -> None:
         headers = end_to_end_headers(attempt.headers)
         content_type = headers.pop("content-type", "application/octet-stream")
         self._reply.send_response(attempt.status, body, content_type, headers)
@@ -474,8 +476,9 @@
     def _on_timeout(self) -> None:
         last = self._last_attempt
         if last is not None and not last.is_over:
-            last.cancel(Fault.TIMED_OUT, "the time of the request is over")
-            self._context.loads.request_ended(last.instance.id)
+            self._cancel_attempt(
+                last, Fault.TIMED_OUT, "the time of the request is over"
+            )
             self._report_fault(last, Fault.TIMED_OUT)
         self._answer_timeout()
 
@@ -496,8 +499,7 @@
     def _on_caller_left(self, outcome: str = "caller-left") -> None:
         last = self._last_attempt
         if last is not None and not last.is_over:
-            last.cancel(Fault.LOST, outcome)
-            self._context.loads.request_ended(last.instance.id)
+            self._cancel_attempt(last, Fault.LOST, outcome)
         self._close(outcome, 0)
 
     def _close(self, outcome: str, status: int) -> None:
@@ -521,5 +523,7 @@
 def end_to_end_headers(headers: dict[str, str]) -> dict[str, str]:
     """Return the headers of an answer without the hop-by-hop ones."""
     return {
-        name: value for name, value in headers.items() if name not in HOP_BY_HOP_HEADERS
+        name: value
+        for name, value in headers.items()
+        if name not in HOP_BY_HOP_HEADERS and name != REFUSAL_HEADER
     }
--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -37,6 +37,7 @@
     OrderKind,
     OrderResult,
 )
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.routings import EngineSpec
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.watches import MemberWatch
@@ -72,8 +73,10 @@
         suspects: Suspects,
         clock: Clock,
         heartbeat_s: float,
+        reach: Reachability,
     ) -> None:
         self._suspects = suspects
+        self._reach = reach
         self.service = service
         self.domain = domain
         self._fleet = fleet
@@ -82,7 +85,11 @@
         self._leases = leases
         self._clock = clock
         self._watch = MemberWatch(
-            control=control, fleet=fleet, clock=clock, heartbeat_s=heartbeat_s
+            control=control,
+            fleet=fleet,
+            clock=clock,
+            heartbeat_s=heartbeat_s,
+            reach=reach,
         )
         self._formations: dict[GroupId, Formation] = {}
         self._closes: dict[GroupId, float] = {}
@@ -140,8 +147,15 @@
         ]
         suspected_groups = self._suspected_groups(instances, now_s)
         busy = bool(suspected_groups) or now_s - self._last_order_s < BUSY_AFTER_ORDER_S
+        if self._reach.is_cut_off(self.service):
+            # Silent members may be alive, and no order would reach them.
+            self._watch.forget_misses()
+            self.heads = ()
+            return
         self._watch.poll(instances, busy=busy)
         self._watch.retain_only({instance.id for instance in instances})
+        if self._reach.is_uncertain(self.service):
+            return
         views = {
             instance.id: self._view_of(
                 instance, _group_of(instance) in suspected_groups
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -11,6 +11,7 @@
 from citronpin.gateway.planners import GroupPlanner
 from citronpin.gateway.plans import Pressure
 from citronpin.gateway.ports import DomainLeases, InstanceControl
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.routings import EngineSpec, ModelSpec, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.messages import HeadStatus
@@ -61,7 +62,9 @@
         loads: LoadTracker,
         clock: Clock,
         heartbeat_s: float,
+        reach: Reachability,
     ) -> None:
+        self._reach = reach
         self._suspects = suspects
         self._pressures = Pressures(loads=loads)
         self._fleet = fleet
@@ -129,6 +132,7 @@
                     suspects=self._suspects,
                     clock=self._clock,
                     heartbeat_s=self._heartbeat_s,
+                    reach=self._reach,
                 )
             controller = self._controllers[key]
             if not self._leases.holds(domain):
--- /dev/null
+++ b/citronpin/gateway/forward_peers.py
@@ -0,0 +1,101 @@
+"""Selects the entry to which requests are passed on when no instance is reached."""
+
+import logging
+import random
+from collections import Counter
+from collections.abc import Collection, Iterable
+
+import msgspec
+
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import ApplicationName, EntryId, FailureDomainName
+
+logger = logging.getLogger(__name__)
+
+REMOTE_COST_REQUESTS = 8.0  # prefers the own failure domain until it has so many more
+DECLINED_S = 1.0  # for which an entry that declined is not asked again
+UNREACHABLE_S = 2.0  # for which an entry that took no connection is not asked again
+REPORT_TTL_S = 2.0  # of what an entry says it cannot reach
+
+
+class ForwardPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Another entry and the address, ``IP:PORT``, at which it takes requests."""
+
+    name: EntryId
+    address: str
+    failure_domain: FailureDomainName
+
+
+class ForwardPeers:
+    """Selects entries by requests passed on in progress, near ones first.
+
+    Entries that reported that they cannot reach a service, declined a request for it
+    or did not answer are left out for a while.
+    """
+
+    def __init__(
+        self, *, failure_domain: FailureDomainName, clock: Clock, rng: random.Random
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._rng = rng
+        self._peers: tuple[ForwardPeer, ...] = ()
+        self._open: Counter[EntryId] = Counter()
+        self._avoided_until_s: dict[tuple[EntryId, ApplicationName | None], float] = {}
+
+    def set_peers(self, peers: Iterable[ForwardPeer]) -> None:
+        """Set the other entries that take requests."""
+        self._peers = tuple(peers)
+
+    def record_cut_off(
+        self, entry: EntryId, services: Iterable[ApplicationName]
+    ) -> None:
+        """Store of which services another entry reaches no instance."""
+        for service in services:
+            self._avoid(entry, service, REPORT_TTL_S)
+
+    def declined(self, entry: EntryId, service: ApplicationName) -> None:
+        """Record that an entry does not take requests for a service now."""
+        self._avoid(entry, service, DECLINED_S)
+
+    def unreachable(self, entry: EntryId) -> None:
+        """Record that an entry takes no connection, or stopped answering."""
+        self._avoid(entry, None, UNREACHABLE_S)
+
+    def _avoid(
+        self, entry: EntryId, service: ApplicationName | None, for_s: float
+    ) -> None:
+        self._avoided_until_s[entry, service] = self._clock.now() + for_s
+
+    def started(self, entry: EntryId) -> None:
+        """Count a request passed on to an entry."""
+        self._open[entry] += 1
+
+    def ended(self, entry: EntryId) -> None:
+        """Remove a request that ended from the count."""
+        self._open[entry] -= 1
+        if self._open[entry] <= 0:
+            del self._open[entry]
+
+    def select(
+        self, service: ApplicationName, *, excluded: Collection[EntryId] = ()
+    ) -> ForwardPeer | None:
+        """Return the entry that gets the next request, or ``None`` without one."""
+        usable = [
+            peer
+            for peer in self._peers
+            if peer.name not in excluded and not self._is_avoided(peer.name, service)
+        ]
+        self._rng.shuffle(usable)
+        return min(usable, key=self._cost, default=None)
+
+    def _is_avoided(self, entry: EntryId, service: ApplicationName) -> bool:
+        now_s = self._clock.now()
+        return any(
+            self._avoided_until_s.get((entry, key), 0.0) > now_s
+            for key in (service, None)
+        )
+
+    def _cost(self, peer: ForwardPeer) -> float:
+        is_remote = peer.failure_domain != self._failure_domain
+        return self._open[peer.name] + REMOTE_COST_REQUESTS * is_remote
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -1,13 +1,30 @@
-"""Accepts requests of callers, resolves route and customer and starts exchanges."""
+"""Accepts requests of callers and of other entries and starts their exchanges."""
 
 import logging
 
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.ids import ApplicationName, ModelName, PromptPartId
-from citronpin.gateway.answers import Refusal, RefusalKind, send_refusal
+from citronpin.gateway.answers import (
+    Refusal,
+    RefusalKind,
+    send_refusal,
+    unreachable_refusal,
+)
 from citronpin.gateway.buffered_exchanges import BufferedExchange
-from citronpin.gateway.exchanges import ExchangeContext, Task
-from citronpin.gateway.routings import RequestKind, Route, RoutingTable, Tenant
+from citronpin.gateway.contexts import ExchangeContext, Task
+from citronpin.gateway.forward_codecs import (
+    FORWARDED_HEADER,
+    REFUSAL_HEADER,
+    ForwardCodec,
+)
+from citronpin.gateway.forwards import make_task
+from citronpin.gateway.routings import (
+    EngineSpec,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Tenant,
+)
 from citronpin.gateway.stream_exchanges import StreamExchange
 from citronpin.web.replies import HttpHandler, HttpRequest, Reply
 
@@ -82,13 +99,8 @@
     ) -> None:
         now_s = self._context.clock.now()
         service = self._select_service(route)
-        spec = table.services.get(service)
-        engine = None if spec is None else spec.engine
-        model, prompt_parts = None, ()
-        if engine is not None:
-            names = self._context.names
-            model = ModelName(req.headers.get(names.model, ""))
-            prompt_parts = parse_prompt_parts(req.headers.get(names.prompt_parts, ""))
+        engine = _engine_of(service, table)
+        model, prompt_parts = _model_and_parts(req, engine, self._context)
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
@@ -107,9 +119,7 @@
             engine=engine,
             prompt_parts=prompt_parts,
         )
-        is_stream = route.kind is RequestKind.STREAM
-        exchange_class = StreamExchange if is_stream else BufferedExchange
-        exchange_class(task=task, reply=reply, context=self._context).start()
+        _start(task, reply, self._context)
 
     def _select_service(self, route: Route) -> ApplicationName:
         if len(route.targets) == 1:
@@ -143,6 +153,102 @@
         send_refusal(reply, refusal, {self._context.names.attempt: attempt})
 
 
+class ForwardHandler(HttpHandler):
+    """Starts the exchanges of requests that other entries pass on.
+
+    The entry that received a request from its caller has decided on route and
+    customer. What cannot be taken is refused at once, so that it asks another entry.
+    """
+
+    MAX_FORWARDED_REQUESTS = 256  # in progress, of all other entries together
+
+    def __init__(self, *, context: ExchangeContext, codec: ForwardCodec) -> None:
+        self._context = context
+        self._codec = codec
+        self._is_stopping = False
+
+    def stop(self) -> None:
+        """Refuse all further requests."""
+        self._is_stopping = True
+
+    def handle(self, req: HttpRequest, reply: Reply) -> None:
+        result = self._codec.decode(req.headers.get(FORWARDED_HEADER, ""))
+        if result.is_err():
+            logger.warning(
+                "forwarded request rejected", extra={"detail": str(result.err_value)}
+            )
+            self._refuse(req, reply, RefusalKind.NOT_FORWARDED.value)
+            return
+        sender, message = result.ok_value
+        refusal = self._refusal(message.service)
+        if refusal is None and message.attempt != self._attempt_of(req):
+            refusal = RefusalKind.NOT_FORWARDED.value
+        if refusal is not None:
+            self._refuse(req, reply, refusal)
+            return
+        engine = _engine_of(message.service, self._context.table)
+        model, prompt_parts = _model_and_parts(req, engine, self._context)
+        task = make_task(
+            message,
+            req=req,
+            sender=sender,
+            now_s=self._context.clock.now(),
+            engine=engine,
+            model=model,
+            prompt_parts=prompt_parts,
+        )
+        _start(task, reply, self._context)
+
+    def _refusal(self, service: ApplicationName) -> Refusal | None:
+        """Return why a request for a service is not taken now."""
+        if self._is_stopping:
+            return RefusalKind.STOPPING.value
+        if self._context.table is None:
+            return RefusalKind.NO_CONFIG.value
+        if self._context.reach.is_cut_off(service):
+            return unreachable_refusal(wait_s=0.0)
+        open_count = sum(
+            exchange.is_forwarded for exchange in self._context.open_exchanges
+        )
+        if open_count >= self.MAX_FORWARDED_REQUESTS:
+            return RefusalKind.FORWARDING_LIMIT.value
+        return None
+
+    def _attempt_of(self, req: HttpRequest) -> str:
+        return req.headers.get(self._context.names.attempt, "")
+
+    def _refuse(self, req: HttpRequest, reply: Reply, refusal: Refusal) -> None:
+        headers = {
+            self._context.names.attempt: self._attempt_of(req),
+            REFUSAL_HEADER: refusal.kind,
+        }
+        send_refusal(reply, refusal, headers)
+
+
+def _engine_of(service: ApplicationName, table: RoutingTable) -> EngineSpec | None:
+    spec = table.services.get(service)
+    return None if spec is None else spec.engine
+
+
+def _model_and_parts(
+    req: HttpRequest, engine: EngineSpec | None, context: ExchangeContext
+) -> tuple[ModelName | None, tuple[PromptPartId, ...]]:
+    """Return the model that a request names and the parts of its prompt."""
+    if engine is None:
+        return None, ()
+    names = context.names
+    return (
+        ModelName(req.headers.get(names.model, "")),
+        parse_prompt_parts(req.headers.get(names.prompt_parts, "")),
+    )
+
+
+def _start(task: Task, reply: Reply, context: ExchangeContext) -> None:
+    is_stream = task.route.kind is RequestKind.STREAM
+    exchange_class = StreamExchange if is_stream else BufferedExchange
+    exchange_class(task=task, reply=reply, context=context).start()
+
+
 def parse_prompt_parts(text: str) -> tuple[PromptPartId, ...]:
     """Return the parts of a prompt, given as ID:TOKENS entries separated by commas."""
     entries = text.split(",")[-MAX_PROMPT_PARTS:]
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -6,15 +6,17 @@
 import msgspec
 
 from citronpin.basics.clocks import Clock, TimerHandle
-from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.basics.ids import ApplicationName, EntryId, InstanceId
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet, Membership, PeerGroupReport, Phase
+from citronpin.gateway.forward_peers import ForwardPeers
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
 from citronpin.gateway.owners import owner_of
 from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.ports import DomainLeases, SharedFeeds
 from citronpin.gateway.quarantines import CrashKey, CrashQuarantine
+from citronpin.gateway.reachabilities import Reachability, has_fabric
 from citronpin.gateway.relays import MAX_MESH_ENTRIES, RelayRole
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
@@ -35,6 +37,7 @@
 RELAY_EXPIRY_S = 2.0
 CRASH_REFRESH_S = 5.0  # repeats what an entry may have missed
 OWNER_EXPIRY_S = 1.5  # two updates of an entry
+LEASE_RETURN_S = 2.0  # from the end of a cut until leases are requested again
 PRESENCE_S = 7_200.0  # for which part of the limits is kept for a silent entry
 
 
@@ -62,9 +65,13 @@
         leases: DomainLeases,
         role: RelayRole,
         feeds: SharedFeeds,
+        reach: Reachability,
+        forward_peers: ForwardPeers,
         clock: Clock,
     ) -> None:
         self.role = role
+        self._reach = reach
+        self._forward_peers = forward_peers
         self._entry = role.name
         self._feeds = feeds
         self._links = links
@@ -78,6 +85,8 @@
         self._fabrics = fabrics
         self._leases = leases
         self._clock = clock
+        self._cut_off_reports: dict[EntryId, frozenset[ApplicationName]] = {}
+        self._last_cut_off_s = float("-inf")
         self._store_lost_reports: dict[EntryId, tuple[float, bool]] = {}
         self._relay_update_s: dict[EntryId, float] = {}  # time of the latest update
         self._heard_s: dict[EntryId, float] = {}
@@ -113,7 +122,9 @@
         others = self._addresses()
         is_mesh = len(others) < MAX_MESH_ENTRIES
         self.role.update(others=others, store_lost=self._leases.store_lost, now_s=now_s)
-        self._leases.set_participating(self.role.is_relay)
+        self._leases.set_participating(
+            self.role.is_relay and not self._should_release_leases(now_s)
+        )
         self._feeds.set_following(not self.role.is_relay)
         self._update_permits(others, now_s)
         self._update_quarantine(others, now_s)
@@ -122,14 +133,13 @@
             self._loads.record_pace(head.instance, pace=head.pace, now_s=now_s)
         self._connect(self._recipients(is_mesh, now_s))
         update = StatusUpdate(
-            loads=self._loads.own() if is_mesh else {},
-            suspects=self._suspects.recently_suspected(
-                since_s=now_s - 2 * UPDATE_INTERVAL_S
-            ),
+            loads=self._own_loads() if is_mesh else {},
+            suspects=self._own_suspects(now_s),
             traffic=self._fabrics.traffic_began,
             store_lost=self._leases.store_lost,
             heads=heads if not is_mesh else tuple(map(_without_load, heads)),
             relay=self.role.is_relay,
+            cut_off=self._reach.cut_off_services(),
         )
         if not self._is_due(update, is_mesh, now_s):
             return
@@ -149,6 +159,51 @@
             update = msgspec.structs.replace(update, alive=alive)
         self._links.send_all(self._connected, update)
 
+    def _own_loads(self) -> dict[InstanceId, int]:
+        """Return the requests in progress, but for those that cannot proceed."""
+        cut_off = self._reach.cut_off_services()
+        loads = self._loads.own()
+        return loads if not cut_off else self._without(loads, cut_off)
+
+    def _own_suspects(self, now_s: float) -> tuple[InstanceId, ...]:
+        """Return the suspects, but for those whose silence may be this entry's."""
+        suspects = self._suspects.recently_suspected(
+            since_s=now_s - 2 * UPDATE_INTERVAL_S
+        )
+        uncertain = self._reach.uncertain_services()
+        if not uncertain:
+            return suspects
+        return tuple(self._without(dict.fromkeys(suspects), uncertain))
+
+    def _without(
+        self, values: dict[InstanceId, int], services: Collection[ApplicationName]
+    ) -> dict[InstanceId, int]:
+        """Return the values of the instances of all other services."""
+        return {
+            name: value
+            for name, value in values.items()
+            if (known := self._fleet.get(name)) is None or known.service not in services
+        }
+
+    def _should_release_leases(self, now_s: float) -> bool:
+        """Return whether another entry can control the groups and this one cannot.
+
+        That ends a while after the path is back, so that leases do not move to and fro.
+        """
+        cut_off = {
+            service
+            for service in self._reach.cut_off_services()
+            if has_fabric(self._fleet.of_service(service))
+        }
+        others = [
+            services
+            for entry, services in self._cut_off_reports.items()
+            if now_s - self._relay_update_s.get(entry, float("-inf")) <= OWNER_EXPIRY_S
+        ]
+        if cut_off and any(not cut_off & services for services in others):
+            self._last_cut_off_s = now_s
+        return now_s - self._last_cut_off_s < LEASE_RETURN_S
+
     def _recipients(self, is_mesh: bool, now_s: float) -> set[str]:
         """Return the addresses that receive the updates."""
         recipients = self._addresses()
@@ -252,6 +307,8 @@
         now_s = self._clock.now()
         self._apply_news(sender, message, now_s)
         self._loads.record_peer_loads(entry=sender, loads=message.loads, now_s=now_s)
+        self._cut_off_reports[sender] = frozenset(message.cut_off)
+        self._forward_peers.record_cut_off(sender, message.cut_off)
         for instance in message.suspects:
             self._suspects.suspected_by_peer(InstanceId(instance), now_s=now_s)
         if message.traffic:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -14,11 +14,13 @@
 from citronpin.basics.loop_lags import LoopLag
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
-from citronpin.gateway.exchanges import ExchangeContext
+from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fingerprints import Fingerprints, is_fingerprint
 from citronpin.gateway.fleets import Fleet
-from citronpin.gateway.fronts import FrontHandler
+from citronpin.gateway.forward_codecs import ForwardCodec
+from citronpin.gateway.forward_peers import ForwardPeer, ForwardPeers
+from citronpin.gateway.fronts import ForwardHandler, FrontHandler
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
@@ -33,10 +35,10 @@
     SharedFeeds,
 )
 from citronpin.gateway.quarantines import ConsecutiveCrashes, CrashQuarantine
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.relays import RelayRole
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
-from citronpin.gateway.stream_exchanges import StreamExchange
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import NngLinks
 from citronpin.web.clients import HttpClient
@@ -54,6 +56,7 @@
 STOP_CHECK_INTERVAL_S = 0.1
 # The balancer probes every second and removes an entry at the second failure.
 BALANCER_REMOVAL_S = 2.6
+FORWARDED_HEADER_BYTES = 4 * 1024  # in addition to the headers of the caller
 KILL_MARGIN_S = 0.8  # the interpreter takes up to 0.3 s to end
 
 
@@ -65,6 +68,7 @@
     front: str  # for callers
     ready: str  # for the readiness probes of the balancer
     peers: str  # for messages from other entries
+    forward: str  # for requests of callers that other entries pass on
     metrics: str
     heartbeat_s: float  # interval at which instances renew their registrations
     grace_s: float  # from the stop signal until the process is killed
@@ -97,6 +101,10 @@
     def peer_addresses(self) -> dict[EntryId, str]:
         """Return the addresses at which other entries receive messages."""
 
+    @abstractmethod
+    def forward_peers(self) -> tuple[ForwardPeer, ...]:
+        """Return the other entries that take requests from entries."""
+
     @abstractmethod
     def reload(self) -> None:
         """Apply changed settings."""
@@ -150,6 +158,23 @@
             lambda: len(self.limits.current()),
         )
         self._rng = rng or random.Random()
+        self.reach = Reachability(
+            fleet=self.fleet, client=client, clock=clock, rng=self._rng
+        )
+        self.forward_peers = ForwardPeers(
+            failure_domain=cfg.failure_domain, clock=clock, rng=self._rng
+        )
+        self.forward_codec = ForwardCodec(entry=cfg.name)
+        self.metrics.gauges.add(
+            "cut_off_services",
+            "Services of which this entry reaches no instance.",
+            lambda: len(self.reach.cut_off_services()),
+        )
+        self.metrics.gauges.add(
+            "forwarded_requests",
+            "Requests in progress that other entries passed on.",
+            lambda: sum(x.is_forwarded for x in self.context.open_exchanges),
+        )
         self._stopping_s: float | None = None
         self._leases_released = False
         self._is_fleet_checked = False
@@ -160,6 +185,7 @@
         self.client = client
         self.context = self._make_context()
         self.front = FrontHandler(context=self.context)
+        self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.fabrics = Fabrics(
             fleet=self.fleet,
             planner=SparePlanner(),
@@ -169,6 +195,7 @@
             loads=self.loads,
             clock=clock,
             heartbeat_s=cfg.heartbeat_s,
+            reach=self.reach,
         )
         self._add_servers()
         clock.call_later(0.0, self._start_components)
@@ -197,6 +224,9 @@
             permits=self.permits,
             fingerprints=self.fingerprints,
             first_event_times=first_event_times,
+            reach=self.reach,
+            forward_peers=self.forward_peers,
+            forward_codec=self.forward_codec,
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
             make_budget=self._make_budget,
@@ -222,8 +252,10 @@
         routes.add("GET", "/admin/quarantines", self._answer_quarantines)
         routes.add("POST", "/admin/quarantines/{key}/release", self._release_key)
         self.server = self._serve(self.cfg.front, self.front, "front")
+        self.forward_server = self._serve(self.cfg.forward, self.forwarded, "forward")
         self.servers = (
             self.server,
+            self.forward_server,
             self._serve(self.cfg.ready, routes, "ready"),
             self._serve(self.cfg.metrics, routes, "metrics"),
         )
@@ -289,12 +321,16 @@
         table = RoutingTable(cfg=cfg)
         self.context.table = table
         self.fabrics.table = table
-        self.server.http.set_limits(
-            ServerLimits(
-                body_bytes=cfg.limits.body_bytes,
-                header_bytes=cfg.limits.header_bytes,
-                request_timeout_s=cfg.limits.header_timeout_s + BODY_TIMEOUT_S,
-                idle_timeout_s=cfg.limits.idle_timeout_s,
+        limits = ServerLimits(
+            body_bytes=cfg.limits.body_bytes,
+            header_bytes=cfg.limits.header_bytes,
+            request_timeout_s=cfg.limits.header_timeout_s + BODY_TIMEOUT_S,
+            idle_timeout_s=cfg.limits.idle_timeout_s,
+        )
+        self.server.http.set_limits(limits)
+        self.forward_server.http.set_limits(
+            msgspec.structs.replace(
+                limits, header_bytes=limits.header_bytes + FORWARDED_HEADER_BYTES
             )
         )
         logger.info(
@@ -305,9 +341,11 @@
     def update_peers(self, frame_key: bytes | None) -> None:
         """Update the number of entries, and start gossip once a frame key is known."""
         self._update_entry_count()
+        self.forward_peers.set_peers(self.connector.forward_peers())
         if frame_key is None or self._stopping_s is not None:
             return
         self.fingerprints.set_key(frame_key)
+        self.forward_codec.set_key(frame_key)
         if self.gossip is not None:
             self.gossip.set_key(frame_key)
             return
@@ -330,6 +368,8 @@
             leases=self.connector.leases,
             role=RelayRole(name=self.cfg.name),
             feeds=self.connector.feeds,
+            reach=self.reach,
+            forward_peers=self.forward_peers,
             clock=self.clock,
         )
         self.gossip.start()
@@ -349,9 +389,8 @@
         if self.context.open_exchanges:
             self.fabrics.traffic_began = True
         for exchange in list(self.context.open_exchanges):
-            if isinstance(exchange, StreamExchange):
-                exchange.check_stall(now_s)
-                exchange.check_quarantine()
+            exchange.check_stall(now_s)
+            exchange.check_quarantine()
 
     def run_until_stopped(self) -> None:
         """Run the event loop in the main thread, the only one that receives signals.
@@ -378,6 +417,7 @@
             return
         self._stopping_s = self.clock.now()
         logger.info("stop", extra={"in_progress": len(self.context.open_exchanges)})
+        self.forwarded.stop()
         self.front.stop_by(self._stopping_s + self.cfg.grace_s - KILL_MARGIN_S)
         self._wait_until_drained()
 
@@ -394,7 +434,7 @@
             # While the store is unreachable, no other entry could acquire them.
             self._release_leases()
         waited_s = self.clock.now() - self._stopping_s
-        in_progress = self.server.http.open_replies
+        in_progress = self._open_replies
         if waited_s >= BALANCER_REMOVAL_S:
             self.server.http.close_idle()
         is_removed = waited_s >= BALANCER_REMOVAL_S + STOP_CHECK_INTERVAL_S
@@ -405,13 +445,19 @@
             return
         self.clock.call_later(STOP_CHECK_INTERVAL_S, self._wait_until_drained)
 
+    @property
+    def _open_replies(self) -> int:
+        """Return the requests in progress, of callers and of other entries."""
+        servers = (self.server, self.forward_server)
+        return sum(server.http.open_replies for server in servers)
+
     @property
     def _is_grace_over(self) -> bool:
         waited_s = self.clock.now() - self._stopping_s
         return waited_s >= self.cfg.grace_s - KILL_MARGIN_S
 
     def _finish(self) -> None:
-        if self.server.http.open_replies and not self._is_grace_over:
+        if self._open_replies and not self._is_grace_over:
             # A request arrived after the last check, on a connection not yet closed.
             self._wait_until_drained()
             return
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -49,6 +49,12 @@
     candidates: int
     load: int = 0
     limited: tuple[FleetInstance, ...] = ()
+    is_unreachable: bool = False  # neither from here nor through another entry
+
+    @classmethod
+    def unreachable(cls) -> "PlacementFailure":
+        """Return the failure of an entry that reaches no instance."""
+        return cls(reason="no instance is reached", candidates=0, is_unreachable=True)
 
 
 class Placer(ABC):
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -10,6 +10,7 @@
 from citronpin.basics.errors import CitronpinError
 from citronpin.basics.ids import DomainName, EntryId, GroupId, InstanceId, ModelName
 from citronpin.gateway.fleets import FleetInstance, Membership
+from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.peers.messages import FeedPosition
 
 logger = logging.getLogger(__name__)
@@ -148,6 +149,10 @@
 class PeerDirectory(ABC):
     """Lists the other entries."""
 
+    @abstractmethod
+    def forward_peers(self) -> tuple[ForwardPeer, ...]:
+        """Return the other entries that take requests from entries."""
+
     @abstractmethod
     def addresses(self) -> dict[EntryId, str]:
         """Return the message addresses (IP:PORT) of the other entries."""
--- a/citronpin/gateway/quarantines.py
+++ b/citronpin/gateway/quarantines.py
@@ -187,6 +187,20 @@
                 del history.crashes[life]
                 self._decide(key, since_s)
 
+    def withdraw_crashes(self, *, since_s: float) -> None:
+        """Forget the crashes seen since a time, when the path to all was lost."""
+        withdrawn = {
+            life for life, crashed_s in self._lives.items() if crashed_s >= since_s
+        }
+        for life in withdrawn:
+            del self._lives[life]
+        for key, history in self._suspects.items():
+            if withdrawn & history.crashes.keys():
+                for life in withdrawn & history.crashes.keys():
+                    del history.crashes[life]
+                self._news.pop(key, None)
+                self._decide(key, since_s)
+
     @property
     def has_lives(self) -> bool:
         """Return whether an instance that is taken to have crashed may live on."""
--- /dev/null
+++ b/citronpin/gateway/reachabilities.py
@@ -0,0 +1,233 @@
+"""Tells whether this entry reaches the instances of a service at all."""
+
+import logging
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+import msgspec
+
+from citronpin.basics.clocks import MS_PER_S, Clock
+from citronpin.basics.ids import ApplicationName, InstanceId
+from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.web.clients import HttpClient
+
+logger = logging.getLogger(__name__)
+
+PROBE_TIMEOUT_S = 0.3  # connecting takes milliseconds
+ROUND_TIMEOUT_S = PROBE_TIMEOUT_S + 0.1
+PROBE_COUNT = 3  # instances probed at once, in different domains where there are
+RECOVERY_PROBE_COUNT = 2
+RECOVERY_PROBE_INTERVAL_S = 0.25
+MIN_ROUND_INTERVAL_S = 0.5  # between two rounds of probes that find instances
+HEARD_S = 1.0
+FRESH_S = 0.25  # no doubt while an instance was heard within this time
+NEVER_S = float("-inf")
+
+
+class ServiceReach(msgspec.Struct, kw_only=True):
+    """What is known of the path to the instances of one service; clock times."""
+
+    last_reply_s: float = NEVER_S
+    last_connected_s: float = NEVER_S
+    probed_s: float = NEVER_S  # begin of the latest round of probes
+    pending: set[str] = set()  # addresses whose probes of this round are unanswered
+    failed: set[InstanceId] = set()  # that took no connection since one did
+    cut_off_since_s: float | None = None
+
+
+class ReachListener(ABC):
+    """Is told when this entry loses and regains the instances of a service."""
+
+    @abstractmethod
+    def on_cut_off(self, service: ApplicationName) -> None:
+        """Handle that no instance of a service is reached any more."""
+
+    @abstractmethod
+    def on_regained(self, service: ApplicationName) -> None:
+        """Handle that an instance of a service was reached again."""
+
+
+class Reachability:
+    """Tells a lost path of this entry from instances that are down.
+
+    A failed connection or silence raises a doubt, if no instance of the service was
+    heard a moment ago. The entry then connects to several instances at once. When none
+    of them accepts, it counts as cut off from the service, until one does. Whether the
+    instances are down is not decided here: other entries may reach them.
+    """
+
+    def __init__(
+        self, *, fleet: Fleet, client: HttpClient, clock: Clock, rng: random.Random
+    ) -> None:
+        self._fleet = fleet
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._services: dict[ApplicationName, ServiceReach] = {}
+        self._listeners: list[ReachListener] = []
+        client.connection_listeners.append(self._on_connection)
+
+    def add_listener(self, listener: ReachListener) -> None:
+        """Tell a listener of services that are lost and regained."""
+        self._listeners.append(listener)
+
+    def _of(self, service: ApplicationName) -> ServiceReach:
+        if service not in self._services:
+            self._services[service] = ServiceReach(pending=set(), failed=set())
+        return self._services[service]
+
+    def record_reply(self, service: ApplicationName) -> None:
+        """Record that an instance of a service sent something."""
+        self._of(service).last_reply_s = self._clock.now()
+
+    def doubt(self, service: ApplicationName) -> None:
+        """Probe instances of a service, if none has been heard a moment ago."""
+        reach = self._of(service)
+        if self._clock.now() - reach.last_reply_s >= FRESH_S:
+            self._start_round(service, reach)
+
+    def is_cut_off(self, service: ApplicationName) -> bool:
+        """Return whether this entry reaches no instance of a service."""
+        reach = self._services.get(service)
+        return reach is not None and reach.cut_off_since_s is not None
+
+    def is_heard(self, service: ApplicationName) -> bool:
+        """Return whether an instance of a service sent something a moment ago."""
+        return self._clock.now() - self._of(service).last_reply_s < HEARD_S
+
+    def is_uncertain(self, service: ApplicationName) -> bool:
+        """Return whether silence of instances may be due to this entry's path."""
+        reach = self._services.get(service)
+        return reach is not None and (
+            reach.cut_off_since_s is not None or bool(reach.pending)
+        )
+
+    def cut_off_services(self) -> tuple[ApplicationName, ...]:
+        """Return the services of which this entry reaches no instance."""
+        return tuple(filter(self.is_cut_off, self._services))
+
+    def uncertain_services(self) -> tuple[ApplicationName, ...]:
+        """Return the services of which silence may be due to this entry's path."""
+        return tuple(filter(self.is_uncertain, self._services))
+
+    def _on_connection(self, address: str, connected: bool) -> None:
+        instance = self._find(address)
+        if instance is None:
+            return
+        reach = self._of(instance.service)
+        if connected:
+            self._on_connected(instance, reach)
+            return
+        reach.failed.add(instance.id)
+        if reach.cut_off_since_s is not None:
+            reach.pending.discard(address)
+            return
+        if address in reach.pending:
+            reach.pending.discard(address)
+            if not reach.pending:
+                self._set_cut_off(instance.service, reach)
+        elif self._clock.now() - reach.last_connected_s >= FRESH_S:
+            self._start_round(instance.service, reach)
+
+    def _find(self, address: str) -> FleetInstance | None:
+        return next((one for one in self._fleet.all() if one.address == address), None)
+
+    def _on_connected(self, instance: FleetInstance, reach: ServiceReach) -> None:
+        now_s = self._clock.now()
+        reach.last_connected_s = now_s
+        reach.pending.clear()
+        reach.failed.clear()
+        if reach.cut_off_since_s is None:
+            return
+        logger.warning(
+            "instances reached again",
+            extra={
+                "service": instance.service,
+                "instance": instance.id,
+                "cut_off_ms": round((now_s - reach.cut_off_since_s) * MS_PER_S),
+            },
+        )
+        reach.cut_off_since_s = None
+        for listener in self._listeners:
+            listener.on_regained(instance.service)
+
+    def _start_round(self, service: ApplicationName, reach: ServiceReach) -> None:
+        now_s = self._clock.now()
+        is_running = bool(reach.pending) or reach.cut_off_since_s is not None
+        if is_running or now_s - reach.probed_s < MIN_ROUND_INTERVAL_S:
+            return
+        chosen = self._choose(service, reach, PROBE_COUNT)
+        if not chosen:
+            return
+        reach.probed_s = now_s
+        reach.pending = {instance.address for instance in chosen}
+        for instance in chosen:
+            self._client.connect(instance.address, timeout_s=PROBE_TIMEOUT_S)
+        self._clock.call_later(ROUND_TIMEOUT_S, lambda: self._end_round(reach, now_s))
+
+    def _end_round(self, reach: ServiceReach, began_s: float) -> None:
+        """Forget probes of instances that left meanwhile."""
+        if reach.probed_s == began_s:
+            reach.pending.clear()
+
+    def _choose(
+        self, service: ApplicationName, reach: ServiceReach, count: int
+    ) -> list[FleetInstance]:
+        """Return instances to probe, in different domains if possible.
+
+        Those that failed before come last.
+        """
+        candidates = [
+            instance
+            for instance in self._fleet.of_service(service)
+            if not self._fleet.is_missing(instance.id)
+        ]
+        self._rng.shuffle(candidates)
+        candidates.sort(key=lambda instance: instance.id in reach.failed)
+        first_by_domain = {
+            (instance.failure_domain, instance.domain): instance
+            for instance in reversed(candidates)
+        }
+        spread = sorted(first_by_domain.values(), key=candidates.index)
+        rest = [one for one in candidates if one not in spread]
+        return (spread + rest)[:count]
+
+    def _set_cut_off(self, service: ApplicationName, reach: ServiceReach) -> None:
+        now_s = self._clock.now()
+        reach.cut_off_since_s = now_s
+        logger.warning(
+            "no instance reached",
+            extra={
+                "service": service,
+                "failed": sorted(reach.failed),
+                "heard_ms_ago": _age_ms(reach.last_reply_s, now_s),
+                "connected_ms_ago": _age_ms(reach.last_connected_s, now_s),
+            },
+        )
+        for listener in self._listeners:
+            listener.on_cut_off(service)
+        self._probe_again(service, reach)
+        # What cut this entry off from one service may have cut it off from others.
+        for other, other_reach in list(self._services.items()):
+            if other != service:
+                self._start_round(other, other_reach)
+
+    def _probe_again(self, service: ApplicationName, reach: ServiceReach) -> None:
+        if reach.cut_off_since_s is None:
+            return
+        for instance in self._choose(service, reach, RECOVERY_PROBE_COUNT):
+            self._client.connect(instance.address, timeout_s=PROBE_TIMEOUT_S)
+        reach.failed.clear()  # the next probes go to others
+        self._clock.call_later(
+            RECOVERY_PROBE_INTERVAL_S, lambda: self._probe_again(service, reach)
+        )
+
+
+def _age_ms(at_s: float, now_s: float) -> int | None:
+    return None if at_s == NEVER_S else round((now_s - at_s) * MS_PER_S)
+
+
+def has_fabric(instances: Iterable[FleetInstance]) -> bool:
+    """Return whether instances form groups in fabric domains."""
+    return any(instance.domain for instance in instances)
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -51,6 +51,8 @@
             extra={
                 "request": request,
                 "route": task.route.name,
+                "service": task.service,
+                "forwarded_by": task.forwarded_by or "",
                 "customer": customer,
                 "config": task.config_version,
                 "outcome": outcome,
--- a/citronpin/gateway/stories.py
+++ b/citronpin/gateway/stories.py
@@ -38,6 +38,7 @@
     }
 )
 LIMIT_MESSAGES = frozenset({"instance limited", "limit of an instance ended"})
+REACH_MESSAGES = frozenset({"no instance reached", "instances reached again"})
 HEADER_FIELDS = frozenset({"time", "level", "logger", "entry", "message"})
 
 
@@ -105,7 +106,9 @@
     start until `MARGIN_AFTER_S` after its end, the lines of its entry about the store
     and the configuration and the lines of any entry about the instances and groups
     that the request was sent to. Lines of its entry about its quarantine, a
-    part of its prompt, or limits that decided on it are returned from any time before.
+    part of its prompt, limits that decided on it, or the path to the instances of its
+    service are returned from any time before. A request that was passed on has a line
+    of each entry, so those of both are returned.
     """
     own = [line for line in lines if line.fields.get("request") == request]
     if not own:
@@ -121,6 +124,7 @@
     limited = {
         row.get("instance") for line in own for row in line.fields.get("limits", [])
     }
+    services = {line.fields.get("service") for line in own} - {None}
     return [
         line
         for line in lines
@@ -128,6 +132,7 @@
         or (begin <= line.time <= end and _is_related(line, entries, names))
         or (line.time <= end and _is_about_quarantine(line, entries, keys))
         or (line.time <= end and _is_about_limits(line, entries, limited))
+        or (line.time <= end and _is_about_reach(line, entries, services))
     ]
 
 
@@ -165,6 +170,14 @@
     )
 
 
+def _is_about_reach(line: LogLine, entries: set[str], services: set[object]) -> bool:
+    return (
+        line.message in REACH_MESSAGES
+        and line.entry in entries
+        and line.fields.get("service") in services
+    )
+
+
 def _is_related(line: LogLine, entries: set[str], names: set[str]) -> bool:
     if line.message == "request":
         return False
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -4,15 +4,12 @@
 
 from citronpin.gateway.answers import Refusal, quarantined_subject
 from citronpin.gateway.attempts import MAX_BUFFERED_BYTES, Attempt, Fault
+from citronpin.gateway.contexts import ExchangeContext, Task
 from citronpin.gateway.event_streams import EventSplitter, EventTooLong, StreamEvent
-from citronpin.gateway.exchanges import (
-    Exchange,
-    ExchangeContext,
-    Task,
-    end_to_end_headers,
-)
-from citronpin.gateway.placers import Placement, PlacementFailure
+from citronpin.gateway.exchanges import Exchange, end_to_end_headers
+from citronpin.gateway.placers import PlacementFailure
 from citronpin.gateway.quarantines import CrashKey
+from citronpin.gateway.recipients import Recipient
 from citronpin.web.replies import Reply
 
 logger = logging.getLogger(__name__)
@@ -20,8 +17,6 @@
 OK_STATUS = 200
 MIDWAY_STALL_TIMEOUT_S = 0.35  # a pass of a full group takes up to 0.25 s
 MIDWAY_STALL_GAP_OBJECTIVES = 1.5  # multiple of the gap objective of the route
-FIRST_EVENT_STALL_TIMEOUT_S = 0.9  # a prompt behind a full batch takes up to 0.6 s
-SUSPECT_STALL_TIMEOUT_S = 0.3  # on an instance where another answer stalled
 MAX_RESUME_WAIT_S = 1.4  # callers leave a stream that is silent for two seconds
 RESUME_RETRY_INTERVAL_S = 0.1
 
@@ -49,10 +44,10 @@
         text = self._task.req.headers.get(self._context.names.last_event, "")
         return int(text) if text.isdigit() else None
 
-    def _start_attempt(self, placement: Placement) -> None:
+    def _start_attempt(self, recipient: Recipient) -> None:
         self._is_stream = False
         self._unplaced_since_s = None
-        super()._start_attempt(placement)
+        super()._start_attempt(recipient)
 
     def _override_headers(self) -> dict[str, str]:
         names = self._context.names
@@ -107,7 +102,7 @@
         if number is not None:
             self._last_event_number = number
         if attempt.events == 0:
-            self._record_first_event(attempt)
+            attempt.recipient.record_first_event(attempt, self._task)
             self._context.quarantine.record_success(
                 self._task.prompt_parts, now_s=self._context.clock.now()
             )
@@ -118,21 +113,15 @@
             content_type = headers.pop("content-type", "text/event-stream")
             self._reply.start(OK_STATUS, content_type, headers)
         self._last_event_s = self._context.clock.now()
-        self._context.suspects.succeeded(attempt.instance.id, now_s=self._last_event_s)
+        attempt.recipient.record_progress()
         self._reply.push(event.data)
         return True
 
-    def _record_first_event(self, attempt: Attempt) -> None:
-        self._context.first_event_times.record_first_event(
-            service=self._task.service,
-            model=self._task.model,
-            first_s=self._context.clock.now() - attempt.sent_s,
-            load=attempt.load,
-            slots=attempt.instance.slots,
-        )
-
     def attempt_ended(self, attempt: Attempt) -> None:
-        self._context.loads.request_ended(attempt.instance.id)
+        attempt.recipient.ended()
+        if attempt.refusal:
+            self._on_refusal(attempt, b"".join(self._parts))
+            return
         fault = self._classify(attempt)
         if fault in (None, Fault.ERROR):
             self._record_answered(attempt)
@@ -202,8 +191,8 @@
         key = quarantine.find_quarantined(self._crash_keys, since_s=last.sent_s)
         if key is None:
             return
-        last.cancel(Fault.LOST, f"withdrawn: {quarantined_subject(key)} is quarantined")
-        self._context.loads.request_ended(last.instance.id)
+        detail = f"withdrawn: {quarantined_subject(key)} is quarantined"
+        self._cancel_attempt(last, Fault.LOST, detail)
         self._refuse_key(key)
 
     def _on_fault(self, fault: Fault) -> None:
@@ -262,32 +251,37 @@
         last = self._last_attempt
         if self._done or last is None or last.is_over:
             return
-        last_progress_s = max(last.sent_s, self._last_event_s)
+        last_progress_s = self._last_progress_s(last)
         if last.first_s is None:
             # The request may be queued: progress of other answers on the instance
             # shows that it works.
-            last_progress_s = max(
-                last_progress_s,
-                self._context.suspects.last_progress_s(last.instance.id),
-            )
-        if now_s - last_progress_s < self._stall_timeout_s(last, now_s):
+            last_progress_s = max(last_progress_s, last.recipient.last_progress_s())
+        silent_s = now_s - last_progress_s
+        if silent_s < last.recipient.stall_timeout_s(self._midway_timeout_s(last)):
             return
-        self._context.suspects.stalled(last.instance.id, now_s=now_s)
-        alternative = self._context.placer.place(demand=self._demand(), now_s=now_s)
-        if (
-            isinstance(alternative, PlacementFailure)
-            or alternative.load >= alternative.instance.slots
-        ):
+        last.recipient.record_stall()
+        if not self._has_alternative(now_s):
             return
         if self._may_retry(Fault.STALLED, midway=self._started):
-            last.cancel(Fault.STALLED, f"silent for {now_s - last_progress_s:.2f} s")
-            self._context.loads.request_ended(last.instance.id)
+            self._cancel_attempt(last, Fault.STALLED, f"silent for {silent_s:.2f} s")
             self._send_next()
 
-    def _stall_timeout_s(self, attempt: Attempt, now_s: float) -> float:
-        if attempt.first_s is not None:
-            gap_limit_s = MIDWAY_STALL_GAP_OBJECTIVES * self._task.route.gap_objective_s
-            return max(MIDWAY_STALL_TIMEOUT_S, gap_limit_s)
-        if self._context.suspects.is_avoided(attempt.instance.id, now_s=now_s):
-            return SUSPECT_STALL_TIMEOUT_S
-        return FIRST_EVENT_STALL_TIMEOUT_S
+    def _has_alternative(self, now_s: float) -> bool:
+        """Return whether the request can be sent elsewhere at once."""
+        if self._should_forward:
+            return self._select_peer() is not None
+        placement = self._context.placer.place(demand=self._demand(), now_s=now_s)
+        return (
+            not isinstance(placement, PlacementFailure)
+            and placement.load < placement.instance.slots
+        )
+
+    def _last_progress_s(self, attempt: Attempt) -> float:
+        return max(attempt.sent_s, self._last_event_s)
+
+    def _midway_timeout_s(self, attempt: Attempt) -> float | None:
+        """Return the longest silence within an answer, ``None`` before it begins."""
+        if attempt.first_s is None:
+            return None
+        gap_limit_s = MIDWAY_STALL_GAP_OBJECTIVES * self._task.route.gap_objective_s
+        return max(MIDWAY_STALL_TIMEOUT_S, gap_limit_s)
--- a/citronpin/gateway/suspects.py
+++ b/citronpin/gateway/suspects.py
@@ -13,6 +13,7 @@
 STALL_AVOID_S = 5.5  # a stalled head refuses requests by then
 UNREACHABLE_AVOID_S = 1.5
 PEER_SUSPICION_AVOID_S = 1.0
+CONTRADICTED_S = 0.2  # an instance that answered this entry so lately has not stalled
 # A head that refuses although it has free slots no longer serves; its registration
 # shows that within a second.
 REFUSAL_AVOID_S = 0.8
@@ -67,8 +68,14 @@
         health.suspected_s = now_s
 
     def suspected_by_peer(self, instance: InstanceId, *, now_s: float) -> None:
-        """Avoid an instance that another entry suspects, for a shorter time."""
+        """Avoid an instance that another entry suspects, for a shorter time.
+
+        Its own answers to this entry go before the word of another one, whose path to
+        the instance may be lost.
+        """
         health = self._health_of(instance)
+        if now_s - health.last_progress_s < CONTRADICTED_S:
+            return
         until_s = now_s + PEER_SUSPICION_AVOID_S
         health.avoid_until_s = max(health.avoid_until_s, until_s)
 
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -9,6 +9,7 @@
 from citronpin.basics.ids import InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import InstanceControl, Report
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.peers.messages import NO_LOAD
 
 logger = logging.getLogger(__name__)
@@ -45,7 +46,9 @@
         fleet: Fleet,
         clock: Clock,
         heartbeat_s: float,
+        reach: Reachability,
     ) -> None:
+        self._reach = reach
         self._control = control
         self._fleet = fleet
         self._clock = clock
@@ -71,18 +74,25 @@
             state.asking = False
             if report is None:
                 state.misses += 1
+                self._reach.doubt(instance.service)
                 if state.misses == DEAD_MISSES:
                     logger.info(
                         "instance silent",
                         extra={"instance": instance.id, "detail": str(error)},
                     )
                 return
+            self._reach.record_reply(instance.service)
             state.misses = 0
             state.report = report
             state.reported_s = self._clock.now()
 
         return handle
 
+    def forget_misses(self) -> None:
+        """Discard the unanswered polls, which say nothing of the instances."""
+        for state in self._states.values():
+            state.misses = 0
+
     def retain_only(self, known: set[InstanceId]) -> None:
         """Discard the state of all instances but the known ones."""
         for instance in set(self._states) - known:
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -246,6 +246,9 @@
     # Lives of instances that went on after they were taken to have crashed, by the age
     # in ms of what proves it.
     alive: dict[int, int] = {}
+    cut_off: tuple[
+        ApplicationName, ...
+    ] = ()  # services whose instances it cannot reach
 
 
 class PermitRequest(Message, tag=19):
@@ -264,6 +267,29 @@
     limit: LimitReport  # as the owner of the instance's limit knows it
 
 
+class ForwardedRequest(Message, tag=21):
+    """Describes a request that the sender received from a caller and passes on.
+
+    It travels in a header of the request. The sender has decided on route and customer.
+    """
+
+    attempt: str  # of the caller
+    route: str
+    kind: str  # how the request may be retried and is answered
+    service: ApplicationName
+    customer: CustomerName | None
+    priority: int
+    config: int  # version of the sender's configuration
+    left_ms: int  # until the deadline of the caller
+    timeout_ms: int  # until the request times out
+    objective_ms: int
+    gap_objective_ms: int
+    spent_ms: int  # by the caller in earlier attempts
+    resumable: bool
+    max_runs: int  # instances that may still run it
+    is_counted: bool  # whether it is in the sender's retry budget
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -284,4 +310,5 @@
     | StatusUpdate
     | PermitRequest
     | PermitReply
+    | ForwardedRequest
 )
--- a/citronpin/platform/directories.py
+++ b/citronpin/platform/directories.py
@@ -8,7 +8,8 @@
 from result import Result
 
 from citronpin.basics.clocks import Clock
-from citronpin.basics.ids import EntryId
+from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.ports import PeerDirectory
 from citronpin.platform.feeds import KeyedFeed
 from citronpin.platform.stores import (
@@ -32,9 +33,11 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
-    """Announcement of an entry: the address at which it takes messages."""
+    """Announcement of an entry: the addresses, ``IP:PORT``, for other entries."""
 
-    address: str  # IP:PORT
+    address: str  # for messages
+    forward: str = ""  # for requests of callers that other entries pass on
+    failure_domain: FailureDomainName = FailureDomainName("")
 
 
 class StoreDirectory(KeyedFeed, PeerDirectory):
@@ -52,7 +55,7 @@
         store: LogStore,
         clock: Clock,
         name: EntryId,
-        address: str,
+        record: EntryRecord,
         on_changed: Callable[[], None],
     ) -> None:
         super().__init__(
@@ -63,10 +66,10 @@
             read_pause_s=READ_PAUSE_S,
         )
         self._name = name
-        self._address = address
+        self._record = record
         self._on_changed = on_changed
-        self._entries: dict[EntryId, str] = {}
-        self._unconfirmed: dict[EntryId, str] = {}  # known from an earlier era
+        self._entries: dict[EntryId, EntryRecord] = {}
+        self._unconfirmed: dict[EntryId, EntryRecord] = {}  # known from an earlier era
         self._has_announced = False
         self._has_withdrawn = False
         self.frame_key: bytes | None = None
@@ -75,8 +78,22 @@
         self._propose_frame_key()
 
     def addresses(self) -> dict[EntryId, str]:
+        return {name: record.address for name, record in self._others().items()}
+
+    def forward_peers(self) -> tuple[ForwardPeer, ...]:
+        return tuple(
+            ForwardPeer(
+                name=name,
+                address=record.forward,
+                failure_domain=record.failure_domain,
+            )
+            for name, record in self._others().items()
+            if record.forward
+        )
+
+    def _others(self) -> dict[EntryId, EntryRecord]:
         known = self._unconfirmed | self._entries
-        return {name: address for name, address in known.items() if name != self._name}
+        return {name: record for name, record in known.items() if name != self._name}
 
     def withdraw(self) -> None:
         """Delete the announcement of this entry."""
@@ -131,7 +148,7 @@
     def _announce(self) -> None:
         if self._has_withdrawn:
             return
-        value = msgspec.json.encode(EntryRecord(self._address))
+        value = msgspec.json.encode(self._record)
         self._append(ENTRY_PREFIX + self._name, value, self._on_announced)
 
     def _on_announced(self, result: Result) -> None:
@@ -170,4 +187,4 @@
         except msgspec.MsgspecError as exc:
             logger.warning("announcement cannot be decoded", extra={"detail": str(exc)})
             return
-        self._entries[name] = announced.address
+        self._entries[name] = announced
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -7,8 +7,9 @@
 from citronpin.basics.clocks import MS_PER_S, Clock, SystemClock
 from citronpin.basics.ids import EntryId, new_id
 from citronpin.basics.loggings import set_up_logging
+from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.nodes import GatewayNode, PlatformConnector
-from citronpin.platform.directories import StoreDirectory
+from citronpin.platform.directories import EntryRecord, StoreDirectory
 from citronpin.platform.feeds import ConfigFeed, FleetFeed, StoreFeeds
 from citronpin.platform.leases import PartitionLeases
 from citronpin.platform.names import HEADERS
@@ -66,7 +67,11 @@
             store=self.store,
             clock=self._clock,
             name=node.cfg.name,
-            address=node.cfg.peers,
+            record=EntryRecord(
+                address=node.cfg.peers,
+                forward=node.cfg.forward,
+                failure_domain=node.cfg.failure_domain,
+            ),
             on_changed=self._on_peers_changed,
         )
         config = ConfigFeed(
@@ -117,6 +122,9 @@
     def peer_addresses(self) -> dict[EntryId, str]:
         return {} if self._directory is None else self._directory.addresses()
 
+    def forward_peers(self) -> tuple[ForwardPeer, ...]:
+        return () if self._directory is None else self._directory.forward_peers()
+
     def reload(self) -> None:
         """Read a changed settings file and log whether it equals that of the start.
 
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -72,14 +72,19 @@
 
 
 def node_settings(settings: WireSettings, metrics_port: int) -> NodeSettings:
-    """Return the settings of a gateway node; the first internal port is for peers."""
-    first = settings.internal_ports[0]
+    """Return the settings of a gateway node.
+
+    The first internal port takes messages of other entries, the last one requests that
+    they pass on.
+    """
+    first, last = settings.internal_ports
     return NodeSettings(
         name=EntryId(settings.node),
         failure_domain=FailureDomainName(settings.zone),
         front=settings.listen.front,
         ready=settings.listen.ready,
         peers=f"{settings.ip}:{first}",
+        forward=f"{settings.ip}:{last}",
         metrics=f"{settings.ip}:{metrics_port}",
         heartbeat_s=settings.heartbeat_ms / MS_PER_S,
         grace_s=settings.bounds.grace_s,
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -17,6 +17,7 @@
         self.cancelled = False
         self.timer = None
         self.connected = False
+        self.on_cancel = None  # called when the client closes the connection
         self.held = []  # calls that wait until the link to the address is back
 
     def head(self, status, headers=None):
@@ -77,6 +78,7 @@
         self.full = set()  # addresses that refuse only new connections
         self.idle_s = defaultdict(list)  # clock times since which connections idle
         self.sent = []
+        self.connection_listeners = []
 
     def request(
         self,
@@ -124,19 +126,48 @@
             exchange.connected = True
             exchange.held.append(lambda: self.handlers[address](exchange))
             return
-        if address in self.silent or address in self.hanging:
-            self.clock.call_later(
-                connect_timeout_s,
-                lambda: exchange.fail(ConnectionFailed("no connection in time")),
-            )
+        if self._is_silent(address):
+            self.clock.call_later(connect_timeout_s, lambda: self._time_out(exchange))
             return
-        handler = self.handlers.get(address)
-        is_refused = address in self.full and not is_reused
-        if handler is None or address in self.unreachable or is_refused:
+        if self._is_refused(address) and not (is_reused and address in self.full):
+            self._report(address, False)
             exchange.fail(ConnectionFailed("refused"))
             return
+        if not is_reused:
+            self._report(address, True)
         exchange.connected = True
-        handler(exchange)
+        self.handlers[address](exchange)
+
+    def _is_silent(self, address):
+        return address in self.silent or address in self.hanging
+
+    def _is_refused(self, address):
+        is_down = address not in self.handlers or address in self.unreachable
+        return is_down or address in self.full
+
+    def _time_out(self, exchange):
+        if not exchange.ended:
+            self._report(exchange.address, False)
+            exchange.fail(ConnectionFailed("no connection in time"))
+
+    def connect(self, address, *, timeout_s):
+        self.clock.call_later(LATENCY_S, lambda: self._connect(address, timeout_s))
+
+    def _connect(self, address, timeout_s):
+        if self._is_silent(address):
+            self.clock.call_later(timeout_s, lambda: self._report(address, False))
+        elif self._is_refused(address):
+            self._report(address, False)
+        else:
+            self.idle_s[address].append(self.clock.now())
+            self._report(address, True)
+
+    def is_unsent(self, exchange):
+        return not exchange.connected
+
+    def _report(self, address, connected):
+        for listener in self.connection_listeners:
+            listener(address, connected)
 
     def _take_idle(self, exchange):
         """Return whether the request reuses an idle connection."""
@@ -151,6 +182,8 @@
         if not exchange.ended:
             exchange.finish()
             exchange.cancelled = True
+            if exchange.on_cancel is not None and exchange.address not in self.hanging:
+                exchange.on_cancel()
 
     def close_all(self):
         """Do nothing, since no connection is kept open."""
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -1,16 +1,19 @@
 """Several entries before shared instances that crash under some requests."""
 
 import random
+from collections import Counter, defaultdict
 
 import msgspec
 
 from citronpin.basics.errors import ConnectionFailed
-from citronpin.basics.ids import InstanceId
+from citronpin.basics.ids import FailureDomainName, InstanceId
+from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.relays import RelayRole
 from citronpin.platform.names import HEADERS
 from citronpin.tests.meshes import MemoryLinks, Network
 from citronpin.tests.platforms.requests import FrontHarness, event, instance_headers
+from citronpin.web.replies import HttpRequest
 
 SERVICE_TIME_S = 0.09  # of a request to a plain service
 RESTART_S = 3.0  # from a crash until the instance serves again
@@ -81,6 +84,7 @@
             exchange.fail(ConnectionFailed("refused"))
             return
         self.arrivals.append((self.world.clock.now(), exchange.client))
+        self.world.runs[exchange.headers[HEADERS.attempt]] += 1
         parts = [
             entry.partition(":")[0]
             for entry in exchange.headers.get(HEADERS.prompt_parts, "").split(",")
@@ -105,7 +109,8 @@
             self.world.crashed_s.append(self.world.clock.now())
             self.crash()
             return
-        self._send(exchange, 0, life)
+        received = exchange.headers.get(HEADERS.last_event)
+        self._send(exchange, 0 if received is None else int(received) + 1, life)
 
     def _begin_deadly(self, exchange, life):
         if self.world.crashes_after_head:
@@ -127,8 +132,9 @@
     def _send(self, exchange, number, life):
         if life != self.life or exchange.ended:
             return
-        exchange.data(event(number))
-        if number == LAST_EVENT:
+        if number <= LAST_EVENT:
+            exchange.data(event(number))
+        if number >= LAST_EVENT:
             self.running.remove(exchange)
             exchange.end()
             return
@@ -163,6 +169,44 @@
         exchange.answer(200, b"{}", self._headers(exchange, "application/json"))
 
 
+class ExchangeReply:
+    """Answers the exchange of another entry's client."""
+
+    def __init__(self, exchange):
+        self.exchange = exchange
+        self.on_disconnect = None
+        self.ended = False
+
+    def send_response(self, status, body=b"", content_type="", headers=None):
+        self.ended = True
+        self.exchange.answer(status, body, self._lower(headers, content_type))
+
+    def start(self, status, content_type, headers=None):
+        self.exchange.head(status, self._lower(headers, content_type))
+
+    def _lower(self, headers, content_type):
+        lower = {name.lower(): value for name, value in (headers or {}).items()}
+        return lower | {"content-type": content_type}
+
+    def push(self, data):
+        self.exchange.data(data)
+
+    def finish(self):
+        self.ended = True
+        self.exchange.end()
+
+    def abort(self):
+        self.ended = True
+        self.exchange.lose("aborted")
+
+    def close_after(self):
+        """Keep the connection."""
+
+    def leave(self):
+        if not self.ended and self.on_disconnect is not None:
+            self.on_disconnect()
+
+
 class Entry(FrontHarness):
     """A front with gossip, whose instances are those of the world."""
 
@@ -176,6 +220,7 @@
         )
         for replica in world.all_replicas():
             self.scripts[replica.name] = replica.handle
+        self.world = world
         self.peers = {}
         self.is_cut_off = False
         self.gossip = Gossip(
@@ -191,9 +236,30 @@
             leases=Leases(),
             role=RelayRole(name=self.name),
             feeds=NoFeeds(),
+            reach=self.reach,
+            forward_peers=self.forward_peers,
             clock=world.clock,
         )
         self.gossip.start()
+        self.forward_codec.set_key(b"shared")
+        self.forward_address = f"10.3.0.{len(world.entries)}:1"
+
+    def take_forwarded(self, exchange):
+        """Handle a request that another entry passes on."""
+        headers = exchange.headers | {"host": exchange.host}
+        self.world.hops[headers.get(HEADERS.attempt)].add(self.name)
+        req = HttpRequest(
+            method=exchange.method,
+            path=exchange.target.partition("?")[0],
+            target=exchange.target,
+            query={},
+            headers=headers,
+            body=exchange.body,
+            peer="10.3.0.99",
+        )
+        reply = ExchangeReply(exchange)
+        exchange.on_cancel = reply.leave
+        self.forwarded.handle(req, reply)
 
     def set_life(self, name, life):
         known = self.fleet.get(InstanceId(name))
@@ -210,6 +276,8 @@
         self.network = Network(clock=clock)
         self.sent = []  # (clock time in s, parts)
         self.crashed_s = []
+        self.runs = Counter()  # by attempt
+        self.hops = defaultdict(set)  # attempt -> entries that it was passed on to
         self.deadly_targets = set()  # under which instances crash
         self.crashes_after_head = False
         self.deadly_sent = []  # (clock time in s, target) of those that reached one
@@ -245,6 +313,18 @@
                 for other in self.entries
                 if other is not one
             }
+            one.forward_peers.set_peers(
+                ForwardPeer(
+                    name=other.name,
+                    address=other.forward_address,
+                    failure_domain=FailureDomainName("a"),
+                )
+                for other in self.entries
+                if other is not one
+            )
+            one.client.handlers |= {
+                other.forward_address: other.take_forwarded for other in self.entries
+            }
         return entry
 
     def send(self, *parts, entry=None):
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -14,18 +14,20 @@
 )
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
-from citronpin.gateway.exchanges import ExchangeContext
+from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
-from citronpin.gateway.fronts import FrontHandler
+from citronpin.gateway.forward_codecs import ForwardCodec
+from citronpin.gateway.forward_peers import ForwardPeers
+from citronpin.gateway.fronts import ForwardHandler, FrontHandler
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
 from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.placers import LeastLoaded
 from citronpin.gateway.quarantines import ConsecutiveCrashes, CrashQuarantine
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.request_logs import RequestLog
-from citronpin.gateway.stream_exchanges import StreamExchange
 from citronpin.gateway.suspects import Suspects
 from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.clients import MemoryClient
@@ -136,6 +138,13 @@
             self.add(f"b{number}", "book")
         rng = random.Random(7)
         first_event_times = FirstEventTimes()
+        self.reach = Reachability(
+            fleet=self.fleet, client=self.client, clock=clock, rng=random.Random(8)
+        )
+        self.forward_peers = ForwardPeers(
+            failure_domain=FailureDomainName("a"), clock=clock, rng=random.Random(9)
+        )
+        self.forward_codec = ForwardCodec(entry=self.name)
         self.context = ExchangeContext(
             clock=clock,
             client=self.client,
@@ -157,21 +166,24 @@
             permits=self.permits,
             fingerprints=self.fingerprints,
             first_event_times=first_event_times,
+            reach=self.reach,
+            forward_peers=self.forward_peers,
+            forward_codec=self.forward_codec,
             log=RequestLog(metrics=Metrics()),
             rng=rng,
             make_budget=lambda: RetryBudget(ratio=0.2, slack=100, window_s=10),
         )
         self.context.table = make_routing_table(**({"routes": ROUTES} | config))
         self.front = FrontHandler(context=self.context)
+        self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.request_count = 0
         self._check_streams()
 
     def _check_streams(self):
         self.clock.call_later(STALL_CHECK_INTERVAL_S, self._check_streams)
         for exchange in list(self.context.open_exchanges):
-            if isinstance(exchange, StreamExchange):
-                exchange.check_stall(self.clock.now())
-                exchange.check_quarantine()
+            exchange.check_stall(self.clock.now())
+            exchange.check_quarantine()
 
     def add(self, name, service, head=False, epoch=1):
         address = f"10.1.0.{len(self.client.handlers) + 1}:80"
--- a/citronpin/tests/platforms/simulations.py
+++ b/citronpin/tests/platforms/simulations.py
@@ -1,12 +1,14 @@
 """Simulates a platform with several controllers on one paused clock."""
 
 import json
+import random
 
 from citronpin.basics.clocks import Clock, PausedClock
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.planners import SparePlanner
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.routings import RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.platform.decoders import decode_config
@@ -89,6 +91,12 @@
         )
         self.suspects = Suspects()
         self.loads = LoadTracker()
+        self.reach = Reachability(
+            fleet=self.fleet,
+            client=self.client,
+            clock=self.clock,
+            rng=random.Random(simulation.controller_count),
+        )
         self.fabrics = Fabrics(
             fleet=self.fleet,
             planner=simulation.planner,
@@ -98,6 +106,7 @@
             loads=self.loads,
             clock=self.clock,
             heartbeat_s=1.2,
+            reach=self.reach,
         )
         self.fabrics.table = make_routing_table()
         self.fabrics.traffic_began = not simulation.platform.is_before_traffic
--- a/citronpin/tests/soaks/checks.py
+++ b/citronpin/tests/soaks/checks.py
@@ -3,6 +3,12 @@
 import re
 
 from citronpin.platform.names import HEADERS
+from citronpin.tests.platforms.cuts import (
+    ALLOWED_FAILURE_SHARE,
+    ALLOWED_FAILURES,
+    MIN_SERVED_RATIO,
+    STABILITY_WINDOW_S,
+)
 from citronpin.tests.platforms.limits import count_excess
 from citronpin.tests.platforms.requests import whole_stream
 from citronpin.tests.soaks.callers import Kind
@@ -149,6 +155,59 @@
     return violations
 
 
+def check_cuts(outcomes, cuts, disturbances):
+    """Check that nodes that are cut off from instances serve as the others do.
+
+    ``cuts`` are ``(nodes, start_s, end_s)``; ``disturbances`` are those of kills,
+    pauses, stops and lost stores, as ``(node, start_s, end_s)``. Requests beside one of
+    any node and a stability window after it are not counted, since passing on needs the
+    other nodes.
+    """
+    violations = []
+    for nodes, start_s, end_s in cuts:
+        served = {True: [], False: []}
+        for outcome in outcomes:
+            is_counted = (
+                start_s + STABILITY_WINDOW_S <= outcome.start_s
+                and outcome.end_s <= end_s
+                and not _is_disturbed(outcome, disturbances)
+                and not _is_ambiguous(outcome, nodes, start_s, cuts)
+            )
+            if is_counted:
+                is_served = outcome.status == 200 and outcome.complete
+                served[outcome.node in nodes].append(is_served)
+        here, others = served[True], served[False]
+        if not here or not others:
+            continue
+        failures = here.count(False) + others.count(False)
+        allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(here + others)
+        share, expected = sum(here) / len(here), sum(others) / len(others)
+        if share < MIN_SERVED_RATIO * expected and failures > allowed:
+            violations.append(
+                f"{nodes} were cut off and served {sum(here)} of {len(here)} requests, "
+                f"the others {sum(others)} of {len(others)}"
+            )
+    return violations
+
+
+def _is_disturbed(outcome, disturbances):
+    return any(
+        start_s <= outcome.end_s and outcome.start_s <= end_s + STABILITY_WINDOW_S
+        for _, start_s, end_s in disturbances
+    )
+
+
+def _is_ambiguous(outcome, nodes, start_s, cuts):
+    """Return whether another cut of the node has just begun or ended."""
+    return any(
+        outcome.node in other_nodes
+        and (other_nodes, other_start_s) != (nodes, start_s)
+        and other_start_s <= outcome.end_s
+        and outcome.start_s <= other_end_s + STABILITY_WINDOW_S
+        for other_nodes, other_start_s, other_end_s in cuts
+    )
+
+
 def check_limits(episodes, nodes, disturbances):
     """Check that instances that named a limit got no more requests than allowed.
 
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -1,5 +1,6 @@
 """Simulated platform that is reached over sockets: its store and its instances."""
 
+import base64
 import hashlib
 import json
 from collections import defaultdict
@@ -78,10 +79,11 @@
     """Runs store and instances in one event loop.
 
     Gateways reach the store through one proxy for each node, and each instance through
-    a proxy of its own.
+    a proxy of its own. The nodes of ``cuttable`` reach each instance through one more,
+    which only they use: the store tells them its address.
     """
 
-    def __init__(self, *, nodes):
+    def __init__(self, *, nodes, cuttable=()):
         self.clock = SystemClock()
         root = Component()
         ClockTask(clock=self.clock).register(root)
@@ -102,9 +104,10 @@
         self.limit_episodes = []
         self.config_version = 0
         self.instance_proxies = {}  # instance -> proxy
-        store_port = self._listen(free_port(), self._handle_store_request)
+        self.cut_proxies = {node: {} for node in cuttable}  # node -> instance -> proxy
         self.store_proxies = {  # node -> proxy
-            node: FaultProxy(port=0, target_port=store_port) for node in nodes
+            node: FaultProxy(port=0, target_port=self._listen_as_store(node))
+            for node in nodes
         }
         for number in range(10):
             self.add_instance(f"i-{number}", "d0")
@@ -117,13 +120,22 @@
 
     def stop(self):
         self._runner.stop()
-        for proxy in [*self.instance_proxies.values(), *self.store_proxies.values()]:
+        proxies = [*self.instance_proxies.values(), *self.store_proxies.values()]
+        for found in self.cut_proxies.values():
+            proxies += found.values()
+        for proxy in proxies:
             proxy.close()
 
     def call(self, function):
         """Run a function in the event loop and return its result."""
         return self._runner.call(function)
 
+    def _listen_as_store(self, node):
+        """Listen for the calls of a node to the store and return the port."""
+        return self._listen(
+            free_port(), lambda exchange: self._handle_store_request(node, exchange)
+        )
+
     def _listen(self, port, on_exchange):
         WebServer(
             bind=("127.0.0.1", port),
@@ -141,6 +153,8 @@
             name, domain, address=proxy.address, service=service
         )
         self.instance_proxies[name] = proxy
+        for proxies in self.cut_proxies.values():
+            proxies[name] = FaultProxy(port=free_port(), target_port=proxy.port)
         self._listen(
             port,
             lambda exchange: self._handle_instance_request(new_instance, exchange),
@@ -214,7 +228,45 @@
         for instance in self.fleet.instances.values():
             instance.write_entry()
 
-    def _handle_store_request(self, exchange):
+    def cut(self, node, service, how):
+        """Cut a node off from the instances of a service: hang, reset or full."""
+        for name, proxy in self.cut_proxies[node].items():
+            if service in (None, self.fleet.instances[name].service):
+                if how == "hang":
+                    proxy.dropped_directions = frozenset([proxy.UP, proxy.DOWN])
+                    proxy.hang_new_connections()
+                    continue
+                proxy.refuse_new_connections()
+                if how == "reset":
+                    proxy.reset_connections()
+
+    def heal(self, node):
+        """End the cuts of a node."""
+        for proxy in self.cut_proxies[node].values():
+            proxy.clear_faults()
+            proxy.accept_new_connections()
+
+    def _for_node(self, node, target, body):
+        """Return an answer of the store with the addresses that a node reaches."""
+        proxies = self.cut_proxies.get(node)
+        if not proxies:
+            return body
+        if "/log-newest" in target:
+            answer = json.loads(body)
+            for item in answer["items"]:
+                value = base64.b64decode(item.get("value") or b"")
+                item["value"] = base64.b64encode(self._replace(proxies, value)).decode()
+            return json.dumps(answer).encode()
+        return self._replace(proxies, body) if "/log-read" in target else body
+
+    def _replace(self, proxies, data):
+        """Replace the addresses of instances by others of the same length."""
+        for name, proxy in proxies.items():
+            known = self.instance_proxies[name].address.encode()
+            data = data.replace(known, proxy.address.encode())
+        return data
+
+    def _handle_store_request(self, node, exchange):
         """Answer a call to the store; hold a read without records up to its wait."""
         waited_s = 0.0
         wait_s = _read_wait_s(exchange.target)
@@ -229,7 +281,8 @@
                 waited_s += READ_POLL_INTERVAL_S
                 self.clock.call_later(READ_POLL_INTERVAL_S, answer_or_wait)
                 return
-            exchange.answer(*answer)
+            status, body, *rest = answer
+            exchange.answer(status, self._for_node(node, exchange.target, body), *rest)
 
         answer_or_wait()
 
--- a/citronpin/tests/soaks/proxies.py
+++ b/citronpin/tests/soaks/proxies.py
@@ -8,6 +8,7 @@
 
 CHUNK_BYTES = 65_536
 POLL_INTERVAL_S = 0.1
+FILLERS = 4
 LINGER_RESET = struct.pack(
     "ii", 1, 0
 )  # a linger time of 0 s makes a close send a reset
@@ -17,7 +18,8 @@
     """Forwards connections to a port; a fault applies to all connections.
 
     Data in the directions of ``dropped_directions`` is read and discarded. A connection
-    that lost data cannot be used again, so `clear_faults` resets it.
+    that lost data cannot be used again, so `clear_faults` resets it. New connections
+    can be refused, or hang as behind a cut link.
     """
 
     UP = "up"  # towards the server
@@ -26,7 +28,10 @@
     def __init__(self, *, port, target_port):
         self._target = ("127.0.0.1", target_port)
         self._listener = socket.create_server(("127.0.0.1", port))
+        self._listener.settimeout(POLL_INTERVAL_S)
         self.port = self._listener.getsockname()[1]
+        self._is_accepting = True
+        self._fillers = []  # connections that keep the backlog of the listener full
         self.delay_s = 0.0
         self.dropped_directions = frozenset()
         self._pairs = set()
@@ -45,6 +50,32 @@
         if dropped_data:
             self.reset_connections()
 
+    def hang_new_connections(self):
+        """Let new connections hang, as behind a link that drops all packets."""
+        self._is_accepting = False
+        self._listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self._fillers.append(filler)
+
+    def refuse_new_connections(self):
+        """Refuse new connections, and keep the open ones."""
+        self._is_accepting = False
+        self._listener.close()
+
+    def accept_new_connections(self):
+        """Accept connections again."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers = []
+        if self._listener.fileno() < 0:
+            self._listener = socket.create_server(("127.0.0.1", self.port))
+            self._listener.settimeout(POLL_INTERVAL_S)
+        self._listener.listen()
+        self._is_accepting = True
+
     def reset_connections(self):
         """Reset all open connections on both sides."""
         with self._lock:
@@ -56,15 +87,20 @@
     def close(self):
         """Stop accepting connections and reset the open ones."""
         self._closed = True
+        for filler in self._fillers:
+            filler.close()
         _close(self._listener)
         self.reset_connections()
 
     def _accept_connections(self):
         while not self._closed:
+            if not self._is_accepting:
+                time.sleep(POLL_INTERVAL_S)
+                continue
             try:
                 client, _ = self._listener.accept()
-            except OSError:
-                return
+            except OSError:  # none within the interval, or the listener was closed
+                continue
             try:
                 server = socket.create_connection(self._target, timeout=1.0)
             except OSError:
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -31,6 +31,7 @@
 PROBE_INTERVAL_S = 0.25
 LIMIT_S = 9.0  # for which instances name a limit
 LIMITED_REQUEST_INTERVAL_S = 0.03
+MAX_CUT_NODES = 6  # each needs a proxy for each instance
 
 
 class GatewayNode:
@@ -39,8 +40,8 @@
     def __init__(self, *, name, store_address, folder):
         self.name = name
         self.incarnation = 0
-        self.front_port, self.ready_port, peer_port, self.metrics_port = (
-            free_port() for _ in range(4)
+        self.front_port, self.ready_port, self.metrics_port, *internal_ports = (
+            free_port() for _ in range(5)
         )
         settings = {
             "node": name,
@@ -50,7 +51,7 @@
                 "front": f"127.0.0.1:{self.front_port}",
                 "ready": f"127.0.0.1:{self.ready_port}",
             },
-            "internal-ports": [peer_port, peer_port],
+            "internal-ports": sorted(internal_ports),
             "platform": {"address": store_address},
             "bounds": {"grace-s": GRACE_PERIOD_S},
         }
@@ -143,14 +144,17 @@
         self._config_faults = []  # (node, start_s, end_s) of those that delay a change
         self._probe_outcomes = []  # of requests that show whether nodes serve
         self._poison_outcomes = []  # of requests under which instances crash
+        self._cut_outcomes = []  # of requests while nodes are cut off from instances
         self._limited_outcomes = []  # of requests to instances that name limits
         self._planned_stops = []  # (node, start_s, end_s)
+        self._cuts = []  # (nodes, start_s, end_s) of cuts from instances
         self._config_observations = []  # (incarnation_id, version, status)
         self._config_write_times = {}  # version -> monotonic time in s
         self._threads = []
         self._finished = threading.Event()
         names = [f"front-{number + 1}" for number in range(node_count)]
-        self.platform = LivePlatform(nodes=names)
+        self.platform = LivePlatform(nodes=names, cuttable=names[:MAX_CUT_NODES])
+        self._cut_locks = {name: threading.Lock() for name in names[:MAX_CUT_NODES]}
         self.platform.start()
         self.nodes = [
             GatewayNode(name=name, store_address=proxy.address, folder=folder)
@@ -336,6 +340,40 @@
         proxy = self._rng.choice(list(proxies.values()))
         self._disrupt(proxy, [name for name in proxies if proxies[name] is proxy])
 
+    def _do_cut_nodes_from_instances(self):
+        """Cut nodes off from all instances, or those of a service, and send to all."""
+        names = sorted(self._cut_locks)
+        chosen = self._rng.sample(names, self._rng.randint(1, max(len(names) - 1, 1)))
+        how = self._rng.choice(["hang", "reset", "full"])
+        service = self._rng.choice([None, None, "engines", "book"])
+        free = [
+            name for name in chosen if self._cut_locks[name].acquire(blocking=False)
+        ]
+        senders = [
+            Caller(
+                name=f"cut-{time.monotonic_ns()}-{number}",
+                seed=number,
+                front_addresses={node.name: ("127.0.0.1", node.front_port)},
+            )
+            for number, node in enumerate(self.nodes[: len(names) + 2])
+        ]
+        start_s = time.monotonic()
+        for name in free:
+            self.platform.cut(name, service, how)
+        for sender in senders:
+            sender.start()
+        time.sleep(self._rng.choice([1.0, 7.0]))
+        end_s = time.monotonic()
+        for name in free:
+            self.platform.heal(name)
+            self._cut_locks[name].release()
+        for sender in senders:
+            sender.stop_requested.set()
+        for sender in senders:
+            sender.join()
+            self._cut_outcomes += sender.outcomes
+        self._cuts.append((free, start_s, end_s))
+
     def _do_disrupt_instance_link(self):
         """Disrupt the connections of all nodes to one instance."""
         self._disrupt(self._rng.choice(list(self.platform.instance_proxies.values())))
@@ -495,7 +533,7 @@
                 )
         outcomes = [outcome for caller in self.callers for outcome in caller.outcomes]
         outcomes += self._probe_outcomes + self._poison_outcomes
-        outcomes += self._limited_outcomes
+        outcomes += self._limited_outcomes + self._cut_outcomes
         runs = {
             attempt: list(instance_names)
             for attempt, instance_names in self.platform.runs.items()
@@ -515,6 +553,9 @@
             self.platform.crashes,
             [times for _, *times in self._config_faults + self._planned_stops],
         )
+        self.violations += checks.check_cuts(
+            outcomes, self._cuts, self._config_faults + self._planned_stops
+        )
         self.violations += checks.check_limits(
             self.platform.limit_episodes,
             {outcome.attempt: outcome.node for outcome in outcomes},
--- a/citronpin/tests/test_cuts.py
+++ b/citronpin/tests/test_cuts.py
@@ -57,7 +57,6 @@
         )
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 8", strict=True)
 @pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET])
 @pytest.mark.parametrize("count", [1, 6])
 def test_callers_of_entries_without_a_path_to_an_instance_are_served(
@@ -72,7 +71,6 @@
     world.check()
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 8", strict=True)
 @pytest.mark.parametrize("count", [1, 6])
 def test_unsafe_requests_are_served_while_instances_refuse_new_connections(
     paused_clock, count
@@ -86,7 +84,6 @@
     world.check()
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 8", strict=True)
 def test_a_reset_of_all_connections_quarantines_no_request(paused_clock):
     # The same stream is in progress at many instances when an entry is cut off.
     world = CutWorld(clock=paused_clock)
@@ -98,7 +95,6 @@
         assert not any(entry.quarantine.rows(now_s=now_s) for entry in world.entries)
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 8", strict=True)
 @pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET])
 def test_entries_that_are_cut_off_let_the_others_use_all_instances(paused_clock, how):
     world = CutWorld(clock=paused_clock, replicas=12)
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -104,6 +104,28 @@
     assert not simulation.platform.violations
 
 
+@pytest.mark.parametrize("cut_s", [1.0, 6.0])
+def test_a_lease_holder_without_a_path_changes_no_group(simulation, cut_s):
+    # In incident inc1 such holders ordered groups closed, since members seemed dead.
+    holder = simulation.holder()
+    memberships = [one.member for one in simulation.platform.instances.values()]
+    holder.client.hanging = set(simulation.network.handlers)
+    simulation.advance(cut_s)
+    holder.client.hanging.clear()
+    simulation.advance(2.0)
+    assert simulation.count_serving_groups() == {"big": 1, "small": 3}
+    assert memberships == [one.member for one in simulation.platform.instances.values()]
+
+
+def test_a_domain_that_goes_dark_is_told_from_a_lost_path(paused_clock):
+    simulation = formed_simulation(domains=("d0", "d1"))
+    for name, instance in simulation.platform.instances.items():
+        if "-d0-" in name:
+            instance.kill()
+    simulation.advance(3.0)
+    assert not simulation.holder("d0").reach.cut_off_services()
+
+
 def test_a_group_is_converted_to_a_model_without_a_group(simulation):
     simulation.platform.cold_joins.clear()
     other_member(simulation, find_serving_head(simulation, "big")).kill()
--- a/citronpin/tests/test_gateway_signals.py
+++ b/citronpin/tests/test_gateway_signals.py
@@ -16,7 +16,7 @@
 @pytest.fixture
 def gateway(tmp_path):
     """Run a gateway process whose store is unreachable."""
-    ports = [free_port() for _ in range(5)]
+    ports = [free_port() for _ in range(6)]
     settings = {
         "node": "front-1",
         "ip": "127.0.0.1",
@@ -25,8 +25,8 @@
             "front": f"127.0.0.1:{ports[0]}",
             "ready": f"127.0.0.1:{ports[1]}",
         },
-        "internal-ports": [ports[2], ports[2]],
-        "platform": {"address": f"127.0.0.1:{ports[3]}"},
+        "internal-ports": [ports[2], ports[3]],
+        "platform": {"address": f"127.0.0.1:{ports[5]}"},
         "bounds": {"grace-s": 4.0},
     }
     path = tmp_path / "settings.json"
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -1,5 +1,8 @@
 """Tests the updates between entries: loads, suspicions, groups and a lost store."""
 
+import random
+
+import msgspec
 import pytest
 
 from citronpin.basics.ids import EntryId, GroupId, InstanceId, ModelName
@@ -11,15 +14,18 @@
     PeerGroupReport,
     Phase,
 )
-from citronpin.gateway.gossips import MAX_MESH_ENTRIES, Gossip
+from citronpin.gateway.forward_peers import ForwardPeers
+from citronpin.gateway.gossips import LEASE_RETURN_S, MAX_MESH_ENTRIES, Gossip
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
 from citronpin.gateway.permits import SharedPermits
 from citronpin.gateway.quarantines import ConsecutiveCrashes, CrashQuarantine
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.relays import RELAY_COUNT, RelayRole, relay_rank
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.messages import FeedPosition, HeadStatus
 from citronpin.tests.meshes import MemoryLinks, Network
+from citronpin.tests.platforms.clients import MemoryClient
 
 HEAD = InstanceId("i-1")
 
@@ -75,6 +81,11 @@
         self.leases = FakeLeases()
         self.fabrics = FakeFabrics()
         self.feeds = FakeFeeds()
+        rng = random.Random(1)
+        self.reach = Reachability(
+            fleet=self.fleet, client=MemoryClient(clock=clock), clock=clock, rng=rng
+        )
+        self.forward_peers = ForwardPeers(failure_domain="a", clock=clock, rng=rng)
         self.links = MemoryLinks(entry=self.name, network=network)
         self.peers = {}
         self.gossip = Gossip(
@@ -90,6 +101,8 @@
             leases=self.leases,
             role=RelayRole(name=self.name),
             feeds=self.feeds,
+            reach=self.reach,
+            forward_peers=self.forward_peers,
             clock=clock,
         )
 
@@ -269,6 +282,63 @@
     assert [node.loads.pace(HEAD) for node in nodes] == [1.0, 1.0, 1.0]
 
 
+class CutReach:
+    """Stands for the reachability of an entry that is cut off from the head."""
+
+    is_cut_off = True
+
+    def cut_off_services(self):
+        return ("engines",) if self.is_cut_off else ()
+
+    uncertain_services = cut_off_services
+
+
+@pytest.fixture
+def cut_node(paused_clock, nodes):
+    """Return an entry that reaches no instance, whose domain has groups."""
+    for node in nodes:
+        head = msgspec.structs.replace(head_instance(), domain="d0")
+        node.fleet.register(head, now_s=0.0)
+    nodes[0].gossip._reach = CutReach()
+    paused_clock.advance(0.5)
+    return nodes[0]
+
+
+def test_an_entry_without_a_path_leaves_leases_to_others(paused_clock, nodes, cut_node):
+    assert not cut_node.leases.is_participating
+    assert nodes[1].leases.is_participating
+    cut_node.gossip._reach.is_cut_off = False
+    paused_clock.advance(1.0)
+    assert not cut_node.leases.is_participating
+    paused_clock.advance(LEASE_RETURN_S)
+    assert cut_node.leases.is_participating
+
+
+def test_leases_stay_where_no_other_entry_has_a_path(paused_clock, nodes):
+    for node in nodes:
+        head = msgspec.structs.replace(head_instance(), domain="d0")
+        node.fleet.register(head, now_s=0.0)
+        node.gossip._reach = CutReach()
+    paused_clock.advance(LEASE_RETURN_S + 1.0)
+    assert all(node.leases.is_participating for node in nodes)
+
+
+def test_an_entry_without_a_path_blames_no_instance(paused_clock, nodes, cut_node):
+    cut_node.suspects.stalled(HEAD, now_s=paused_clock.now())
+    cut_node.loads.request_started(HEAD)
+    paused_clock.advance(0.5)
+    assert not nodes[1].suspects.is_avoided(HEAD, now_s=paused_clock.now())
+    assert nodes[1].loads.load(HEAD) == 0
+
+
+def test_a_suspicion_does_not_go_before_own_answers(paused_clock, nodes):
+    nodes[0].suspects.stalled(HEAD, now_s=paused_clock.now())
+    for _ in range(10):
+        nodes[1].suspects.succeeded(HEAD, now_s=paused_clock.now())
+        paused_clock.advance(0.05)
+        assert not nodes[1].suspects.is_avoided(HEAD, now_s=paused_clock.now())
+
+
 def test_leases_are_extended_only_when_all_entries_lost_the_store(paused_clock, nodes):
     for node in nodes[:2]:
         node.leases.store_lost = True
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -64,6 +64,9 @@
     def peer_addresses(self):
         return {}
 
+    def forward_peers(self):
+        return ()
+
     def reload(self):
         """Apply no settings."""
 
@@ -88,6 +91,7 @@
             front=ANY_PORT,
             ready=ANY_PORT,
             peers=ANY_PORT,
+            forward=ANY_PORT,
             metrics=ANY_PORT,
             heartbeat_s=1.0,
             grace_s=GRACE_S,
--- a/citronpin/tests/test_permit_machine.py
+++ b/citronpin/tests/test_permit_machine.py
@@ -4,6 +4,8 @@
 more requests than allowed from the entries that its answers told, cut off or not.
 """
 
+import random
+
 import pytest
 from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import (
@@ -16,14 +18,17 @@
 from citronpin.basics.clocks import Clock, PausedClock
 from citronpin.basics.ids import InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.gateway.forward_peers import ForwardPeers
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.permits import SharedPermits, UnlimitedPermits
 from citronpin.gateway.quarantines import ConsecutiveCrashes, CrashQuarantine
+from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.relays import RelayRole
 from citronpin.gateway.suspects import Suspects
 from citronpin.tests.meshes import MemoryLinks, Network
+from citronpin.tests.platforms.clients import MemoryClient
 from citronpin.tests.platforms.crashes import Leases, NoFeeds, NoGroups
 from citronpin.tests.platforms.limits import count_excess
 
@@ -88,6 +93,8 @@
         self.limits = InstanceLimits(now=self.clock.now)
         self.permits = machine.make_permits(self)
         self.peers = {other: other for other in machine.names if other != name}
+        rng = random.Random(1)
+        client = MemoryClient(clock=self.clock)
         self.gossip = Gossip(
             links=MemoryLinks(entry=name, network=machine.network),
             addresses=lambda: self.peers,
@@ -101,6 +108,10 @@
             leases=Leases(),
             role=RelayRole(name=name),
             feeds=NoFeeds(),
+            reach=Reachability(
+                fleet=self.fleet, client=client, clock=self.clock, rng=rng
+            ),
+            forward_peers=ForwardPeers(failure_domain="a", clock=self.clock, rng=rng),
             clock=self.clock,
         )
         self.gossip.start()
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -18,7 +18,7 @@
     decode_registration,
     decode_report,
 )
-from citronpin.platform.directories import StoreDirectory
+from citronpin.platform.directories import EntryRecord, StoreDirectory
 from citronpin.platform.feeds import RETRY_INTERVAL_S, ConfigFeed, FleetFeed
 from citronpin.platform.leases import PartitionLeases
 from citronpin.platform.settings import node_settings, read_process_settings
@@ -408,7 +408,7 @@
             store=store,
             clock=paused_clock,
             name=name,
-            address=f"10.0.0.{number}:7000",
+            record=EntryRecord(f"10.0.0.{number}:7000"),
             on_changed=lambda: None,
         )
         for number, name in enumerate(["n0", "n1"])
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -45,6 +45,10 @@
     run_soak(3, SHORT_RUN_S, tmp_path, names)
 
 
+def test_nodes_cut_off_from_instances_serve_under_faults(tmp_path):
+    run_soak(4, SHORT_RUN_S, tmp_path, ["do_cut_nodes_from_instances"])
+
+
 def test_one_deadly_request_is_stopped_under_faults(tmp_path):
     names = ["do_send_request_that_crashes_instances", "do_limit_instances"]
     run_soak(2, SHORT_RUN_S, tmp_path, names)
@@ -171,6 +175,22 @@
     assert not checks.check_crashing_keys(late, {"/swap/1-deadly0": [1.0, 1.1]}, [])
 
 
+def test_nodes_that_serve_less_while_cut_off_are_reported():
+    def outcomes(node, status):
+        return [
+            make_outcome(node=node, status=status, start_s=5.0, end_s=5.1)
+            for _ in range(20)
+        ]
+
+    refused = outcomes("front-1", 503) + outcomes("front-2", 200)
+    cuts = [(["front-1"], 1.0, 9.0)]
+    assert checks.check_cuts(refused, cuts, [])
+    assert not checks.check_cuts(refused, cuts, [("front-2", 1.5, 2.5)])
+    assert not checks.check_cuts(refused, [(["front-1"], 3.0, 9.0)], [])
+    equal = outcomes("front-1", 503) + outcomes("front-2", 503)
+    assert not checks.check_cuts(equal, cuts, [])
+
+
 def test_requests_beyond_a_limit_are_reported():
     episode = LimitEpisode(rate=1.0, born=1)
     episode.answers = [(0.0, "a-0"), (0.1, "b-0")]
--- a/citronpin/tests/test_store_eras.py
+++ b/citronpin/tests/test_store_eras.py
@@ -15,7 +15,7 @@
 from citronpin.basics.clocks import PausedClock
 from citronpin.basics.ids import DomainName, EntryId, InstanceId
 from citronpin.gateway.fleets import Fleet
-from citronpin.platform.directories import StoreDirectory
+from citronpin.platform.directories import EntryRecord, StoreDirectory
 from citronpin.platform.feeds import ConfigFeed, FleetFeed
 from citronpin.platform.leases import PartitionLeases
 from citronpin.platform.stores import LogStore
@@ -389,7 +389,7 @@
             store=make_process().store,
             clock=paused_clock,
             name=EntryId(name),
-            address=f"{name}:7000",
+            record=EntryRecord(f"{name}:7000"),
             on_changed=lambda: None,
         )
         directory.start()
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -10,6 +10,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 
 import h11
 import msgspec
@@ -167,6 +168,8 @@
         super().__init__(channel=channel)
         self._clock = clock
         self.counters = ClientCounters()
+        # Called with the address of each new connection and whether it was accepted.
+        self.connection_listeners: list[Callable[[str, bool], None]] = []
         self._poller: BasePoller | None = None
         self._conns: dict[socket.socket, Connection] = {}
         self._idle: dict[str, deque[Connection]] = {}
@@ -219,6 +222,17 @@
         self._assign(exchange)
         return exchange
 
+    def connect(self, address: str, *, timeout_s: float) -> None:
+        """Open a connection to ``IP:PORT`` and keep it for the next request.
+
+        The outcome is reported to the connection listeners.
+        """
+        self._open(address, timeout_s)
+
+    def is_unsent(self, exchange: Exchange) -> bool:
+        """Return whether an exchange still waits for its connection."""
+        return exchange.conn is None or not exchange.conn.connected
+
     def cancel(self, exchange: Exchange) -> None:
         """End an exchange and its connection without a further call of its sink."""
         if exchange.ended:
@@ -229,6 +243,7 @@
 
     def close_all(self) -> None:
         """Close every connection and fail the exchanges in progress."""
+        self.connection_listeners.clear()
         for conn in list(self._conns.values()):
             self._fail_connection(conn, "The client is closing.")
 
@@ -255,7 +270,15 @@
         return None
 
     def _connect(self, exchange: Exchange) -> Connection | None:
-        host, _, port = exchange.address.rpartition(":")
+        conn = self._open(exchange.address, exchange.connect_timeout_s)
+        if conn is None:
+            error = ConnectionFailed(f"{exchange.address} cannot be connected to.")
+            self._fail_later(exchange, error)
+        return conn
+
+    def _open(self, address: str, timeout_s: float) -> Connection | None:
+        """Begin to connect; return ``None`` if that fails at once."""
+        host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -268,17 +291,21 @@
             code = getattr(exc, "errno", None) or errno.EINVAL
         if code not in (0, errno.EINPROGRESS):
             sock.close()
-            self._fail_later(exchange, ConnectionFailed(f"{exchange.address}: {code}."))
+            logger.debug("connection failed", extra={"address": address, "code": code})
+            self._clock.call_later(0.0, lambda: self._report(address, False))
             return None
-        conn = Connection(address=exchange.address, sock=sock)
+        conn = Connection(address=address, sock=sock)
         self._conns[sock] = conn
         conn.connect_timer = self._clock.call_later(
-            exchange.connect_timeout_s,
-            lambda: self._fail_connection(conn, "Connecting timed out."),
+            timeout_s, lambda: self._fail_connection(conn, "Connecting timed out.")
         )
         self._find_poller().addWriter(self, sock)
         return conn
 
+    def _report(self, address: str, connected: bool) -> None:
+        for listener in self.connection_listeners:
+            listener(address, connected)
+
     def _fail_later(self, exchange: Exchange, error: CitronpinError) -> None:
         self._clock.call_later(0.0, lambda: self._fail(exchange, error))
 
@@ -332,6 +359,7 @@
         conn.connected = True
         conn.connect_timer.cancel()
         self._poller.addReader(self, sock)
+        self._report(conn.address, True)
         if conn.exchange is None:
             self._update_write_polling(conn)
             self._keep_idle(conn)
@@ -432,6 +460,8 @@
             self._close(conn)
         if not is_unsent and conn.parser.their_state is h11.SEND_RESPONSE:
             self._close_idle(exchange.address, before_s=exchange.started_s)
+        if conn is not None and not conn.connected:
+            self._report(conn.address, False)
         detail = f"{exchange.address} did not answer in {exchange.timeout_s} s."
         self._fail(
             exchange, ConnectionFailed(detail) if is_unsent else TimedOut(detail)
@@ -453,6 +483,8 @@
         is_unsent = not conn.connected or conn.sent_bytes == 0
         conn.exchange = None
         self._close(conn)
+        if not conn.connected:
+            self._report(conn.address, False)
         if exchange is None:
             return
         detail = f"{conn.address}: {detail}"
--- a/tools/measure_updates.py
+++ b/tools/measure_updates.py
@@ -8,6 +8,7 @@
 
 from citronpin.basics.clocks import PausedClock
 from citronpin.tests.platforms.crashes import CrashWorld
+from citronpin.tests.platforms.cuts import Cut, cut_off
 from citronpin.tests.platforms.limits import limit_instances
 
 WARM_UP_S = 2.0
@@ -19,7 +20,8 @@
 SOUND_PER_S_ENTRY = 8
 REPLICAS_PER_ENTRY = 3
 DEADLY_PER_S = 2
-CASES = ("calm", "parts", "requests", "limits")
+CUT_SHARE = 1 / 3  # of the entries, from all instances
+CASES = ("calm", "parts", "requests", "limits", "cut")
 
 
 def measure(entries: int, case: str) -> dict[str, float]:
@@ -32,6 +34,9 @@
     if case == "limits":
         replicas = list(world.replicas.values())
         limit_instances(replicas[: round(LIMITED_SHARE * len(replicas))], LIMIT)
+    if case == "cut":
+        for entry in world.entries[: round(CUT_SHARE * entries)]:
+            cut_off(entry, world.all_replicas(), Cut.HANG)
     before = _sent(world)
     started_s = time.process_time()
     if case == "requests":
