--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -76,6 +76,10 @@
         self.crashes_at_next_answer = False
         self.life = 0
         self.limit = None  # requests per second that its answers name
+        self.rest = None  # value of Retry-After with which it refuses requests
+        self.rested = []  # (clock time in s, entry, value) of these answers
+        self.is_leaving = False  # whether its answers say that it leaves
+        self.left_s = {}  # entry -> clock time of the first answer that said so
         self.arrivals = []  # (clock time in s, entry)
         self.named_s = {}  # entry -> clock time of the first answer that named it
 
@@ -90,6 +94,9 @@
             for entry in exchange.headers.get(HEADERS.prompt_parts, "").split(",")
         ]
         self.world.sent.append((self.world.clock.now(), tuple(parts)))
+        if self.rest is not None:
+            self._refuse(exchange)
+            return
         self.running.append(exchange)
         life = self.life
         if exchange.target in self.world.deadly_targets:
@@ -100,6 +107,12 @@
             self.delay_s, lambda: self._begin(exchange, parts, life)
         )
 
+    def _refuse(self, exchange):
+        self.rested.append((self.world.clock.now(), exchange.client, self.rest))
+        headers = self._headers(exchange, "text/plain")
+        headers |= {HEADERS.not_run: "1", "retry-after": str(self.rest)}
+        exchange.answer(503, b"", headers)
+
     def _begin(self, exchange, parts, life):
         if life != self.life or exchange.ended:
             return
@@ -127,6 +140,9 @@
         if self.limit is not None:
             headers[HEADERS.request_limit] = str(self.limit)
             self.named_s.setdefault(exchange.client, self.world.clock.now())
+        if self.is_leaving:
+            headers["server-leaving"] = "1"
+            self.left_s.setdefault(exchange.client, self.world.clock.now())
         return instance_headers(exchange, **headers)
 
     def _send(self, exchange, number, life):
