Leave instances alone that ask for rest or leave

Instances that refuse with 503 and Retry-After got up to 11 requests of one entry within that time, and those that name Server-Leaving got requests until their registration said so.

Cause: neither header was read. Registrations, limits and suspicions each answered a part of whether an instance may get a request, and each path asked some of them. InstanceGate now answers it for all paths, with the reason, and again when a permit has come; rests are kept by life and latest end, and an answer that names the leaving drains that life at all entries. When all rest, callers are told to come back after the first end, spread over a second.

--- a/citronpin/benches/bench_overload.py
+++ b/citronpin/benches/bench_overload.py
@@ -23,6 +23,7 @@
 )
 from citronpin.benches.benches import Bench, Figure, register
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
+from citronpin.gateway.instance_gates import InstanceGate
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import (
@@ -35,6 +36,7 @@
     urgency,
 )
 from citronpin.gateway.placers import Demand, LeastLoaded, Placement
+from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import EngineSpec, ModelSpec
 from citronpin.gateway.suspects import Suspects
 
@@ -165,8 +167,13 @@
         self.placer = LeastLoaded(
             fleet=run.fleet,
             loads=self.loads,
-            suspects=self.suspects,
-            limits=InstanceLimits(now=run.clock.now),
+            gate=InstanceGate(
+                fleet=run.fleet,
+                limits=InstanceLimits(now=run.clock.now),
+                rests=InstanceRests(now=run.clock.now),
+                suspects=self.suspects,
+                clock=run.clock,
+            ),
             failure_domain=FailureDomainName("a"),
             rng=rng,
             limit_policy=policy,
--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from citronpin.basics.clocks import Clock
+from citronpin.basics.clocks import MS_PER_S, Clock
 from citronpin.basics.errors import CitronpinError, ConnectionFailed, TimedOut
 from citronpin.gateway.forward_codecs import REFUSAL_HEADER
 from citronpin.gateway.ports import HeaderNames
@@ -15,6 +15,7 @@
 logger = logging.getLogger(__name__)
 
 MISDIRECTED_STATUS = 421
+REFUSED_STATUS = 503
 CONNECT_TIMEOUT_S = 0.4  # connecting takes milliseconds; a dead host never replies
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
@@ -163,6 +164,26 @@
             return None
         return limit if 0.0 <= limit < float("inf") else None
 
+    @property
+    def named_rest_s(self) -> float:
+        """Return for how many seconds the instance wants no request, 0 for none.
+
+        Only a refusal names a rest. A value that is no such number, a date for
+        instance, is ignored.
+        """
+        if self.status != REFUSED_STATUS:
+            return 0.0
+        try:
+            rest_s = float(self.headers.get(self._names.retry_after, ""))
+        except ValueError:
+            return 0.0
+        return rest_s if 0.0 < rest_s < float("inf") else 0.0
+
+    @property
+    def names_leaving(self) -> bool:
+        """Return whether the answer says that the instance leaves."""
+        return self.headers.get(self._names.leaving, "").strip() == "1"
+
     @property
     def is_genuine(self) -> bool:
         """Return whether the answer carries the instance's digest and no encoding."""
@@ -231,6 +252,10 @@
             fields["status"] = self.status
         if self.named_limit is not None:
             fields["limit"] = self.named_limit
+        if self.named_rest_s:
+            fields["rest_ms"] = round(self.named_rest_s * MS_PER_S)
+        if self.names_leaving:
+            fields["leaving"] = True
         if self.refusal:
             fields["refusal"] = self.refusal
         if self.first_s is not None:
--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -20,11 +20,12 @@
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.forward_codecs import ForwardCodec
 from citronpin.gateway.forward_peers import ForwardPeers
+from citronpin.gateway.instance_gates import InstanceGate
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import (
+    BlockedRetryDelays,
     FirstEventTimes,
-    LimitedRetryDelays,
     RetryDelays,
 )
 from citronpin.gateway.permits import Permits
@@ -33,6 +34,7 @@
 from citronpin.gateway.quarantines import CrashQuarantine
 from citronpin.gateway.reachabilities import Reachability, ReachListener
 from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.web.clients import HttpClient
@@ -116,6 +118,8 @@
         suspects: Suspects,
         quarantine: CrashQuarantine,
         limits: InstanceLimits,
+        rests: InstanceRests,
+        gate: InstanceGate,
         permits: Permits,
         fingerprints: Fingerprints,
         first_event_times: FirstEventTimes,
@@ -135,6 +139,8 @@
         self.suspects = suspects
         self.quarantine = quarantine
         self.limits = limits
+        self.rests = rests
+        self.gate = gate
         self.permits = permits
         self.fingerprints = fingerprints
         self.reach = reach
@@ -147,7 +153,7 @@
         self.is_table_current: Callable[[], bool] = lambda: True
         self.first_event_times = first_event_times
         self.retry_delays = RetryDelays()
-        self.limited_retry_delays = LimitedRetryDelays()
+        self.blocked_retry_delays = BlockedRetryDelays()
         self.entry_count = 1  # entries that share the retry budgets
         self._initial_times_s: dict[str, float] = {}
         self.open_exchanges: set[OpenExchange] = set()
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -4,7 +4,7 @@
 from abc import abstractmethod
 from functools import cached_property
 
-from citronpin.basics.clocks import TimerHandle
+from citronpin.basics.clocks import MS_PER_S, TimerHandle
 from citronpin.basics.ids import (
     ApplicationName,
     EntryId,
@@ -25,6 +25,7 @@
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.forward_codecs import REFUSAL_HEADER
 from citronpin.gateway.forward_peers import ForwardPeer
+from citronpin.gateway.instance_gates import Barrier
 from citronpin.gateway.overloads import Pending
 from citronpin.gateway.placers import Demand, Placement, PlacementFailure
 from citronpin.gateway.quarantines import CrashKey
@@ -211,7 +212,8 @@
     def _on_permit(self, placement: Placement, granted: bool) -> None:
         if self._done:
             return
-        if granted and self._is_registered(placement.instance):
+        # It may have left or asked for rest while a permit was requested.
+        if granted and self._may_send(placement.instance):
             self._send_to_instance(placement)
             return
         if not granted:
@@ -219,10 +221,23 @@
             self._log_limit(placement.instance)
         self._send_next()
 
-    def _is_registered(self, instance: FleetInstance) -> bool:
-        """Return whether an instance has not left while a permit was requested."""
-        known = self._context.fleet.get(instance.id)
-        return known is not None and not known.draining
+    def _may_send(self, instance: FleetInstance) -> bool:
+        barrier = self._context.gate.barrier(instance)
+        return barrier in (None, Barrier.LIMITED, Barrier.SUSPECTED)
+
+    def _log_barrier(self, instance: FleetInstance, barrier: Barrier) -> None:
+        """Keep what kept an instance from the request, for the log."""
+        if barrier is Barrier.LIMITED:
+            self._log_limit(instance)
+        elif len(self._limit_rows) < MAX_LOGGED_LIMITS:
+            wait_s = self._context.gate.wait_s(instance)
+            self._limit_rows.append(
+                {
+                    "instance": instance.id,
+                    "reason": barrier.value,
+                    "wait_ms": round(wait_s * MS_PER_S),
+                }
+            )
 
     def _log_limit(self, instance: FleetInstance) -> None:
         row = self._context.limits.row(instance)
@@ -382,21 +397,23 @@
         if failure.is_unreachable:
             wait_s = self._retry_delay_s()
             self._answer(unreachable_refusal(wait_s=wait_s))
-        elif failure.limited:
-            self._refuse_limited(failure)
+        elif failure.blocked:
+            self._refuse_blocked(failure)
         else:
             self._refuse(failure.reason)
 
-    def _refuse_limited(self, failure: PlacementFailure) -> None:
-        """Refuse a request that no limit admits now, until a permit is expected."""
+    def _refuse_blocked(self, failure: PlacementFailure) -> None:
+        """Refuse a request that no limit or rest admits, until one is expected to."""
         limits, now_s = self._context.limits, self._context.clock.now()
-        for instance in failure.limited:
-            self._log_limit(instance)
-        rate = sum(limits.rate(instance) or 0.0 for instance in failure.limited)
-        wait_s = self._context.limited_retry_delays.delay_s(
+        for instance, barrier in zip(failure.blocked, failure.barriers):
+            self._log_barrier(instance, barrier)
+        rate = sum(limits.rate(instance) or 0.0 for instance in failure.blocked)
+        rests = Barrier.RESTING in failure.barriers
+        wait_s = self._context.blocked_retry_delays.delay_s(
             service=self._task.service,
             rate=rate / self._context.entry_count,
-            first_s=min(limits.wait_s(instance) for instance in failure.limited),
+            rests=rests,
+            first_s=min(map(self._context.gate.wait_s, failure.blocked)),
             left_s=self._task.deadline_s - now_s,
             draw=self._context.rng.random(),
             now_s=now_s,
--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -21,6 +21,7 @@
 RELIST_GRACE_S = 2.2
 # Registrations lag behind the reports of other entries by up to this time.
 PEER_REPORT_TTL_S = 2.0
+MAX_LEAVING = 4_096  # lives; kept also while a registration is missing
 
 
 class Phase(Enum):
@@ -97,6 +98,9 @@
         self._registered_s: dict[InstanceId, float] = {}
         self._alive_since_s: dict[InstanceId, float] = {}
         self._missing: dict[InstanceId, float] = {}
+        self._leaving: dict[InstanceId, int] = (
+            {}
+        )  # start in Unix ms of lives that leave
         self._peer_reports: dict[InstanceId, PeerGroupReport] = {}
         self._is_in_outage = False
         self._outage_ended_s = float("-inf")
@@ -137,6 +141,32 @@
         """Return a time after which an instance certainly wrote a registration."""
         return self._alive_since_s.get(instance, float("-inf"))
 
+    def set_leaving(self, instance: InstanceId, born_ms: int) -> bool:
+        """Let an instance drain for the rest of a life; return whether that was new.
+
+        Its registration may say so later, or never.
+        """
+        if born_ms <= self._leaving.get(instance, -1):
+            return False
+        self._leaving.pop(instance, None)
+        self._leaving[instance] = born_ms
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        known = self._instances.get(instance)
+        if known is None or known.born_ms > born_ms:
+            return False
+        logger.info("instance leaves", extra={"instance": instance})
+        self._set_instance(known)
+        return True
+
+    def leaving(self) -> dict[InstanceId, int]:
+        """Return the starts of the lives that leave, by instance."""
+        return {
+            name: born_ms
+            for name, born_ms in self._leaving.items()
+            if name in self._instances
+        }
+
     def register(
         self,
         instance: FleetInstance,
@@ -190,6 +220,8 @@
 
     def _set_instance(self, instance: FleetInstance) -> None:
         known = self._instances.get(instance.id)
+        if instance.born_ms <= self._leaving.get(instance.id, -1):
+            instance = msgspec.structs.replace(instance, draining=True)
         if known == instance:
             return
         if known is not None and _epoch_of(known) != _epoch_of(instance):
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -140,6 +140,7 @@
             heads=heads if not is_mesh else tuple(map(_without_load, heads)),
             relay=self.role.is_relay,
             cut_off=self._reach.cut_off_services(),
+            leaving=self._fleet.leaving(),
         )
         if not self._is_due(update, is_mesh, now_s):
             return
@@ -309,6 +310,8 @@
         self._loads.record_peer_loads(entry=sender, loads=message.loads, now_s=now_s)
         self._cut_off_reports[sender] = frozenset(message.cut_off)
         self._forward_peers.record_cut_off(sender, message.cut_off)
+        for instance, born_ms in message.leaving.items():
+            self._fleet.set_leaving(InstanceId(instance), born_ms)
         for instance in message.suspects:
             self._suspects.suspected_by_peer(InstanceId(instance), now_s=now_s)
         if message.traffic:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -22,6 +22,7 @@
 from citronpin.gateway.forward_peers import ForwardPeer, ForwardPeers
 from citronpin.gateway.fronts import ForwardHandler, FrontHandler
 from citronpin.gateway.gossips import Gossip
+from citronpin.gateway.instance_gates import InstanceGate
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
@@ -38,6 +39,7 @@
 from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.relays import RelayRole
 from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import NngLinks
@@ -133,6 +135,14 @@
         self.loads = LoadTracker()
         self.quarantine = CrashQuarantine(policy=ConsecutiveCrashes())
         self.limits = InstanceLimits(now=clock.now)
+        self.rests = InstanceRests(now=clock.now)
+        self.gate = InstanceGate(
+            fleet=self.fleet,
+            limits=self.limits,
+            rests=self.rests,
+            suspects=self.suspects,
+            clock=clock,
+        )
         self.permits = SharedPermits(entry=cfg.name, limits=self.limits, clock=clock)
         self.fingerprints = Fingerprints()
         self.metrics = Metrics()
@@ -157,6 +167,11 @@
             "Instances that name a limit on their requests per second.",
             lambda: len(self.limits.current()),
         )
+        self.metrics.gauges.add(
+            "resting_instances",
+            "Instances that want no request from this entry now.",
+            self.rests.count,
+        )
         self._rng = rng or random.Random()
         self.reach = Reachability(
             fleet=self.fleet, client=client, clock=clock, rng=self._rng
@@ -205,8 +220,7 @@
         placer = LeastLoaded(
             fleet=self.fleet,
             loads=self.loads,
-            suspects=self.suspects,
-            limits=self.limits,
+            gate=self.gate,
             failure_domain=self.cfg.failure_domain,
             rng=self._rng,
             limit_policy=ObjectiveLoadLimit(first_event_times=first_event_times),
@@ -221,6 +235,8 @@
             suspects=self.suspects,
             quarantine=self.quarantine,
             limits=self.limits,
+            rests=self.rests,
+            gate=self.gate,
             permits=self.permits,
             fingerprints=self.fingerprints,
             first_event_times=first_event_times,
@@ -388,6 +404,7 @@
                 self.fabrics.traffic_began = True
         if self.context.open_exchanges:
             self.fabrics.traffic_began = True
+        self.rests.expire()
         for exchange in list(self.context.open_exchanges):
             exchange.check_stall(now_s)
             exchange.check_quarantine()
--- a/citronpin/gateway/overloads.py
+++ b/citronpin/gateway/overloads.py
@@ -178,13 +178,17 @@
         return delay_s * (1.0 - RETRY_JITTER_SHARE * draw)
 
 
-class LimitedRetryDelays:
-    """Spreads the retries of refused callers at the rate at which limits admit them.
+class BlockedRetryDelays:
+    """Spreads the retries of refused callers after limits and rests of instances.
 
-    It handles a service all of whose instances named limits: each refused caller gets
-    the next of the times at which this entry's part of the permits is free.
+    It handles a service all of whose instances named limits or asked for rest. Under
+    limits, each refused caller gets the next of the times at which this entry's part of
+    the permits is free. Where instances rest, no caller is told to come back before the
+    first end, and they come back over `REST_SPREAD_S`, not all at once.
     """
 
+    REST_SPREAD_S = 1.0
+
     def __init__(self) -> None:
         self._next_s: dict[ApplicationName, float] = {}  # time of the latest retry
 
@@ -193,6 +197,7 @@
         *,
         service: ApplicationName,
         rate: float,
+        rests: bool,
         first_s: float,
         left_s: float,
         draw: float,
@@ -201,9 +206,11 @@
         """Return the retry delay of a refused caller in seconds.
 
         ``rate`` is this entry's part of the limits in requests per second, ``first_s``
-        the time until the first permit; ``left_s`` and ``draw`` are as in
-        `RetryDelays.refuse`.
+        the time until the first permit or end of a rest; ``left_s`` and ``draw`` are as
+        in `RetryDelays.refuse`.
         """
+        if rests:
+            return first_s + self.REST_SPREAD_S * draw
         latest_s = self._next_s.get(service, float("-inf"))
         next_s = max(latest_s + 1.0 / max(rate, 1e-3), now_s + first_s)
         next_s = min(next_s, now_s + MAX_RETRY_DELAY_SHARE * max(left_s, 0.0))
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -9,11 +9,10 @@
 
 from citronpin.basics.ids import FailureDomainName, InstanceId, ModelName
 from citronpin.gateway.fleets import Fleet, FleetInstance
-from citronpin.gateway.limits import InstanceLimits
+from citronpin.gateway.instance_gates import Barrier, InstanceGate
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import LoadLimitPolicy, Pending
 from citronpin.gateway.routings import EngineSpec
-from citronpin.gateway.suspects import Suspects
 
 logger = logging.getLogger(__name__)
 
@@ -41,14 +40,14 @@
 class PlacementFailure(msgspec.Struct, frozen=True, kw_only=True):
     """Why no instance was selected, with the load in requests of the best candidate.
 
-    ``limited`` are the candidates that get no request because of the limits that they
-    named.
+    ``blocked`` are the candidates, if all of them named a limit or a rest.
     """
 
     reason: str
     candidates: int
     load: int = 0
-    limited: tuple[FleetInstance, ...] = ()
+    blocked: tuple[FleetInstance, ...] = ()
+    barriers: tuple[Barrier, ...] = ()  # of these, in the same order
     is_unreachable: bool = False  # neither from here nor through another entry
 
     @classmethod
@@ -86,8 +85,7 @@
         *,
         fleet: Fleet,
         loads: LoadTracker,
-        suspects: Suspects,
-        limits: InstanceLimits,
+        gate: InstanceGate,
         failure_domain: FailureDomainName,
         rng: random.Random,
         limit_policy: LoadLimitPolicy,
@@ -95,8 +93,7 @@
     ) -> None:
         self._fleet = fleet
         self._loads = loads
-        self._suspects = suspects
-        self._limits = limits
+        self._gate = gate
         self._failure_domain = failure_domain
         self._rng = rng
         self._limit_policy = limit_policy
@@ -106,19 +103,24 @@
         usable = self._candidates(demand)
         if not usable:
             return PlacementFailure(reason="no instance serves this", candidates=0)
+        barriers = [
+            self._gate.barrier(instance, accepts_limited=demand.accepts_limited)
+            for instance in usable
+        ]
         permitted = [
-            instance for instance in usable if self._is_permitted(instance, demand)
+            instance
+            for instance, barrier in zip(usable, barriers)
+            if barrier in (None, Barrier.SUSPECTED)
         ]
         if not permitted:
             return PlacementFailure(
-                reason="all instances are at their request limits",
+                reason=_blocked_reason(barriers),
                 candidates=len(usable),
-                limited=tuple(usable),
+                blocked=tuple(usable),
+                barriers=tuple(barriers),
             )
         unsuspected = [
-            instance
-            for instance in permitted
-            if not self._suspects.is_avoided(instance.id, now_s=now_s)
+            instance for instance, barrier in zip(usable, barriers) if barrier is None
         ]
         if not unsuspected and demand.pending.midway:
             # Resuming on an instance that does not respond would only stall again.
@@ -133,12 +135,6 @@
             )
         return Placement(instance=selected, load=load, candidates=len(usable))
 
-    def _is_permitted(self, instance: FleetInstance, demand: Demand) -> bool:
-        """Return whether the limit of an instance may allow another request now."""
-        if not demand.accepts_limited and self._limits.rate(instance) is not None:
-            return False
-        return self._limits.wait_s(instance) == 0.0
-
     def _select(self, instances: list[FleetInstance]) -> FleetInstance:
         if len(instances) > self._choices:
             instances = self._rng.sample(instances, self._choices)
@@ -179,12 +175,19 @@
         )
         return (
             load_cost
-            + self._suspects.load_penalty(instance.id)
-            + self._limits.load_cost(instance)
+            + self._gate.load_cost(instance)
             + (REMOTE_COST_REQUESTS if remote else 0.0)
         )
 
 
+def _blocked_reason(barriers: Collection[Barrier]) -> str:
+    if Barrier.RESTING not in barriers:
+        return "all instances are at their request limits"
+    if Barrier.LIMITED not in barriers:
+        return "all instances rest"
+    return "all instances rest or are at their request limits"
+
+
 def serves(instance: FleetInstance, model: ModelName | None) -> bool:
     """Return whether an instance accepts requests for a model; ``None`` fits any."""
     if model is None:
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -31,6 +31,8 @@
     prompt_parts: str  # ID:TOKENS of each part of the prompt, separated by commas
     urgency: str  # 0 to 9, 0 is the most urgent
     last_event: str  # event after which a stream resumes
+    retry_after: str  # in an answer: seconds for which the instance wants no request
+    leaving: str  # in an answer: the instance leaves
     request_limit: str  # in an answer: requests per second that the instance takes
 
 
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -124,6 +124,9 @@
     def record_head(self, attempt):
         self._context.reach.record_reply(self.instance.service)
         if attempt.status != MISDIRECTED_STATUS:
+            self._context.rests.record(self.instance, rest_s=attempt.named_rest_s)
+            if attempt.names_leaving:
+                self._context.fleet.set_leaving(self.instance.id, self.instance.born_ms)
             self._context.limits.record_answer(
                 self.instance, rate=attempt.named_limit, sent_s=attempt.sent_s
             )
@@ -151,7 +154,7 @@
         elif fault is Fault.STALLED:
             suspects.stalled(self.instance.id, now_s=now_s)
         elif fault is Fault.NOT_RUN:
-            if self._load < self.instance.slots:
+            if not attempt.named_rest_s and self._load < self.instance.slots:
                 suspects.refused(self.instance.id, now_s=now_s)
         else:
             suspects.failed(self.instance.id)
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -246,9 +246,9 @@
     # Lives of instances that went on after they were taken to have crashed, by the age
     # in ms of what proves it.
     alive: dict[int, int] = {}
-    cut_off: tuple[
-        ApplicationName, ...
-    ] = ()  # services whose instances it cannot reach
+    cut_off: tuple[ApplicationName, ...] = ()  # services that it does not reach
+    # Start in Unix ms of the lives of instances that said in answers that they leave.
+    leaving: dict[InstanceId, int] = {}
 
 
 class PermitRequest(Message, tag=19):
--- a/citronpin/platform/names.py
+++ b/citronpin/platform/names.py
@@ -15,5 +15,7 @@
     prompt_parts="x-citronpin-prompt-prefix",
     urgency="x-citronpin-request-urgency",
     last_event="last-event-id",
+    retry_after="retry-after",
+    leaving="server-leaving",
     request_limit="server-limit",
 )
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -20,6 +20,7 @@
 from citronpin.gateway.forward_codecs import ForwardCodec
 from citronpin.gateway.forward_peers import ForwardPeers
 from citronpin.gateway.fronts import ForwardHandler, FrontHandler
+from citronpin.gateway.instance_gates import InstanceGate
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
@@ -28,6 +29,7 @@
 from citronpin.gateway.quarantines import ConsecutiveCrashes, CrashQuarantine
 from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.request_logs import RequestLog
+from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.suspects import Suspects
 from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.clients import MemoryClient
@@ -128,6 +130,14 @@
         self.quarantine = CrashQuarantine(policy=policy or ConsecutiveCrashes())
         self.name = EntryId(name)
         self.limits = InstanceLimits(now=clock.now)
+        self.rests = InstanceRests(now=clock.now)
+        self.gate = InstanceGate(
+            fleet=self.fleet,
+            limits=self.limits,
+            rests=self.rests,
+            suspects=self.suspects,
+            clock=clock,
+        )
         self.fingerprints = Fingerprints()
         self.fingerprints.set_key(b"shared")
         self.permits = SharedPermits(entry=self.name, limits=self.limits, clock=clock)
@@ -153,8 +163,7 @@
             placer=LeastLoaded(
                 fleet=self.fleet,
                 loads=self.loads,
-                suspects=self.suspects,
-                limits=self.limits,
+                gate=self.gate,
                 failure_domain=FailureDomainName("a"),
                 rng=rng,
                 limit_policy=ObjectiveLoadLimit(first_event_times=first_event_times),
@@ -163,6 +172,8 @@
             suspects=self.suspects,
             quarantine=self.quarantine,
             limits=self.limits,
+            rests=self.rests,
+            gate=self.gate,
             permits=self.permits,
             fingerprints=self.fingerprints,
             first_event_times=first_event_times,
