Doubt the own path when an answer is lost

A reset of all connections is the first sign of a lost path, but only unsafe requests may be in progress, which are not sent again: nothing raised a doubt, and the lost answers counted as crashes. Settings with a single internal port are refused, since messages and requests need one each.

--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -87,6 +87,13 @@
         if self._clock.now() - reach.last_reply_s >= FRESH_S:
             self._start_round(service, reach)
 
+    def doubt_unless_heard(self, service: ApplicationName) -> None:
+        """Probe instances of a service unless one is heard within `FRESH_S`.
+
+        A connection that broke may be the first sign of a lost path.
+        """
+        self._clock.call_later(FRESH_S, lambda: self.doubt(service))
+
     def is_cut_off(self, service: ApplicationName) -> bool:
         """Return whether this entry reaches no instance of a service."""
         reach = self._services.get(service)
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -66,9 +66,18 @@
 def read_process_settings(path: Path) -> Result[WireSettings, SettingsError]:
     """Read the settings file; `Err` when it is missing or its form is wrong."""
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=WireSettings))
+        settings = msgspec.json.decode(path.read_bytes(), type=WireSettings)
     except (OSError, msgspec.MsgspecError, json.JSONDecodeError) as exc:
         return Err(SettingsError(f"{path}: {exc}.", remedy="Correct the file."))
+    first, last = settings.internal_ports
+    if first >= last:
+        return Err(
+            SettingsError(
+                f"{path}: internal-ports {first} to {last} are fewer than two.",
+                remedy="Give two ports or more, from the lower to the higher.",
+            )
+        )
+    return Ok(settings)
 
 
 def node_settings(settings: WireSettings, metrics_port: int) -> NodeSettings:
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -315,6 +315,15 @@
     def all_replicas(self):
         return [*self.replicas.values(), *self.books.values()]
 
+    def renew_registrations(self):
+        """Let all instances that are up write their registrations again."""
+        now_s = self.clock.now()
+        for entry in self.entries:
+            for known in list(entry.fleet.all()):
+                replica = (self.replicas | self.books)[known.id]
+                if not replica.is_down:
+                    entry.fleet.register(known, now_s=now_s, written_after_s=now_s)
+
     def start_entry(self):
         entry = Entry(
             world=self,
--- a/citronpin/tests/test_gateway_signals.py
+++ b/citronpin/tests/test_gateway_signals.py
@@ -25,7 +25,7 @@
             "front": f"127.0.0.1:{ports[0]}",
             "ready": f"127.0.0.1:{ports[1]}",
         },
-        "internal-ports": [ports[2], ports[3]],
+        "internal-ports": sorted(ports[2:4]),
         "platform": {"address": f"127.0.0.1:{ports[5]}"},
         "bounds": {"grace-s": 4.0},
     }
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -439,6 +439,9 @@
     cfg = node_settings(read_process_settings(path).unwrap(), 9464)
     assert (cfg.name, cfg.failure_domain, cfg.grace_s) == ("front-1", "a", 8)
     assert (cfg.peers, cfg.metrics) == ("10.1.0.4:7000", "10.1.0.4:9464")
+    assert cfg.forward == "10.1.0.4:7010"
+    path.write_text(json.dumps(raw | {"internal-ports": [7000, 7000]}))
+    assert "two ports or more" in str(read_process_settings(path).unwrap_err())
 
 
 @pytest.mark.parametrize("text", ["", "{}", '{"node": 4}'])
