--- a/citronpin/tests/soaks/checks.py
+++ b/citronpin/tests/soaks/checks.py
@@ -11,6 +11,7 @@
 )
 from citronpin.tests.platforms.limits import count_excess
 from citronpin.tests.platforms.requests import whole_stream
+from citronpin.tests.platforms.rests import DRAIN_S, MAX_REQUESTS, TOLD_S
 from citronpin.tests.soaks.callers import Kind
 from citronpin.tests.soaks.platforms import LAST_EVENT, answer_body, body_digest
 
@@ -208,6 +209,54 @@
     )
 
 
+def check_rests(rests, arrivals, nodes, disturbances):
+    """Check that nodes leave instances alone that asked them for rest.
+
+    ``rests`` are ``(at_s, instance, attempt, value)``, ``arrivals`` ``(at_s, instance,
+    life, attempt)``; ``nodes`` and ``disturbances`` are as in `check_limits`. A rest
+    beside a disturbance of its node is not counted.
+    """
+    violations = []
+    for asked_s, instance, attempt, value in rests:
+        node, end_s = nodes.get(attempt), asked_s + float(value)
+        if _overlaps(node, asked_s, end_s, disturbances):
+            continue
+        count = sum(
+            asked_s + TOLD_S < at_s < end_s
+            and name == instance
+            and nodes.get(other) == node
+            for at_s, name, _, other in arrivals
+        )
+        if count > MAX_REQUESTS:
+            violations.append(f"{instance} got {count} requests of {node} in its rest")
+    return violations
+
+
+def check_leaving(left, arrivals, nodes, disturbances):
+    """Check that nodes send nothing to instances whose leaving they passed on.
+
+    ``left`` are ``(at_s, instance, life, attempt)`` of answers that say so; the rest is
+    as in `check_rests`.
+    """
+    told_s = {}
+    for at_s, instance, life, attempt in left:
+        told_s.setdefault((instance, life, nodes.get(attempt)), at_s)
+    return [
+        f"{instance} got {attempt} of {nodes.get(attempt)} after it had said it leaves"
+        for at_s, instance, life, attempt in arrivals
+        if (key := (instance, life, nodes.get(attempt))) in told_s
+        and at_s > told_s[key] + DRAIN_S + TOLD_S
+        and not _overlaps(key[-1], told_s[key], at_s, disturbances)
+    ]
+
+
+def _overlaps(node, start_s, end_s, disturbances):
+    return any(
+        name == node and disturbed_s <= end_s and start_s <= over_s + STABILITY_WINDOW_S
+        for name, disturbed_s, over_s in disturbances
+    )
+
+
 def check_limits(episodes, nodes, disturbances):
     """Check that instances that named a limit got no more requests than allowed.
 
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -102,6 +102,13 @@
         self.crashes = defaultdict(list)
         self.limits = {}  # instance -> its latest `LimitEpisode`, while it lasts
         self.limit_episodes = []
+        self.rest = {}  # instance -> value of Retry-After with which it refuses
+        self.rests = []  # (clock time in s, instance, attempt, value) of refusals
+        self.leaving = set()  # instances whose answers say that they leave
+        self.left = []  # (clock time in s, instance, life, attempt) of these answers
+        # (clock time in s, instance, life, attempt) of all requests, while some rest or
+        # leave.
+        self.arrivals = []
         self.config_version = 0
         self.instance_proxies = {}  # instance -> proxy
         self.cut_proxies = {node: {} for node in cuttable}  # node -> instance -> proxy
@@ -188,9 +195,25 @@
         episode = self._find_episode(instance)
         if episode is not None:
             headers[HEADERS.request_limit] = str(episode.rate)
+        if instance.name in self.leaving:
+            headers[HEADERS.leaving] = "1"
+            row = (self.clock.now(), instance.name, instance.born, attempt)
+            self.left.append(row)
             episode.answers.append((self.clock.now(), attempt))
         return headers
 
+    def ask_for_rest(self, service, value):
+        """Let every second instance of a service refuse requests, or none any more."""
+        names = [
+            name
+            for name, instance in self.fleet.instances.items()
+            if instance.service == service
+        ]
+        for name in names[::2]:
+            self.rest[name] = value
+        if value is None:
+            self.rest.clear()
+
     def publish_config(self):
         """Write the next configuration to the store and return its version.
 
@@ -296,6 +319,12 @@
         episode = self._find_episode(instance)
         if episode is not None:
             episode.arrivals.append((self.clock.now(), attempt))
+        if self.rest or self.leaving or self.rests:
+            row = (self.clock.now(), instance.name, instance.born, attempt)
+            self.arrivals.append(row)
+        if instance.name in self.rest:
+            self._refuse_for_rest(instance, exchange, attempt)
+            return
         if instance.service != "engines":
             self.runs[attempt].append(instance.name)
             if exchange.target in self.crashing_keys:
@@ -324,6 +353,12 @@
             0 if not last_received else int(last_received) + 1,
         )
 
+    def _refuse_for_rest(self, instance, exchange, attempt):
+        value = self.rest[instance.name]
+        self.rests.append((self.clock.now(), instance.name, attempt, value))
+        headers = self._answer_headers(instance, attempt) | {"Retry-After": value}
+        exchange.answer(503, headers=NOT_RUN_HEADERS | headers)
+
     def _find_crashing_key(self, exchange):
         text = exchange.headers.get(HEADERS.prompt_parts, "")
         parts = [entry.partition(":")[0] for entry in text.split(",")]
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -374,6 +374,27 @@
             self._cut_outcomes += sender.outcomes
         self._cuts.append((free, start_s, end_s))
 
+    def _do_ask_for_rest(self):
+        """Let half of a service refuse requests for some seconds."""
+        service = self._rng.choice(["book", "engines"])
+        value = self._rng.choice(["1.5", "3", "0.7"])
+        self.platform.call(lambda: self.platform.ask_for_rest(service, value))
+        time.sleep(self._rng.choice([2.0, 6.0]))
+        self.platform.call(lambda: self.platform.ask_for_rest(service, None))
+
+    def _do_let_instance_leave(self):
+        """Let answers say that an instance leaves, until it ends and starts again."""
+        name = self._rng.choice(sorted(self.platform.instance_proxies))
+        instance = self.platform.fleet.instances[name]
+        self.platform.leaving.add(name)
+        time.sleep(5.0)
+        self._hold_fault(
+            0.2,
+            lambda: self.platform.call(instance.kill),
+            lambda: self.platform.call(instance.restart) if instance.dead else None,
+        )
+        self.platform.leaving.discard(name)
+
     def _do_disrupt_instance_link(self):
         """Disrupt the connections of all nodes to one instance."""
         self._disrupt(self._rng.choice(list(self.platform.instance_proxies.values())))
@@ -556,6 +577,20 @@
         self.violations += checks.check_cuts(
             outcomes, self._cuts, self._config_faults + self._planned_stops
         )
+        nodes = {outcome.attempt: outcome.node for outcome in outcomes}
+        disturbances = self._config_faults + self._planned_stops
+        # Requests of a node that is cut off reach instances from other nodes.
+        cuts = [
+            (name, start_s, end_s)
+            for names, start_s, end_s in self._cuts
+            for name in names
+        ]
+        self.violations += checks.check_rests(
+            self.platform.rests, self.platform.arrivals, nodes, disturbances + cuts
+        )
+        self.violations += checks.check_leaving(
+            self.platform.left, self.platform.arrivals, nodes, disturbances + cuts
+        )
         self.violations += checks.check_limits(
             self.platform.limit_episodes,
             {outcome.attempt: outcome.node for outcome in outcomes},
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -49,6 +49,10 @@
     run_soak(4, SHORT_RUN_S, tmp_path, ["do_cut_nodes_from_instances"])
 
 
+def test_instances_that_rest_or_leave_are_left_alone_under_faults(tmp_path):
+    run_soak(5, SHORT_RUN_S, tmp_path, ["do_ask_for_rest", "do_let_instance_leave"])
+
+
 def test_one_deadly_request_is_stopped_under_faults(tmp_path):
     names = ["do_send_request_that_crashes_instances", "do_limit_instances"]
     run_soak(2, SHORT_RUN_S, tmp_path, names)
@@ -191,6 +195,24 @@
     assert not checks.check_cuts(equal, cuts, [])
 
 
+def test_requests_in_a_rest_are_reported():
+    rests = [(1.0, "b-0", "a-0", "3")]
+    arrivals = [(1.6 + 0.2 * n, "b-0", 1, f"a-{n}") for n in range(3)]
+    nodes = {f"a-{n}": "front-1" for n in range(3)}
+    assert checks.check_rests(rests, arrivals, nodes, [])
+    assert not checks.check_rests(rests, arrivals[:2], nodes, [])
+    assert not checks.check_rests(rests, arrivals, nodes, [("front-1", 2.0, 2.5)])
+    assert not checks.check_rests([(1.0, "b-0", "a-0", "1")], arrivals, nodes, [])
+
+
+def test_requests_to_an_instance_that_leaves_are_reported():
+    left = [(1.0, "b-0", 1, "a-0")]
+    nodes = {"a-0": "front-1", "a-1": "front-1"}
+    assert checks.check_leaving(left, [(4.0, "b-0", 1, "a-1")], nodes, [])
+    assert not checks.check_leaving(left, [(3.0, "b-0", 1, "a-1")], nodes, [])
+    assert not checks.check_leaving(left, [(4.0, "b-0", 2, "a-1")], nodes, [])
+
+
 def test_requests_beyond_a_limit_are_reported():
     episode = LimitEpisode(rate=1.0, born=1)
     episode.answers = [(0.0, "a-0"), (0.1, "b-0")]
