Keep one connection that was opened in advance, and take refusals only from entries

Each round of probes left a connection to each of three instances in the pool. Where a service is slow and its requests few, rounds come each half second, and an instance takes a limited number of connections: one idle connection to an address is enough. A refusal header was also read from an instance, which could have ended a request in the name of an entry. Found by reading the diff; both have a test.

--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -145,6 +145,8 @@
     @property
     def refusal(self) -> str:
         """Return the kind of refusal if the answer is one of another entry itself."""
+        if not self.recipient.is_entry:
+            return ""
         return self.headers.get(REFUSAL_HEADER, "")
 
     @property
--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -171,3 +171,20 @@
     # Each read takes up to 64 KiB, and a chunked body is larger than its data.
     assert read_bytes <= 2 * (BODY_LIMIT_BYTES + MAX_HEADER_BYTES)
     endless.close()
+
+
+@pytest.mark.parametrize("is_listening", [True, False])
+def test_a_connection_opened_in_advance_is_reported_and_kept_once(loops, is_listening):
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    if not is_listening:
+        listener.close()
+    loop, client = loops(lambda clock: HttpClient(clock=clock))
+    outcomes = []
+    client.connection_listeners.append(lambda *outcome: outcomes.append(outcome))
+    for count in range(1, 4):
+        loop.call(lambda: client.connect(address, timeout_s=TIMEOUT_S))
+        wait_until(lambda: len(outcomes) == count)
+    assert outcomes == [(address, is_listening)] * 3
+    wait_until(lambda: len(client._conns) == int(is_listening))
+    listener.close()
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -2,12 +2,16 @@
 
 import pytest
 
-from citronpin.gateway.forward_codecs import FORWARDED_HEADER, ForwardCodec
+from citronpin.gateway.forward_codecs import (
+    FORWARDED_HEADER,
+    REFUSAL_HEADER,
+    ForwardCodec,
+)
 from citronpin.gateway.fronts import ForwardHandler
 from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.crashes import LAST_EVENT, CrashWorld
 from citronpin.tests.platforms.cuts import Cut, cut_off, heal, is_served
-from citronpin.tests.platforms.requests import whole_stream
+from citronpin.tests.platforms.requests import instance_headers, whole_stream
 
 KNOWN_AFTER_S = 1.5  # an entry with traffic knows by then that it is cut off
 FORWARD_TIME_S = 0.2
@@ -165,6 +169,18 @@
     assert not other.client.sent
 
 
+def test_an_instance_cannot_refuse_in_the_name_of_an_entry(world):
+    for replica in world.books.values():
+        replica.handle = lambda exchange: exchange.answer(
+            200, b"{}", instance_headers(exchange, **{REFUSAL_HEADER: "no-place"})
+        )
+    for entry in world.entries:
+        entry.scripts |= {name: one.handle for name, one in world.books.items()}
+    reply = send_read(world.entries[0])
+    world.clock.advance(FORWARD_TIME_S)
+    assert is_served(reply) and REFUSAL_HEADER not in reply.headers
+
+
 def test_an_entry_bounds_what_it_takes_for_others(world, monkeypatch):
     monkeypatch.setattr(ForwardHandler, "MAX_FORWARDED_REQUESTS", 2)
     cut_and_notice(world, world.entries[0])
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -223,7 +223,7 @@
         return exchange
 
     def connect(self, address: str, *, timeout_s: float) -> None:
-        """Open a connection to ``IP:PORT`` and keep it for the next request.
+        """Open a connection to ``IP:PORT``; keep it if no other is idle there.
 
         The outcome is reported to the connection listeners.
         """
@@ -362,7 +362,10 @@
         self._report(conn.address, True)
         if conn.exchange is None:
             self._update_write_polling(conn)
-            self._keep_idle(conn)
+            if self._idle.get(conn.address):
+                self._close(conn)  # one more would only take up room at the server
+            else:
+                self._keep_idle(conn)
             return
         self._send(conn)
 
