Tie the probes that await the end of a cut to that cut

Two chains of probes could have run beside each other if a cut had ended and another had been noticed within 0.25 s. No test could bring that about (a new cut is noticed 0.25 s after the last connection at the earliest), so this is a guard, not a fix of something seen; the added test bounds the probes while a path comes and goes and passes before and after. A callback that nobody needed is gone.

--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -185,6 +185,3 @@
             self.suspects.discard(instance.id)
         for exchange in list(self.open_exchanges):
             exchange.on_cut_off(service)
-
-    def on_regained(self, service: ApplicationName) -> None:
-        """Wait for the next requests, which go to the instances again."""
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -37,16 +37,12 @@
 
 
 class ReachListener(ABC):
-    """Is told when this entry loses and regains the instances of a service."""
+    """Is told when this entry loses the instances of a service."""
 
     @abstractmethod
     def on_cut_off(self, service: ApplicationName) -> None:
         """Handle that no instance of a service is reached any more."""
 
-    @abstractmethod
-    def on_regained(self, service: ApplicationName) -> None:
-        """Handle that an instance of a service was reached again."""
-
 
 class Reachability:
     """Tells a lost path of this entry from instances that are down.
@@ -69,7 +65,7 @@
         client.connection_listeners.append(self._on_connection)
 
     def add_listener(self, listener: ReachListener) -> None:
-        """Tell a listener of services that are lost and regained."""
+        """Tell a listener of services that are lost."""
         self._listeners.append(listener)
 
     def _of(self, service: ApplicationName) -> ServiceReach:
@@ -156,8 +152,6 @@
             },
         )
         reach.cut_off_since_s = None
-        for listener in self._listeners:
-            listener.on_regained(instance.service)
 
     def _start_round(self, service: ApplicationName, reach: ServiceReach) -> None:
         now_s = self._clock.now()
@@ -214,20 +208,24 @@
         )
         for listener in self._listeners:
             listener.on_cut_off(service)
-        self._probe_again(service, reach)
+        self._probe_again(service, reach, now_s)
         # What cut this entry off from one service may have cut it off from others.
         for other, other_reach in list(self._services.items()):
             if other != service:
                 self._start_round(other, other_reach)
 
-    def _probe_again(self, service: ApplicationName, reach: ServiceReach) -> None:
-        if reach.cut_off_since_s is None:
+    def _probe_again(
+        self, service: ApplicationName, reach: ServiceReach, since_s: float
+    ) -> None:
+        """Probe a few instances until the cut that began at ``since_s`` ends."""
+        if reach.cut_off_since_s != since_s:
             return
         for instance in self._choose(service, reach, RECOVERY_PROBE_COUNT):
             self._client.connect(instance.address, timeout_s=PROBE_TIMEOUT_S)
         reach.failed.clear()  # the next probes go to others
         self._clock.call_later(
-            RECOVERY_PROBE_INTERVAL_S, lambda: self._probe_again(service, reach)
+            RECOVERY_PROBE_INTERVAL_S,
+            lambda: self._probe_again(service, reach, since_s),
         )
 
 
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -245,6 +245,25 @@
     assert len(forwarded(entry)) == count
 
 
+def test_probes_stay_bounded_while_a_path_comes_and_goes(world):
+    entry = world.entries[0]
+    cut_and_notice(world, entry, how=Cut.RESET)
+    for _ in range(5):
+        heal(entry)
+        entry.client.connect(entry.fleet.get("b0").address, timeout_s=0.3)
+        world.clock.advance(0.02)
+        cut_off(entry, world.all_replicas(), Cut.RESET)
+        world.clock.advance(0.6)
+        send_read(entry)
+        world.clock.advance(0.6)
+    assert "book" in entry.reach.cut_off_services()
+    opened = []
+    entry.client.connect = lambda address, timeout_s: opened.append(address)
+    world.clock.advance(2.0)
+    services = len(entry.reach.cut_off_services())
+    assert len(opened) <= services * 2 * (2.0 / 0.25 + 1)
+
+
 def test_one_silent_instance_is_no_cut(world):
     entry = world.entries[0]
     cut_off(entry, [world.replicas["e0"], world.books["b0"]], Cut.HANG)
