Ask slow entries last in place of not at all

An entry that is cut off refused requests as unreachable though other entries reached instances: a stalled answer through an entry kept it out for 2 s, and where instances were busy, all others were soon left out. A stall says little of the entry, so it now only counts as 64 requests more in progress; an entry that takes no connection is left out for 1 s. The new test failed before.

--- a/citronpin/gateway/forward_peers.py
+++ b/citronpin/gateway/forward_peers.py
@@ -14,7 +14,9 @@
 
 REMOTE_COST_REQUESTS = 8.0  # prefers the own failure domain until it has so many more
 DECLINED_S = 1.0  # for which an entry that declined is not asked again
-UNREACHABLE_S = 2.0  # for which an entry that took no connection is not asked again
+UNREACHABLE_S = 1.0  # for which an entry that took no connection is not asked again
+SLOW_S = 2.0  # for which an entry through which an answer stalled is asked after others
+SLOW_COST_REQUESTS = 64.0
 REPORT_TTL_S = 2.0  # of what an entry says it cannot reach
 
 
@@ -41,6 +43,7 @@
         self._rng = rng
         self._peers: tuple[ForwardPeer, ...] = ()
         self._open: Counter[EntryId] = Counter()
+        self._slow_until_s: dict[EntryId, float] = {}
         self._avoided_until_s: dict[tuple[EntryId, ApplicationName | None], float] = {}
 
     def set_peers(self, peers: Iterable[ForwardPeer]) -> None:
@@ -59,9 +62,17 @@
         self._avoid(entry, service, DECLINED_S)
 
     def unreachable(self, entry: EntryId) -> None:
-        """Record that an entry takes no connection, or stopped answering."""
+        """Record that an entry takes no connection."""
         self._avoid(entry, None, UNREACHABLE_S)
 
+    def stalled(self, entry: EntryId) -> None:
+        """Record that an answer through an entry stalled.
+
+        The entry may be sound and the instance busy, so it is still asked if no other
+        one is left.
+        """
+        self._slow_until_s[entry] = self._clock.now() + SLOW_S
+
     def _avoid(
         self, entry: EntryId, service: ApplicationName | None, for_s: float
     ) -> None:
@@ -98,4 +109,9 @@
 
     def _cost(self, peer: ForwardPeer) -> float:
         is_remote = peer.failure_domain != self._failure_domain
-        return self._open[peer.name] + REMOTE_COST_REQUESTS * is_remote
+        is_slow = self._slow_until_s.get(peer.name, 0.0) > self._clock.now()
+        return (
+            self._open[peer.name]
+            + REMOTE_COST_REQUESTS * is_remote
+            + SLOW_COST_REQUESTS * is_slow
+        )
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -247,14 +247,14 @@
         if attempt.refusal:
             if fault is Fault.UNSENT:
                 self._context.forward_peers.declined(self.entry, self._service)
-        elif fault in (Fault.UNSENT, Fault.STALLED):
+        elif fault is Fault.UNSENT:
             self._context.forward_peers.unreachable(self.entry)
 
     def doubt(self):
         """Wait: the other entry looks after the path to the instance."""
 
     def record_stall(self):
-        self._context.forward_peers.unreachable(self.entry)
+        self._context.forward_peers.stalled(self.entry)
 
     def stall_timeout_s(self, midway_s):
         return FORWARDED_STALL_TIMEOUT_S
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -181,6 +181,20 @@
     assert is_served(reply) and REFUSAL_HEADER not in reply.headers
 
 
+def test_slow_instances_behind_another_entry_do_not_make_it_unusable(world):
+    # Soak seed 2204: both other entries were left out after answers had stalled.
+    entry = world.entries[0]
+    cut_and_notice(world, entry)
+    for replica in world.replicas.values():
+        replica.delay_s = 2.5
+    for _ in range(6):
+        world.send(entry=entry)
+    world.clock.advance(1.8)
+    reply = send_read(entry)
+    world.clock.advance(FORWARD_TIME_S)
+    assert is_served(reply)
+
+
 def test_an_entry_bounds_what_it_takes_for_others(world, monkeypatch):
     monkeypatch.setattr(ForwardHandler, "MAX_FORWARDED_REQUESTS", 2)
     cut_and_notice(world, world.entries[0])
