--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -195,11 +195,11 @@
         episode = self._find_episode(instance)
         if episode is not None:
             headers[HEADERS.request_limit] = str(episode.rate)
+            episode.answers.append((self.clock.now(), attempt))
         if instance.name in self.leaving:
             headers[HEADERS.leaving] = "1"
             row = (self.clock.now(), instance.name, instance.born, attempt)
             self.left.append(row)
-            episode.answers.append((self.clock.now(), attempt))
         return headers
 
     def ask_for_rest(self, service, value):
