--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -358,6 +358,7 @@
             for number, node in enumerate(self.nodes[: len(names) + 2])
         ]
         start_s = time.monotonic()
+        self._record_fault(start_s, float("inf"), ())
         for name in free:
             self.platform.cut(name, service, how)
         for sender in senders:
@@ -373,6 +374,8 @@
             sender.join()
             self._cut_outcomes += sender.outcomes
         self._cuts.append((free, start_s, end_s))
+        self._record_fault(start_s, end_s + FAULT_EFFECT_S, ())
+        self._faults.remove((start_s, float("inf")))
 
     def _do_ask_for_rest(self):
         """Let half of a service refuse requests for some seconds."""
