--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -35,7 +35,7 @@
         self.sink.end()
 
     def _pass_on(self, call):
-        if self.address in self.client.hanging:
+        if self.client.is_held(self.address):
             self.held.append(call)
         elif not self.ended:
             call()
@@ -76,6 +76,8 @@
         self.silent = set()  # addresses at which connections time out
         self.hanging = set()  # addresses of which neither old nor new connections pass
         self.full = set()  # addresses that refuse only new connections
+        self.mute = set()  # addresses at which connections are accepted, but silent
+        self.closing = set()  # addresses that accept connections and close them unread
         self.idle_s = defaultdict(list)  # clock times since which connections idle
         self.sent = []
         self.connection_listeners = []
@@ -121,11 +123,18 @@
         if exchange.ended:
             return
         address = exchange.address
-        is_reused = self._take_idle(exchange)
-        if address in self.hanging and is_reused:
+        is_reused = self._take_idle(exchange) and address not in self.closing
+        if address in self.mute or (address in self.hanging and is_reused):
+            if not is_reused:
+                self._report(address, True)
             exchange.connected = True
             exchange.held.append(lambda: self.handlers[address](exchange))
             return
+        if address in self.closing:
+            self._report(address, True)
+            exchange.connected = True
+            exchange.fail(ConnectionLost("closed unread"))
+            return
         if self._is_silent(address):
             self.clock.call_later(connect_timeout_s, lambda: self._time_out(exchange))
             return
@@ -138,6 +147,10 @@
         exchange.connected = True
         self.handlers[address](exchange)
 
+    def is_held(self, address):
+        """Return whether nothing arrives from an address on open connections."""
+        return address in self.hanging or address in self.mute
+
     def _is_silent(self, address):
         return address in self.silent or address in self.hanging
 
@@ -182,7 +195,7 @@
         if not exchange.ended:
             exchange.finish()
             exchange.cancelled = True
-            if exchange.on_cancel is not None and exchange.address not in self.hanging:
+            if exchange.on_cancel is not None and not self.is_held(exchange.address):
                 exchange.on_cancel()
 
     def close_all(self):
--- a/citronpin/tests/platforms/cuts.py
+++ b/citronpin/tests/platforms/cuts.py
@@ -14,6 +14,8 @@
     HANG = "hang"  # old and new ones hang
     RESET = "reset"  # old ones are reset, new ones are refused
     FULL = "full"  # old ones live on, new ones are refused
+    MUTE = "mute"  # new ones are accepted, and nothing passes on any
+    CLOSE = "close"  # old ones are closed, new ones are accepted and closed unread
 
 
 def cut_off(entry, replicas, how):
@@ -24,8 +26,11 @@
         client.hanging |= addresses
     elif how is Cut.FULL:
         client.full |= addresses
+    elif how is Cut.MUTE:
+        client.mute |= addresses
     else:
-        client.unreachable |= addresses
+        refusing = client.closing if how is Cut.CLOSE else client.unreachable
+        refusing |= addresses
         for exchange in list(client.sent):
             if exchange.address in addresses:
                 exchange.lose("reset by the cut")
@@ -37,6 +42,8 @@
     client.hanging.clear()
     client.full.clear()
     client.unreachable.clear()
+    client.mute.clear()
+    client.closing.clear()
     for exchange in list(client.sent):
         exchange.release()
 
--- a/citronpin/tests/test_cuts.py
+++ b/citronpin/tests/test_cuts.py
@@ -57,7 +57,7 @@
         )
 
 
-@pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET])
+@pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET, Cut.MUTE, Cut.CLOSE])
 @pytest.mark.parametrize("count", [1, 6])
 def test_callers_of_entries_without_a_path_to_an_instance_are_served(
     paused_clock, how, count
@@ -84,18 +84,19 @@
     world.check()
 
 
-def test_a_reset_of_all_connections_quarantines_no_request(paused_clock):
+@pytest.mark.parametrize("how", [Cut.RESET, Cut.CLOSE])
+def test_a_reset_of_all_connections_quarantines_no_request(paused_clock, how):
     # The same stream is in progress at many instances when an entry is cut off.
     world = CutWorld(clock=paused_clock)
     world.serve(WARM_UP_S)
-    world.cut(6, Cut.RESET)
+    world.cut(6, how)
     for _ in range(200):
         world.serve(0.02)
         now_s = paused_clock.now()
         assert not any(entry.quarantine.rows(now_s=now_s) for entry in world.entries)
 
 
-@pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET])
+@pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET, Cut.MUTE, Cut.CLOSE])
 def test_entries_that_are_cut_off_let_the_others_use_all_instances(paused_clock, how):
     world = CutWorld(clock=paused_clock, replicas=12)
     world.serve(WARM_UP_S, per_s=60)
