Take an answer, not an accepted connection, as the proof of a path

Cause: Reachability ended a doubt when any instance accepted a connection. Load balancers and sidecars accept for hosts that they do not reach, so entries behind them never counted as cut off, and their callers were not served.

Change: probes ask an instance for its report over a new connection; any status is an answer. Answers of two instances that break off at once raise a doubt at once, so that a closed path quarantines no request. A report of instances that accept late while others are heard is no cut. HttpClient.connect, which nothing uses any more, goes with its test; the test of probes is as strict on what is kept. Fleet finds an instance by its address without a scan.

Found by test_quarantines once the stand-in refuses connections to instances that are down: a deadly request that ended all instances of a small service was forgotten by the entries, which took themselves for cut off. Crashes before the last reply are kept, the others count again when the path is back and their lives have not registered since.

Counts of requests in test_exchanges leave probes out, which are no requests.

--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -43,6 +43,7 @@
 logger = logging.getLogger(__name__)
 
 BLAME_WITHDRAWN_S = 1.0  # covers what a lost path causes until it is noticed
+REGISTERED_AGAIN_S = 2.5  # by then each instance that goes on wrote a registration
 
 
 class Task(msgspec.Struct, frozen=True, kw_only=True):
@@ -144,6 +145,7 @@
         self.permits = permits
         self.fingerprints = fingerprints
         self.reach = reach
+        self._withdrawn_s = float("-inf")  # when crashes were last discounted
         self.forward_peers = forward_peers
         self.forward_codec = forward_codec
         self.log = log
@@ -179,9 +181,21 @@
 
     def on_cut_off(self, service: ApplicationName) -> None:
         """Blame no instance for the lost path, and move the requests in progress."""
-        since_s = self.clock.now() - BLAME_WITHDRAWN_S
+        # Instances that ended before the last reply did so over a path that worked.
+        self._withdrawn_s = now_s = self.clock.now()
+        since_s = max(now_s - BLAME_WITHDRAWN_S, self.reach.last_reply_s(service))
         self.quarantine.withdraw_crashes(since_s=since_s)
         for instance in list(self.fleet.of_service(service)):
             self.suspects.discard(instance.id)
         for exchange in list(self.open_exchanges):
             exchange.on_cut_off(service)
+
+    def on_reached(self, service: ApplicationName) -> None:
+        """Count crashes again once all instances that go on have registered again."""
+        wait_s = self._withdrawn_s + REGISTERED_AGAIN_S - self.clock.now()
+        self.clock.call_later(max(wait_s, 0.0), self._restore_crashes)
+
+    def _restore_crashes(self) -> None:
+        now_s = self.clock.now()
+        if now_s >= self._withdrawn_s + REGISTERED_AGAIN_S:
+            self.quarantine.restore_crashes(now_s=now_s)
--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -95,6 +95,7 @@
         self._on_rejoined = on_rejoined  # called when the epoch of an instance changes
         self._instances: dict[InstanceId, FleetInstance] = {}
         self._by_service: dict[ApplicationName, dict[InstanceId, FleetInstance]] = {}
+        self._by_address: dict[str, InstanceId] = {}
         self._registered_s: dict[InstanceId, float] = {}
         self._alive_since_s: dict[InstanceId, float] = {}
         self._missing: dict[InstanceId, float] = {}
@@ -111,6 +112,10 @@
         """Return an instance by its id, or ``None`` if it is unknown."""
         return self._instances.get(instance)
 
+    def at(self, address: str) -> FleetInstance | None:
+        """Return the instance that registered an ``IP:PORT`` last, or ``None``."""
+        return self._instances.get(self._by_address.get(address))
+
     def of_service(self, service: ApplicationName) -> Iterable[FleetInstance]:
         """Return the instances of a service."""
         return self._by_service.get(service, {}).values()
@@ -229,7 +234,10 @@
                 self._on_rejoined(instance.id)
         if known is not None and known.service != instance.service:
             self._by_service[known.service].pop(known.id, None)
+        if known is not None and known.address != instance.address:
+            self._forget_address(known)
         self.version += 1
+        self._by_address[instance.address] = instance.id
         self._instances[instance.id] = instance
         self._by_service.setdefault(instance.service, {})[instance.id] = instance
 
@@ -267,3 +275,8 @@
         known = self._instances.pop(instance, None)
         if known is not None:
             self._by_service[known.service].pop(instance, None)
+            self._forget_address(known)
+
+    def _forget_address(self, known: FleetInstance) -> None:
+        if self._by_address.get(known.address) == known.id:
+            del self._by_address[known.address]
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -174,7 +174,11 @@
         )
         self._rng = rng or random.Random()
         self.reach = Reachability(
-            fleet=self.fleet, client=client, clock=clock, rng=self._rng
+            fleet=self.fleet,
+            client=client,
+            control=connector.control,
+            clock=clock,
+            rng=self._rng,
         )
         self.forward_peers = ForwardPeers(
             failure_domain=cfg.failure_domain, clock=clock, rng=self._rng
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -80,8 +80,17 @@
     pace: float = 1.0  # factor on its usual times, above 1 when slow
 
 
+class ProbeResult(Enum):
+    """What a probe of the path to an instance found."""
+
+    ANSWERED = "answered"
+    UNANSWERED = "unanswered"  # the connection was accepted, but brought no answer
+    REFUSED = "refused"  # no connection was made
+
+
 OrderCallback = Callable[[OrderResult], None]
 ReportCallback = Callable[[Report | None, CitronpinError | None], None]
+ProbeCallback = Callable[[ProbeResult], None]
 
 
 class InstanceControl(ABC):
@@ -95,6 +104,15 @@
     def report(self, *, of: FleetInstance, done: ReportCallback) -> None:
         """Request the report of an instance; ``done`` receives it or an error."""
 
+    @abstractmethod
+    def probe(
+        self, *, of: FleetInstance, timeout_s: float, done: ProbeCallback
+    ) -> None:
+        """Request any answer over a new connection; ``done`` receives the result.
+
+        Any status counts as an answer, also one of an instance that makes no reports.
+        """
+
 
 class DomainLeases(ABC):
     """Tells which fabric domains this entry may control."""
--- a/citronpin/gateway/quarantines.py
+++ b/citronpin/gateway/quarantines.py
@@ -130,6 +130,8 @@
         self._succeeded_s: dict[CrashKey, float] = {}  # latest use last
         self._lives: dict[int, float] = {}  # clock time of the latest crash
         self._alive_s: dict[int, float] = {}  # clock time after which a life went on
+        # Crash times by life and key, while the path to all instances is lost.
+        self._withdrawn: dict[int, dict[CrashKey, float]] = {}
         self._news: dict[CrashKey, None] = {}  # what this entry saw and others did not
         self._alive_news: dict[int, None] = {}
         self._entry = EntryId("")
@@ -171,13 +173,21 @@
     def record_alive(self, instance: FleetInstance, *, since_s: float) -> None:
         """Record that the present life of an instance went on after ``since_s``."""
         life = life_of(instance)
-        if self._lives.get(life, float("inf")) < since_s:
+        if self._crashed_s(life) < since_s:
             self._retract(life, since_s)
             self._alive_news[life] = None
 
+    def _crashed_s(self, life: int) -> float:
+        """Return when a life seemed to end; infinite if it did not."""
+        withdrawn = self._withdrawn.get(life)
+        if withdrawn:
+            return max(withdrawn.values())
+        return self._lives.get(life, float("inf"))
+
     def _retract(self, life: int, since_s: float) -> None:
         """Drop the crashes of a life that went on after ``since_s``."""
         self._lives.pop(life, None)
+        self._withdrawn.pop(life, None)
         self._alive_s.pop(life, None)
         self._alive_s[life] = since_s
         if len(self._alive_s) > MAX_KNOWN_LIVES:
@@ -188,23 +198,34 @@
                 self._decide(key, since_s)
 
     def withdraw_crashes(self, *, since_s: float) -> None:
-        """Forget the crashes seen since a time, when the path to all was lost."""
+        """Discount the crashes seen since a time, when the path to all was lost."""
         withdrawn = {
             life for life, crashed_s in self._lives.items() if crashed_s >= since_s
         }
         for life in withdrawn:
             del self._lives[life]
         for key, history in self._suspects.items():
-            if withdrawn & history.crashes.keys():
-                for life in withdrawn & history.crashes.keys():
-                    del history.crashes[life]
+            lives = withdrawn & history.crashes.keys()
+            for life in lives:
+                by_key = self._withdrawn.setdefault(life, {})
+                by_key[key] = history.crashes.pop(life)
+            if lives:
                 self._news.pop(key, None)
                 self._decide(key, since_s)
 
+    def restore_crashes(self, *, now_s: float) -> None:
+        """Count the withdrawn crashes again, but for lives that proved to go on."""
+        withdrawn, self._withdrawn = self._withdrawn, {}
+        for life, by_key in withdrawn.items():
+            for key, crashed_s in by_key.items():
+                self._add_crashes(key, {life: crashed_s})
+                self._decide(key, now_s)
+                self._news[key] = None
+
     @property
     def has_lives(self) -> bool:
         """Return whether an instance that is taken to have crashed may live on."""
-        return bool(self._lives)
+        return bool(self._lives or self._withdrawn)
 
     def release(self, key: CrashKey, *, now_s: float) -> bool:
         """Forget the crashes under a key; return whether there were any."""
@@ -343,7 +364,7 @@
         """Apply what another entry knows of lives that went on."""
         for life, age_ms in ages_ms.items():
             since_s = now_s - age_ms / MS_PER_S - MESSAGE_DELAY_S
-            if self._lives.get(life, float("inf")) < since_s:
+            if self._crashed_s(life) < since_s:
                 self._retract(life, since_s)
 
     def merge(self, reports: Iterable[CrashReport], *, now_s: float) -> list[CrashKey]:
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -10,17 +10,18 @@
 from citronpin.basics.clocks import MS_PER_S, Clock
 from citronpin.basics.ids import ApplicationName, InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.gateway.ports import InstanceControl, ProbeResult
 from citronpin.web.clients import HttpClient
 
 logger = logging.getLogger(__name__)
 
-PROBE_TIMEOUT_S = 0.3  # connecting takes milliseconds
-ROUND_TIMEOUT_S = PROBE_TIMEOUT_S + 0.1
+PROBE_TIMEOUT_S = 0.3  # covers one packet that is retransmitted after 0.2 s
 PROBE_COUNT = 3  # instances probed at once, in different domains where there are
 RECOVERY_PROBE_COUNT = 2
 RECOVERY_PROBE_INTERVAL_S = 0.25
 MIN_ROUND_INTERVAL_S = 0.5  # between two rounds of probes that find instances
 HEARD_S = 1.0
+MIN_LOST_AT_ONCE = 2  # instances; a crash of one says nothing of the path
 FRESH_S = 0.25  # no doubt while an instance was heard within this time
 NEVER_S = float("-inf")
 
@@ -30,34 +31,49 @@
 
     last_reply_s: float = NEVER_S
     last_connected_s: float = NEVER_S
+    last_probe_reply_s: float = NEVER_S
     probed_s: float = NEVER_S  # begin of the latest round of probes
-    pending: set[str] = set()  # addresses whose probes of this round are unanswered
-    failed: set[InstanceId] = set()  # that took no connection since one did
+    pending: set[InstanceId] = set()  # whose probes of this round are open
+    failed: set[InstanceId] = set()  # that answered no probe since one did
+    accepted: bool = False  # whether one of them took the connection, in this round
+    lost: set[InstanceId] = set()  # whose answers broke off since one was heard
     cut_off_since_s: float | None = None
 
 
 class ReachListener(ABC):
-    """Is told when this entry loses the instances of a service."""
+    """Is told when this entry loses and regains the instances of a service."""
 
     @abstractmethod
     def on_cut_off(self, service: ApplicationName) -> None:
         """Handle that no instance of a service is reached any more."""
 
+    @abstractmethod
+    def on_reached(self, service: ApplicationName) -> None:
+        """Handle that instances of a service are reached again."""
+
 
 class Reachability:
     """Tells a lost path of this entry from instances that are down.
 
     A failed connection or silence raises a doubt, if no instance of the service was
-    heard a moment ago. The entry then connects to several instances at once. When none
-    of them accepts, it counts as cut off from the service, until one does. Whether the
-    instances are down is not decided here: other entries may reach them.
+    heard a moment ago. The entry then probes several instances at once, over new
+    connections. When none of them answers, it counts as cut off from the service, until
+    one does. An accepted connection proves nothing, since a load balancer or another
+    middlebox may have accepted it. Whether the instances are down is not decided here:
+    other entries may reach them.
     """
 
     def __init__(
-        self, *, fleet: Fleet, client: HttpClient, clock: Clock, rng: random.Random
+        self,
+        *,
+        fleet: Fleet,
+        client: HttpClient,
+        control: InstanceControl,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._fleet = fleet
-        self._client = client
+        self._control = control
         self._clock = clock
         self._rng = rng
         self._services: dict[ApplicationName, ServiceReach] = {}
@@ -70,12 +86,20 @@
 
     def _of(self, service: ApplicationName) -> ServiceReach:
         if service not in self._services:
-            self._services[service] = ServiceReach(pending=set(), failed=set())
+            self._services[service] = ServiceReach(
+                pending=set(), failed=set(), lost=set()
+            )
         return self._services[service]
 
     def record_reply(self, service: ApplicationName) -> None:
         """Record that an instance of a service sent something."""
-        self._of(service).last_reply_s = self._clock.now()
+        reach = self._of(service)
+        reach.last_reply_s = self._clock.now()
+        reach.lost.clear()
+
+    def last_reply_s(self, service: ApplicationName) -> float:
+        """Return when an instance of a service last sent something, in clock time."""
+        return self._of(service).last_reply_s
 
     def doubt(self, service: ApplicationName) -> None:
         """Probe instances of a service, if none has been heard a moment ago."""
@@ -83,12 +107,19 @@
         if self._clock.now() - reach.last_reply_s >= FRESH_S:
             self._start_round(service, reach)
 
-    def doubt_unless_heard(self, service: ApplicationName) -> None:
-        """Probe instances of a service unless one is heard within `FRESH_S`.
+    def record_lost_answer(self, instance: FleetInstance) -> None:
+        """Record that the answer of an instance broke off, perhaps with the path.
 
-        A connection that broke may be the first sign of a lost path.
+        Answers of several instances at once raise a doubt at once, a single one if no
+        instance is heard within `FRESH_S`.
         """
-        self._clock.call_later(FRESH_S, lambda: self.doubt(service))
+        service = instance.service
+        reach = self._of(service)
+        reach.lost.add(instance.id)
+        if len(reach.lost) >= MIN_LOST_AT_ONCE:
+            self._start_round(service, reach)
+        else:
+            self._clock.call_later(FRESH_S, lambda: self.doubt(service))
 
     def is_cut_off(self, service: ApplicationName) -> bool:
         """Return whether this entry reaches no instance of a service."""
@@ -115,32 +146,46 @@
         return tuple(filter(self.is_uncertain, self._services))
 
     def _on_connection(self, address: str, connected: bool) -> None:
-        instance = self._find(address)
+        instance = self._fleet.at(address)
         if instance is None:
             return
-        reach = self._of(instance.service)
+        reach, now_s = self._of(instance.service), self._clock.now()
         if connected:
-            self._on_connected(instance, reach)
+            reach.last_connected_s = now_s
             return
         reach.failed.add(instance.id)
-        if reach.cut_off_since_s is not None:
-            reach.pending.discard(address)
-            return
-        if address in reach.pending:
-            reach.pending.discard(address)
-            if not reach.pending:
-                self._set_cut_off(instance.service, reach)
-        elif self._clock.now() - reach.last_connected_s >= FRESH_S:
+        if not reach.pending and now_s - reach.last_probe_reply_s >= FRESH_S:
             self._start_round(instance.service, reach)
 
-    def _find(self, address: str) -> FleetInstance | None:
-        return next((one for one in self._fleet.all() if one.address == address), None)
+    def _probe(self, instance: FleetInstance, reach: ServiceReach) -> None:
+        self._control.probe(
+            of=instance,
+            timeout_s=PROBE_TIMEOUT_S,
+            done=lambda result: self._on_probed(instance, reach, result),
+        )
 
-    def _on_connected(self, instance: FleetInstance, reach: ServiceReach) -> None:
+    def _on_probed(
+        self, instance: FleetInstance, reach: ServiceReach, result: ProbeResult
+    ) -> None:
+        if result is ProbeResult.ANSWERED:
+            self._on_reached(instance, reach)
+            return
+        reach.failed.add(instance.id)
+        if instance.id not in reach.pending:
+            return
+        reach.pending.discard(instance.id)
+        reach.accepted |= result is ProbeResult.UNANSWERED
+        # Instances that take connections, but answer late, are heard otherwise.
+        is_slow = reach.accepted and reach.last_reply_s >= reach.probed_s
+        if not reach.pending and reach.cut_off_since_s is None and not is_slow:
+            self._set_cut_off(instance.service, reach)
+
+    def _on_reached(self, instance: FleetInstance, reach: ServiceReach) -> None:
         now_s = self._clock.now()
-        reach.last_connected_s = now_s
+        reach.last_probe_reply_s = reach.last_reply_s = now_s
         reach.pending.clear()
         reach.failed.clear()
+        reach.lost.clear()
         if reach.cut_off_since_s is None:
             return
         logger.warning(
@@ -152,6 +197,8 @@
             },
         )
         reach.cut_off_since_s = None
+        for listener in self._listeners:
+            listener.on_reached(instance.service)
 
     def _start_round(self, service: ApplicationName, reach: ServiceReach) -> None:
         now_s = self._clock.now()
@@ -162,15 +209,10 @@
         if not chosen:
             return
         reach.probed_s = now_s
-        reach.pending = {instance.address for instance in chosen}
+        reach.accepted = False
+        reach.pending = {instance.id for instance in chosen}
         for instance in chosen:
-            self._client.connect(instance.address, timeout_s=PROBE_TIMEOUT_S)
-        self._clock.call_later(ROUND_TIMEOUT_S, lambda: self._end_round(reach, now_s))
-
-    def _end_round(self, reach: ServiceReach, began_s: float) -> None:
-        """Forget probes of instances that left meanwhile."""
-        if reach.probed_s == began_s:
-            reach.pending.clear()
+            self._probe(instance, reach)
 
     def _choose(
         self, service: ApplicationName, reach: ServiceReach, count: int
@@ -221,7 +263,7 @@
         if reach.cut_off_since_s != since_s:
             return
         for instance in self._choose(service, reach, RECOVERY_PROBE_COUNT):
-            self._client.connect(instance.address, timeout_s=PROBE_TIMEOUT_S)
+            self._probe(instance, reach)
         reach.failed.clear()  # the next probes go to others
         self._clock.call_later(
             RECOVERY_PROBE_INTERVAL_S,
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -160,7 +160,7 @@
             suspects.failed(self.instance.id)
         if fault is Fault.LOST and not self._is_leaving:
             self._context.quarantine.record_crash(keys, self.instance, now_s=now_s)
-            self._context.reach.doubt_unless_heard(self.instance.service)
+            self._context.reach.record_lost_answer(self.instance)
 
     @property
     def _is_leaving(self) -> bool:
--- a/citronpin/platform/orders.py
+++ b/citronpin/platform/orders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from citronpin.basics.errors import CitronpinError
+from citronpin.basics.errors import CitronpinError, ConnectionFailed
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.ports import (
     InstanceControl,
@@ -12,6 +12,8 @@
     OrderCallback,
     OrderKind,
     OrderResult,
+    ProbeCallback,
+    ProbeResult,
     ReportCallback,
 )
 from citronpin.platform.decoders import UnreadableRecord, decode_report
@@ -88,6 +90,28 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
 
+    def probe(
+        self, *, of: FleetInstance, timeout_s: float, done: ProbeCallback
+    ) -> None:
+        def on_answer(answer, error: CitronpinError | None) -> None:
+            if error is None:
+                done(ProbeResult.ANSWERED)
+            elif isinstance(error, ConnectionFailed):
+                done(ProbeResult.REFUSED)
+            else:
+                done(ProbeResult.UNANSWERED)
+
+        self._client.request(
+            address=of.address,
+            method="GET",
+            target=REPORT_PATH,
+            sink=BufferedSink(done=on_answer, limit_bytes=MAX_ANSWER_BYTES),
+            headers=((HEADERS.expect_instance, of.id),),
+            timeout_s=timeout_s,
+            connect_timeout_s=timeout_s,
+            max_idle_s=0.0,
+        )
+
 
 def _order_fields(order: Order) -> dict:
     body: dict = {"op": order.kind.value}
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -260,6 +260,12 @@
         self.forward_codec.set_key(b"shared")
         self.forward_address = f"10.3.0.{len(world.entries)}:1"
 
+    def handle(self, name, exchange):
+        if self.world.find(name).is_down:
+            exchange.fail(ConnectionFailed("refused"))
+        else:
+            super().handle(name, exchange)
+
     def take_forwarded(self, exchange):
         """Handle a request that another entry passes on."""
         headers = exchange.headers | {"host": exchange.host}
@@ -312,6 +318,9 @@
         for _ in range(entries):
             self.start_entry()
 
+    def find(self, name):
+        return self.replicas.get(name) or self.books[name]
+
     def all_replicas(self):
         return [*self.replicas.values(), *self.books.values()]
 
@@ -320,7 +329,7 @@
         now_s = self.clock.now()
         for entry in self.entries:
             for known in list(entry.fleet.all()):
-                replica = (self.replicas | self.books)[known.id]
+                replica = self.find(known.id)
                 if not replica.is_down:
                     entry.fleet.register(known, now_s=now_s, written_after_s=now_s)
 
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -32,6 +32,7 @@
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.suspects import Suspects
 from citronpin.platform.names import HEADERS
+from citronpin.platform.orders import REPORT_PATH, HttpInstanceControl
 from citronpin.tests.platforms.clients import MemoryClient
 from citronpin.tests.platforms.simulations import make_routing_table
 from citronpin.web.replies import HttpRequest
@@ -149,7 +150,11 @@
         rng = random.Random(7)
         first_event_times = FirstEventTimes()
         self.reach = Reachability(
-            fleet=self.fleet, client=self.client, clock=clock, rng=random.Random(8)
+            fleet=self.fleet,
+            client=self.client,
+            control=HttpInstanceControl(client=self.client),
+            clock=clock,
+            rng=random.Random(8),
         )
         self.forward_peers = ForwardPeers(
             failure_domain=FailureDomainName("a"), clock=clock, rng=random.Random(9)
@@ -215,7 +220,18 @@
             now_s=self.clock.now(),
         )
         self.fleet.is_loaded = True
-        self.client.handlers[address] = lambda exchange: self.script(name)(exchange)
+        self.client.handlers[address] = lambda exchange: self.handle(name, exchange)
+
+    def handle(self, name, exchange):
+        """Answer probes of the path; the scripts handle all other exchanges."""
+        if exchange.target == REPORT_PATH:
+            exchange.answer(404)
+        else:
+            self.script(name)(exchange)
+
+    def sent_requests(self):
+        """Return the exchanges that carry requests, without probes of the path."""
+        return [one for one in self.client.sent if one.target != REPORT_PATH]
 
     def script(self, name):
         return self.scripts.get(name) or self.scripts["*"]
--- a/citronpin/tests/platforms/simulations.py
+++ b/citronpin/tests/platforms/simulations.py
@@ -91,16 +91,18 @@
         )
         self.suspects = Suspects()
         self.loads = LoadTracker()
+        control = HttpInstanceControl(client=self.client)
         self.reach = Reachability(
             fleet=self.fleet,
             client=self.client,
+            control=control,
             clock=self.clock,
             rng=random.Random(simulation.controller_count),
         )
         self.fabrics = Fabrics(
             fleet=self.fleet,
             planner=simulation.planner,
-            control=HttpInstanceControl(client=self.client),
+            control=control,
             leases=self.leases,
             suspects=self.suspects,
             loads=self.loads,
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -252,15 +252,21 @@
             instance.write_entry()
 
     def cut(self, node, service, how):
-        """Cut a node off from the instances of a service: hang, reset or full."""
+        """Cut a node off from the instances of a service.
+
+        ``how`` is one of hang, reset, full, mute and close, as `Cut` has them.
+        """
         for name, proxy in self.cut_proxies[node].items():
             if service in (None, self.fleet.instances[name].service):
-                if how == "hang":
+                if how in ("hang", "mute"):
                     proxy.dropped_directions = frozenset([proxy.UP, proxy.DOWN])
+                if how == "hang":
                     proxy.hang_new_connections()
-                    continue
-                proxy.refuse_new_connections()
-                if how == "reset":
+                elif how == "close":
+                    proxy.close_new_connections()
+                elif how != "mute":
+                    proxy.refuse_new_connections()
+                if how in ("reset", "close"):
                     proxy.reset_connections()
 
     def heal(self, node):
--- a/citronpin/tests/soaks/proxies.py
+++ b/citronpin/tests/soaks/proxies.py
@@ -19,7 +19,7 @@
 
     Data in the directions of ``dropped_directions`` is read and discarded. A connection
     that lost data cannot be used again, so `clear_faults` resets it. New connections
-    can be refused, or hang as behind a cut link.
+    can be refused, be closed once they are accepted, or hang as behind a cut link.
     """
 
     UP = "up"  # towards the server
@@ -31,6 +31,7 @@
         self._listener.settimeout(POLL_INTERVAL_S)
         self.port = self._listener.getsockname()[1]
         self._is_accepting = True
+        self._is_closing = False  # whether new connections are closed unread
         self._fillers = []  # connections that keep the backlog of the listener full
         self.delay_s = 0.0
         self.dropped_directions = frozenset()
@@ -65,8 +66,13 @@
         self._is_accepting = False
         self._listener.close()
 
+    def close_new_connections(self):
+        """Accept new connections and close them unread, and keep the open ones."""
+        self._is_closing = True
+
     def accept_new_connections(self):
         """Accept connections again."""
+        self._is_closing = False
         for filler in self._fillers:
             filler.close()
         self._fillers = []
@@ -101,6 +107,9 @@
                 client, _ = self._listener.accept()
             except OSError:  # none within the interval, or the listener was closed
                 continue
+            if self._is_closing:
+                _close(client)
+                continue
             try:
                 server = socket.create_connection(self._target, timeout=1.0)
             except OSError:
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -13,6 +13,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from citronpin.tests.platforms.cuts import Cut
 from citronpin.tests.platforms.ports import free_port
 from citronpin.tests.soaks import checks
 from citronpin.tests.soaks.callers import Caller, Kind
@@ -344,7 +345,7 @@
         """Cut nodes off from all instances, or those of a service, and send to all."""
         names = sorted(self._cut_locks)
         chosen = self._rng.sample(names, self._rng.randint(1, max(len(names) - 1, 1)))
-        how = self._rng.choice(["hang", "reset", "full"])
+        how = self._rng.choice([how.value for how in Cut])
         service = self._rng.choice([None, None, "engines", "book"])
         free = [
             name for name in chosen if self._cut_locks[name].acquire(blocking=False)
--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -6,6 +6,10 @@
 import pytest
 
 from citronpin.basics.errors import ConnectionLost, TimedOut
+from citronpin.basics.ids import ApplicationName, FailureDomainName, InstanceId
+from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.ports import ProbeResult
+from citronpin.platform.orders import HttpInstanceControl
 from citronpin.tests.conftest import wait_until
 from citronpin.web.clients import MAX_HEADER_BYTES, BufferedSink, HttpClient
 
@@ -173,18 +177,57 @@
     endless.close()
 
 
-@pytest.mark.parametrize("is_listening", [True, False])
-def test_a_connection_opened_in_advance_is_reported_and_kept_once(loops, is_listening):
+def answer_probe(listener):
+    conn, _ = listener.accept()
+    conn.recv(4_096)
+    conn.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+    return conn
+
+
+def close_unread(listener):
+    listener.accept()[0].close()
+
+
+def keep_silent(listener):
+    return listener.accept()[0]
+
+
+def refuse(listener):
+    """Accept nothing: the listener is closed."""
+
+
+@pytest.mark.parametrize(
+    "behave, result, kept",
+    [
+        (answer_probe, ProbeResult.ANSWERED, 1),
+        (close_unread, ProbeResult.UNANSWERED, 0),
+        (keep_silent, ProbeResult.UNANSWERED, 0),
+        (refuse, ProbeResult.REFUSED, 0),
+    ],
+)
+def test_a_probe_counts_only_an_answer_as_one(loops, behave, result, kept):
     listener = socket.create_server(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    if not is_listening:
+    instance = FleetInstance(
+        id=InstanceId("i-1"),
+        service=ApplicationName("book"),
+        address=f"127.0.0.1:{listener.getsockname()[1]}",
+        failure_domain=FailureDomainName("a"),
+        slots=1,
+    )
+    if behave is refuse:
         listener.close()
     loop, client = loops(lambda clock: HttpClient(clock=clock))
-    outcomes = []
-    client.connection_listeners.append(lambda *outcome: outcomes.append(outcome))
+    control = HttpInstanceControl(client=client)
+    results, held = [], []
     for count in range(1, 4):
-        loop.call(lambda: client.connect(address, timeout_s=TIMEOUT_S))
-        wait_until(lambda: len(outcomes) == count)
-    assert outcomes == [(address, is_listening)] * 3
-    wait_until(lambda: len(client._conns) == int(is_listening))
+        thread = threading.Thread(target=lambda: held.append(behave(listener)))
+        thread.start()
+        loop.call(
+            lambda: control.probe(of=instance, timeout_s=TIMEOUT_S, done=results.append)
+        )
+        wait_until(lambda: len(results) == count)
+        thread.join()
+    assert results == [result] * 3
+    # Each probe takes a new connection, of which one at most is kept.
+    assert len(client._conns) == kept
     listener.close()
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -93,7 +93,7 @@
     gateway.scripts["*"] = fault
     reply = gateway.send("/swap/1")
     gateway.clock.advance(1.0)
-    assert len(gateway.client.sent) == 1
+    assert len(gateway.sent_requests()) == 1
     assert reply.status in (500, 502, 504)
     assert reply.status == 500 or reply.outcome == "unknown"
 
@@ -232,7 +232,7 @@
     reply = gateway.send("/draft/1")
     gateway.clock.advance(2.0)
     assert reply.aborted
-    assert len(gateway.client.sent) == 2  # max-attempts of the route
+    assert len(gateway.sent_requests()) == 2  # max-attempts of the route
 
 
 def test_a_broken_stream_waits_briefly_for_an_instance(paused_clock):
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -9,6 +9,7 @@
 )
 from citronpin.gateway.fronts import ForwardHandler
 from citronpin.platform.names import HEADERS
+from citronpin.platform.orders import REPORT_PATH
 from citronpin.tests.platforms.crashes import LAST_EVENT, CrashWorld
 from citronpin.tests.platforms.cuts import Cut, cut_off, heal, is_served
 from citronpin.tests.platforms.requests import instance_headers, whole_stream
@@ -264,18 +265,18 @@
     cut_and_notice(world, entry, how=Cut.RESET)
     for _ in range(5):
         heal(entry)
-        entry.client.connect(entry.fleet.get("b0").address, timeout_s=0.3)
-        world.clock.advance(0.02)
+        while entry.reach.cut_off_services():
+            world.clock.advance(0.01)
         cut_off(entry, world.all_replicas(), Cut.RESET)
         world.clock.advance(0.6)
         send_read(entry)
         world.clock.advance(0.6)
     assert "book" in entry.reach.cut_off_services()
-    opened = []
-    entry.client.connect = lambda address, timeout_s: opened.append(address)
+    count = len(entry.client.sent)
     world.clock.advance(2.0)
+    probes = [one for one in entry.client.sent[count:] if one.target == REPORT_PATH]
     services = len(entry.reach.cut_off_services())
-    assert len(opened) <= services * 2 * (2.0 / 0.25 + 1)
+    assert 0 < len(probes) <= services * 2 * (2.0 / 0.25 + 1)
 
 
 def test_one_silent_instance_is_no_cut(world):
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -1,6 +1,8 @@
 """Tests the updates between entries: loads, suspicions, groups and a lost store."""
 
+import copy
 import random
+from statistics import median
 
 import msgspec
 import pytest
@@ -24,10 +26,18 @@
 from citronpin.gateway.relays import RELAY_COUNT, RelayRole, relay_rank
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.messages import FeedPosition, HeadStatus
+from citronpin.platform.orders import HttpInstanceControl
 from citronpin.tests.meshes import MemoryLinks, Network
 from citronpin.tests.platforms.clients import MemoryClient
 
 HEAD = InstanceId("i-1")
+IDLE_WARM_UP_S = 1.0
+IDLE_MEASURED_S = 2.0
+# What control may cost an entry, by the target in docs/CAPACITY.md.
+TARGET_BYTES_PER_S = 2_000
+TARGET_CORE_SHARE = 0.024
+MESSAGE_PROCESSOR_S = 0.00018  # measured for one message of a relay, docs/CAPACITY.md
+IDLE_WAKES_PER_S = 10
 
 
 class FakeLeases:
@@ -82,8 +92,13 @@
         self.fabrics = FakeFabrics()
         self.feeds = FakeFeeds()
         rng = random.Random(1)
+        client = MemoryClient(clock=clock)
         self.reach = Reachability(
-            fleet=self.fleet, client=MemoryClient(clock=clock), clock=clock, rng=rng
+            fleet=self.fleet,
+            client=client,
+            control=HttpInstanceControl(client=client),
+            clock=clock,
+            rng=rng,
         )
         self.forward_peers = ForwardPeers(failure_domain="a", clock=clock, rng=rng)
         self.links = MemoryLinks(entry=self.name, network=network)
@@ -393,3 +408,35 @@
         HEAD, PeerGroupReport(membership_at(4), (ModelName("small"),), 1.6)
     )
     assert not fleet.get(HEAD).is_serving_head
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize("count", [90, 195, 400])
+def test_an_idle_entry_of_a_crowd_stays_within_the_target(paused_clock, count):
+    # Hundreds of entries tell each other that nothing changed: cost grows with each.
+    network = Network(clock=paused_clock)
+    crowd = [Node(f"n{number}", network, paused_clock) for number in range(count)]
+    for node in crowd:
+        node.peers = {
+            other.name: str(other.name) for other in crowd if other is not node
+        }
+        node.gossip.start()
+    paused_clock.advance(IDLE_WARM_UP_S)
+    before = [copy.copy(node.links.counters) for node in crowd]
+    paused_clock.advance(IDLE_MEASURED_S)
+    messages_per_s, bytes_per_s = [], []
+    for node, start in zip(crowd, before):
+        end = node.links.counters
+        messages = end.sent_messages - start.sent_messages
+        messages += end.received_messages - start.received_messages
+        size = end.sent_bytes - start.sent_bytes
+        messages_per_s.append(messages / IDLE_MEASURED_S)
+        bytes_per_s.append(size / IDLE_MEASURED_S)
+    print(
+        f"{count} entries: {median(messages_per_s):.0f} messages/s and "
+        f"{median(bytes_per_s):.0f} bytes/s, most {max(messages_per_s):.0f} and "
+        f"{max(bytes_per_s):.0f}"
+    )
+    assert max(bytes_per_s) <= TARGET_BYTES_PER_S
+    assert max(messages_per_s) * MESSAGE_PROCESSOR_S <= TARGET_CORE_SHARE
+    assert median(messages_per_s) <= IDLE_WAKES_PER_S
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -40,6 +40,9 @@
     def report(self, **question):
         raise AssertionError("no instance is known")
 
+    def probe(self, **question):
+        raise AssertionError("no instance is known")
+
 
 class RecordingConnector(PlatformConnector):
     """Records the clock times of calls to ``release_leases`` and ``stop``."""
--- a/citronpin/tests/test_permit_machine.py
+++ b/citronpin/tests/test_permit_machine.py
@@ -27,6 +27,7 @@
 from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.relays import RelayRole
 from citronpin.gateway.suspects import Suspects
+from citronpin.platform.orders import HttpInstanceControl
 from citronpin.tests.meshes import MemoryLinks, Network
 from citronpin.tests.platforms.clients import MemoryClient
 from citronpin.tests.platforms.crashes import Leases, NoFeeds, NoGroups
@@ -109,7 +110,11 @@
             role=RelayRole(name=name),
             feeds=NoFeeds(),
             reach=Reachability(
-                fleet=self.fleet, client=client, clock=self.clock, rng=rng
+                fleet=self.fleet,
+                client=client,
+                control=HttpInstanceControl(client=client),
+                clock=self.clock,
+                rng=rng,
             ),
             forward_peers=ForwardPeers(failure_domain="a", clock=self.clock, rng=rng),
             clock=self.clock,
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -198,7 +198,8 @@
         """Send a request to ``IP:PORT``; the sink receives the response or the error.
 
         ``timeout_s`` limits the time to the end of the response; ``None`` is no limit.
-        A connection that was idle for ``max_idle_s`` is not reused; 0 forces a new one.
+        A connection that was idle for ``max_idle_s`` is not reused; 0 forces a new one,
+        which is kept afterwards if no other is idle there.
         ``host`` replaces the address in the ``Host`` header.
         """
         self.counters.requests += 1
@@ -222,13 +223,6 @@
         self._assign(exchange)
         return exchange
 
-    def connect(self, address: str, *, timeout_s: float) -> None:
-        """Open a connection to ``IP:PORT``; keep it if no other is idle there.
-
-        The outcome is reported to the connection listeners.
-        """
-        self._open(address, timeout_s)
-
     def is_unsent(self, exchange: Exchange) -> bool:
         """Return whether an exchange still waits for its connection."""
         return exchange.conn is None or not exchange.conn.connected
@@ -360,13 +354,6 @@
         conn.connect_timer.cancel()
         self._poller.addReader(self, sock)
         self._report(conn.address, True)
-        if conn.exchange is None:
-            self._update_write_polling(conn)
-            if self._idle.get(conn.address):
-                self._close(conn)  # one more would only take up room at the server
-            else:
-                self._keep_idle(conn)
-            return
         self._send(conn)
 
     @handler("_read")
@@ -441,14 +428,19 @@
         )
         if is_reusable and conn.parser.their_state is h11.DONE:
             conn.parser.start_next_cycle()
-            self._keep_idle(conn)
+            self._keep_idle(conn, limit=self._idle_limit(exchange))
         else:
             self._close(conn)
         exchange.sink.end()
 
-    def _keep_idle(self, conn: Connection) -> None:
+    def _idle_limit(self, exchange: Exchange) -> int:
+        """Return how many connections may be idle once an exchange frees its own."""
+        # Further ones would only take up room at the server.
+        return 1 if exchange.max_idle_s == 0 else MAX_IDLE_CONNECTIONS_PER_ADDRESS
+
+    def _keep_idle(self, conn: Connection, *, limit: int) -> None:
         idle = self._idle.setdefault(conn.address, deque())
-        if len(idle) >= MAX_IDLE_CONNECTIONS_PER_ADDRESS:
+        if len(idle) >= limit:
             self._close(conn)
             return
         conn.exchange_count += 1
