Start without pkg_resources, which only circuits asks for

Cause: circuits imports pkg_resources to declare a namespace and falls back to pkgutil without it.

Each process pays this, and again after each restart. The test puts a module of that name on the path and failed before.

--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -471,6 +471,23 @@
         assert found & (deployed | {"citronpin", "setuptools"}), name
 
 
+def test_gateway_starts_without_libraries_that_it_does_not_use(tmp_path):
+    # Each process of hundreds pays for them, in memory and at each start.
+    (tmp_path / "pkg_resources.py").write_text("declare_namespace = str")
+    script = (
+        "import sys; sys.path.append(sys.argv[1]); import citronpin.platform.programs; "
+        "print(*filter(sys.modules.get, sys.modules))"
+    )
+    listed = subprocess.run(
+        [sys.executable, "-c", script, str(tmp_path)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    loaded = {name.partition(".")[0] for name in listed.stdout.split()}
+    assert not loaded & {"pkg_resources", "setuptools", "numpy", "jinja2", "pygal"}
+
+
 def _normalized(requirement):
     """Return the normalized name of a distribution from a requirement."""
     name = re.split(r"[^A-Za-z0-9._-]", requirement, maxsplit=1)[0]
