Import the library that renders metrics with the first page

Cause: prometheus_client brings http.server, wsgiref and decimal with it, 27 modules and a tenth of the time to import the gateway; pages are fetched only while somebody looks.

Change: counters, gauges and latencies are kept as plain values and become families of the library when a page is rendered. The page is the same but for the lines _created, which told when a label set was first counted and are in no document.

--- a/citronpin/basics/metrics.py
+++ b/citronpin/basics/metrics.py
@@ -1,15 +1,25 @@
-"""Metrics of one process in the Prometheus text format, with HDR histograms."""
+"""Metrics of one process in the Prometheus text format, with HDR histograms.
+
+The library that renders the page is imported with the first page: it takes a tenth of
+the start of a process, and most processes start more often than they are looked at.
+"""
 
 import logging
+from abc import ABC, abstractmethod
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Sequence
 from itertools import accumulate
+from typing import TYPE_CHECKING
 
 import msgspec
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
-from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from prometheus_client.metrics_core import (
+        GaugeMetricFamily,
+        Metric,
+        SummaryMetricFamily,
+    )
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +72,14 @@
         self.sum_us += value_us
 
 
+class Collector(ABC):
+    """Keeps values of one kind until a page shows them."""
+
+    @abstractmethod
+    def collect(self) -> Iterable["Metric"]:
+        """Yield the present values as families of the library."""
+
+
 class LatencyCollector(Collector):
     """Latency histograms by name, customer and target, exported as quantiles and sums.
 
@@ -83,7 +101,12 @@
         value_us = min(max(int(seconds * US_PER_S), LOWEST_US), HIGHEST_US)
         latencies.record(value_us)
 
-    def collect(self) -> Iterable[SummaryMetricFamily]:
+    def collect(self) -> Iterable["Metric"]:
+        from prometheus_client.metrics_core import (
+            GaugeMetricFamily,
+            SummaryMetricFamily,
+        )
+
         for name, doc in LATENCIES.items():
             labels = ["customer", "target", "quantile"]
             quantiles = GaugeMetricFamily(
@@ -104,8 +127,8 @@
 
 
 def _add_latencies(
-    quantiles: GaugeMetricFamily,
-    summary: SummaryMetricFamily,
+    quantiles: "GaugeMetricFamily",
+    summary: "SummaryMetricFamily",
     labels: list[str],
     latencies: Latencies,
 ) -> None:
@@ -126,47 +149,54 @@
         """Register a gauge; ``read`` returns its current value."""
         self._gauges[name] = (doc, read)
 
-    def collect(self) -> Iterable[GaugeMetricFamily]:
+    def collect(self) -> Iterable["Metric"]:
+        from prometheus_client.metrics_core import GaugeMetricFamily
+
         for name, (doc, read) in self._gauges.items():
             yield GaugeMetricFamily(f"citronpin_{name}", doc, value=read())
 
 
-class LimitedCounter:
+class LimitedCounter(Collector):
     """Counts by label set, beyond ``MAX_LABEL_SETS`` of them under empty labels."""
 
-    def __init__(self, counter: Counter) -> None:
-        self._counter = counter
-        self._label_sets: set[tuple[str, ...]] = set()
+    def __init__(self, *, name: str, doc: str, labels: Sequence[str]) -> None:
+        self._name = name
+        self._doc = doc
+        self._labels = labels
+        self._amounts: dict[tuple[str, ...], int] = {}
 
     def count(self, labels: tuple[str, ...], amount: int = 1) -> None:
         """Add an amount to the counter of a label set."""
-        if labels not in self._label_sets:
-            if len(self._label_sets) >= MAX_LABEL_SETS:
-                labels = ("",) * len(labels)
-            else:
-                self._label_sets.add(labels)
-        self._counter.labels(*labels).inc(amount)
+        if labels not in self._amounts and len(self._amounts) >= MAX_LABEL_SETS:
+            labels = ("",) * len(labels)
+        self._amounts[labels] = self._amounts.get(labels, 0) + amount
+
+    def collect(self) -> Iterable["Metric"]:
+        from prometheus_client.metrics_core import CounterMetricFamily
+
+        family = CounterMetricFamily(
+            f"citronpin_{self._name}", self._doc, labels=self._labels
+        )
+        for labels, amount in self._amounts.items():
+            family.add_metric(labels, amount)
+        yield family
 
 
 class Metrics:
     """Counters, gauges and latencies of one process."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
         self.latencies = LatencyCollector()
         self.gauges = GaugeCollector()
-        self.registry.register(self.latencies)
-        self.registry.register(self.gauges)
-        self._requests = self._counter(
-            "requests", "Requests by end.", ["customer", "target", "outcome", "kind"]
+        self._requests = LimitedCounter(
+            name="requests",
+            doc="Requests by end.",
+            labels=["customer", "target", "outcome", "kind"],
         )
-        self._tokens = self._counter(
-            "tokens", "Tokens passed to callers.", ["customer", "target"]
-        )
-
-    def _counter(self, name: str, doc: str, labels: list[str]) -> "LimitedCounter":
-        return LimitedCounter(
-            Counter(f"citronpin_{name}", doc, labels, registry=self.registry)
+        self._tokens = LimitedCounter(
+            name="tokens",
+            doc="Tokens passed to callers.",
+            labels=["customer", "target"],
         )
 
     def count_request(
@@ -181,4 +211,9 @@
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self.registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        for collector in (self.latencies, self.gauges, self._requests, self._tokens):
+            registry.register(collector)
+        return generate_latest(registry)
