Read at the usual interval while the store turns an entry away

Cause: a relay's position that is ahead made a follower read at once, also while it waited to retry a read that the store had refused.

It lets relays send at times of their own, which the other tests of feeds keep to.

--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -81,6 +81,7 @@
         self._is_snapshot_due = False
         self._read_started_s = float("-inf")
         self._read_wait_s = 0.0
+        self._retry_at_s = float("-inf")  # no read before, after one that failed
         # Clock time at which each relay last confirmed the offset.
         self._confirmed_at_s: dict[EntryId, float] = {}
         self.last_read_s = float("-inf")  # clock time of the last successful read
@@ -185,7 +186,8 @@
             self._confirmed_at_s.clear()
             self.last_read_s = float("-inf")
             self._timer.cancel()
-            self._schedule_read(0.0)
+            # The store that refused a read is not asked more often for news of it.
+            self._schedule_read(max(self._retry_at_s - self._clock.now(), 0.0))
 
     def resume_if_unconfirmed(self) -> None:
         """Resume reading when relays no longer confirm the offset."""
@@ -274,8 +276,9 @@
         else:
             self._log_reachability(False, error.detail)
             self._on_read_failed()
-        elapsed_s = self._clock.now() - self._read_started_s
-        self._schedule_read(max(RETRY_INTERVAL_S - elapsed_s, 0.0))
+        now_s = self._clock.now()
+        self._retry_at_s = max(self._read_started_s + RETRY_INTERVAL_S, now_s)
+        self._schedule_read(self._retry_at_s - now_s)
         return True
 
     def _log_reachability(self, reachable: bool, detail: str) -> None:
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -10,6 +10,7 @@
     CONFIRMATION_MAX_AGE_S,
     FOLLOW_CHECK_INTERVAL_S,
     MAX_FORWARDED_RECORDS,
+    RETRY_INTERVAL_S,
     ConfigFeed,
     FleetFeed,
     StoreFeeds,
@@ -34,6 +35,7 @@
         self.name = EntryId(name)
         self.calls = []
         self.cut_from_store = False
+        self.is_turned_away = False  # the store answers it 503
         self.silent = False  # sends no positions
         self.versions = []
         self._platform_store = platform_store
@@ -64,6 +66,9 @@
         if self.cut_from_store:
             return
         self.calls.append(exchange.target)
+        if self.is_turned_away:
+            exchange.answer(503)
+            return
         is_long_poll = "wait-ms" in exchange.target
         answer = self._platform_store.handle(exchange.method, exchange.target, b"")
         if is_long_poll and len(answer[1]) == 16:
@@ -72,17 +77,20 @@
 
 
 class RelaySimulation:
-    """Two relays that forward records, and one entry that follows them."""
+    """Relays that forward records, and one entry that follows them."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, relays=2):
         self.clock = clock
         self.store = PlatformStore(clock=clock)
         self.put_config(3)
         for number in range(4):
             self.put_instance(f"i-{number}")
-        self.relays = [self._start_entry(f"relay-{n}", True) for n in range(2)]
+        self.relays = [self._start_entry(f"relay-{n}", True) for n in range(relays)]
         self.follower = self._start_entry("follower", False)
-        self._send_positions()
+        for number, relay in enumerate(self.relays):
+            # Relays send at times of their own.
+            delay_s = RELAY_UPDATE_INTERVAL_S * number / relays
+            clock.call_later(delay_s, lambda relay=relay: self._send_positions(relay))
         clock.advance(1.0)
 
     def _start_entry(self, name, relay):
@@ -90,12 +98,13 @@
             name=name, clock=self.clock, platform_store=self.store, relay=relay
         )
 
-    def _send_positions(self):
-        self.clock.call_later(RELAY_UPDATE_INTERVAL_S, self._send_positions)
-        for relay in self.relays:
-            positions = relay.feeds.own_positions(records=True)
-            if not relay.silent:
-                self.follower.feeds.apply_positions(relay.name, positions)
+    def _send_positions(self, relay):
+        self.clock.call_later(
+            RELAY_UPDATE_INTERVAL_S, lambda: self._send_positions(relay)
+        )
+        positions = relay.feeds.own_positions(records=True)
+        if not relay.silent:
+            self.follower.feeds.apply_positions(relay.name, positions)
 
     def put_config(self, version):
         data = json.dumps(wire_config(version=version)).encode()
@@ -206,6 +215,22 @@
     assert simulation.follower.versions == [3, 7]
 
 
+def test_follower_that_the_store_turns_away_reads_at_its_usual_interval(paused_clock):
+    # Each relay tells it several times a second that there is a newer configuration.
+    simulation = RelaySimulation(paused_clock, relays=8)
+    follower = simulation.follower
+    follower.is_turned_away = True
+    simulation.put_config(4)
+    paused_clock.advance(0.5)
+    before = len(follower.calls)
+    paused_clock.advance(5.0)
+    reads = [call for call in follower.calls[before:] if "keyed.op" in call]
+    assert 1 <= len(reads) <= 5.0 / RETRY_INTERVAL_S + 1
+    follower.is_turned_away = False
+    paused_clock.advance(RETRY_INTERVAL_S + 0.05)
+    assert follower.versions == [3, 4]
+
+
 def test_follower_that_missed_an_update_reads_itself(paused_clock, simulation):
     before = len(simulation.follower.calls)
     for relay in simulation.relays:
