Read the newest configuration after a failed read, and let answers arrive

Cause: an entry that the store had turned away for 9 s read 25 whole configurations at once over a link of 10 to 20 Mbit/s.

Ruled out: relays that confirm a stale offset (they told of the newer records all the time); a store that goes on refusing (its answers were on their way).

Change: the feed of the configuration reads the newest record after a failure; a call to the store may take up to 4 s longer while bytes of its answer arrive.

Result: the tests of both failed before.

--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -215,7 +215,7 @@
         if self._is_snapshot_due:
             self._is_snapshot_due = False
             self._offset = None
-        if self._offset is None:
+        if self._needs_newest():
             self._store.read_newest(
                 topic=self.topic, done=self._unless_outdated(self._on_newest)
             )
@@ -228,6 +228,10 @@
             done=self._unless_outdated(self._on_records),
         )
 
+    def _needs_newest(self) -> bool:
+        """Return whether the next read gets the newest records, not those appended."""
+        return self._offset is None
+
     def _unless_outdated(self, handle: ResultCallback) -> ResultCallback:
         """Return a callback that ignores the result once a new era has begun."""
         number = self._read_number
@@ -317,6 +321,7 @@
         self._apply = apply
         self._apply_s = apply_s
         self._version = -1
+        self._has_failed = False  # whether the latest read did
         # Latest clock time at which certainly no newer version existed.
         self._known_s = float("-inf")
 
@@ -329,6 +334,13 @@
         """Return whether every version that must be in force by now was read."""
         return self.age_s() <= self._apply_s
 
+    def _needs_newest(self) -> bool:
+        # Whole versions pile up while reads fail, of which only the newest one matters.
+        return self._has_failed or super()._needs_newest()
+
+    def _on_read_failed(self) -> None:
+        self._has_failed = True
+
     def _next_long_poll_s(self) -> float:
         # A read that returned a change did not tell whether another one followed.
         return max(self._long_poll_s - self.age_s(), MIN_CONFIG_LONG_POLL_S)
@@ -345,6 +357,7 @@
                 },
             )
         self._known_s = max(self._known_s, current_s)
+        self._has_failed = False
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         for record in records:
--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -19,6 +19,7 @@
 READ_HEADER = struct.Struct(">QQ")  # end of the partition, first kept offset
 CALL_TIMEOUT_S = 1.5  # answers take a few ms, and 0.3 s from a slow store
 LONG_POLL_MARGIN_S = 0.6  # added to the long-poll time of a read for its timeout
+MAX_TRANSFER_S = 4.0  # added to a timeout while the answer still arrives
 MAX_READ_KB = 1_024
 
 ERA_HEADER = "store-era"
@@ -342,6 +343,7 @@
             sink=BufferedSink(done=on_answer),
             body=body,
             timeout_s=timeout_s,
+            max_timeout_s=timeout_s + MAX_TRANSFER_S,
             connect_timeout_s=min(timeout_s, CALL_TIMEOUT_S),
         )
 
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -92,6 +92,7 @@
         headers=(),
         body=b"",
         timeout_s=10.0,
+        max_timeout_s=None,
         connect_timeout_s=2.0,
         max_idle_s=30.0,
         host=None,
--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -231,3 +231,51 @@
     # Each probe takes a new connection, of which one at most is kept.
     assert len(client._conns) == kept
     listener.close()
+
+
+@pytest.mark.parametrize(
+    "pieces, pause_s, is_whole",
+    [(12, 0.05, True), (3, 2.0, False), (1_000, 0.05, False)],
+    ids=["slow", "stalled", "trickles"],
+)
+def test_an_answer_may_take_longer_only_while_it_arrives(
+    loops, pieces, pause_s, is_whole
+):
+    listener = socket.create_server(("127.0.0.1", 0))
+    ended = threading.Event()
+
+    def answer_in_pieces():
+        conn, _ = listener.accept()
+        conn.recv(4_096)
+        try:
+            conn.sendall(OK_LINE + b"Content-Length: %d\r\n\r\n" % pieces)
+            for _ in range(pieces):
+                if ended.wait(pause_s):
+                    return
+                conn.sendall(b"x")
+        except OSError:
+            return
+
+    thread = threading.Thread(target=answer_in_pieces)
+    thread.start()
+    loop, client = loops(lambda clock: HttpClient(clock=clock))
+    answers = []
+    loop.call(
+        lambda: client.request(
+            address=f"127.0.0.1:{listener.getsockname()[1]}",
+            method="GET",
+            target="/",
+            sink=BufferedSink(done=lambda *answer: answers.append(answer)),
+            timeout_s=TIMEOUT_S,
+            max_timeout_s=5 * TIMEOUT_S,
+        )
+    )
+    wait_until(lambda: answers)
+    ended.set()
+    thread.join()
+    listener.close()
+    response, error = answers[0]
+    if is_whole:
+        assert response[2] == b"x" * pieces
+    else:
+        assert isinstance(error, TimedOut)
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -36,6 +36,8 @@
         self.calls = []
         self.cut_from_store = False
         self.is_turned_away = False  # the store answers it 503
+        self.bytes_per_s = float("inf")  # of its link to the store
+        self._clock = clock
         self.silent = False  # sends no positions
         self.versions = []
         self._platform_store = platform_store
@@ -73,7 +75,8 @@
         answer = self._platform_store.handle(exchange.method, exchange.target, b"")
         if is_long_poll and len(answer[1]) == 16:
             return  # no new records: the store leaves the long poll unanswered
-        exchange.answer(*answer)
+        transfer_s = len(answer[1]) / self.bytes_per_s
+        self._clock.call_later(transfer_s, lambda: exchange.answer(*answer))
 
 
 class RelaySimulation:
@@ -110,6 +113,9 @@
         data = json.dumps(wire_config(version=version)).encode()
         self.store.put("keyed.op", "config", data)
 
+    def config_bytes(self):
+        return len(json.dumps(wire_config(version=29)))
+
     def put_instance(self, name, **changes):
         registration = {
             "service": "engines",
@@ -231,6 +237,23 @@
     assert follower.versions == [3, 4]
 
 
+@pytest.mark.parametrize("name", ["relay", "follower"])
+def test_configuration_is_in_force_soon_after_an_outage_with_many_versions(
+    paused_clock, name
+):
+    # On a slow link, all versions took longer than a read may, again and again.
+    simulation = RelaySimulation(paused_clock, relays=8)
+    entry = simulation.relays[0] if name == "relay" else simulation.follower
+    entry.is_turned_away = True
+    for version in range(4, 30):
+        simulation.put_config(version)
+        paused_clock.advance(0.2)
+    entry.is_turned_away = False
+    entry.bytes_per_s = simulation.config_bytes() * 26 / (2 * CONFIG_APPLY_S)
+    paused_clock.advance(CONFIG_APPLY_S)
+    assert entry.versions[-1] == 29
+
+
 def test_follower_that_missed_an_update_reads_itself(paused_clock, simulation):
     before = len(simulation.follower.calls)
     for relay in simulation.relays:
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -38,6 +38,7 @@
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
+PROGRESS_INTERVAL_S = 0.3  # a response of which nothing arrives for longer has stalled
 
 
 class ResponseSink(ABC):
@@ -111,10 +112,13 @@
         sink: ResponseSink,
         started_s: float,
         timeout_s: float | None,
+        max_timeout_s: float | None,
         connect_timeout_s: float,
         max_idle_s: float,
     ) -> None:
         self.started_s = started_s  # clock time
+        self.received_s = started_s  # clock time of the latest bytes
+        self.max_timeout_s = max_timeout_s
         self.connect_timeout_s = connect_timeout_s
         self.max_idle_s = max_idle_s
         self.address = address
@@ -191,6 +195,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         body: bytes = b"",
         timeout_s: float | None = 10.0,
+        max_timeout_s: float | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_idle_s: float = MAX_IDLE_S,
         host: str | None = None,
@@ -198,6 +203,7 @@
         """Send a request to ``IP:PORT``; the sink receives the response or the error.
 
         ``timeout_s`` limits the time to the end of the response; ``None`` is no limit.
+        A response whose bytes still arrive then may take up to ``max_timeout_s``.
         A connection that was idle for ``max_idle_s`` is not reused; 0 forces a new one,
         which is kept afterwards if no other is idle there.
         ``host`` replaces the address in the ``Host`` header.
@@ -213,6 +219,7 @@
             sink=sink,
             started_s=self._clock.now(),
             timeout_s=timeout_s,
+            max_timeout_s=max_timeout_s,
             connect_timeout_s=connect_timeout_s,
             max_idle_s=max_idle_s,
         )
@@ -382,6 +389,7 @@
 
     def _parse(self, conn: Connection, data: bytes) -> None:
         exchange = conn.exchange
+        exchange.received_s = self._clock.now()
         if conn.parser.their_state is h11.SEND_RESPONSE:
             exchange.head_bytes += len(data)
         try:
@@ -448,6 +456,11 @@
         idle.append(conn)
 
     def _time_out(self, exchange: Exchange) -> None:
+        if self._is_progressing(exchange):
+            exchange.timer = self._clock.call_later(
+                PROGRESS_INTERVAL_S, lambda: self._time_out(exchange)
+            )
+            return
         conn = exchange.conn
         is_unsent = conn is None or not conn.connected
         if conn is not None:
@@ -457,11 +470,23 @@
             self._close_idle(exchange.address, before_s=exchange.started_s)
         if conn is not None and not conn.connected:
             self._report(conn.address, False)
-        detail = f"{exchange.address} did not answer in {exchange.timeout_s} s."
+        waited_s = round(self._clock.now() - exchange.started_s, 3)
+        detail = f"{exchange.address} did not answer in {waited_s} s."
         self._fail(
             exchange, ConnectionFailed(detail) if is_unsent else TimedOut(detail)
         )
 
+    def _is_progressing(self, exchange: Exchange) -> bool:
+        """Return whether a response is still on its way and may take longer."""
+        if exchange.max_timeout_s is None or exchange.received_s <= exchange.started_s:
+            return False
+        now_s = self._clock.now()
+        return (
+            now_s - exchange.received_s <= PROGRESS_INTERVAL_S
+            and now_s + PROGRESS_INTERVAL_S
+            <= exchange.started_s + exchange.max_timeout_s
+        )
+
     def _close_idle(self, address: str, *, before_s: float) -> None:
         """Close the connections to ``address`` that have been idle since ``before_s``.
 
