--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -81,6 +81,7 @@
         self._is_snapshot_due = False
         self._read_started_s = float("-inf")
         self._read_wait_s = 0.0
+        self._retry_at_s = float("-inf")  # no read before, after one that failed
         # Clock time at which each relay last confirmed the offset.
         self._confirmed_at_s: dict[EntryId, float] = {}
         self.last_read_s = float("-inf")  # clock time of the last successful read
@@ -185,7 +186,8 @@
             self._confirmed_at_s.clear()
             self.last_read_s = float("-inf")
             self._timer.cancel()
-            self._schedule_read(0.0)
+            # The store that refused a read is not asked more often for news of it.
+            self._schedule_read(max(self._retry_at_s - self._clock.now(), 0.0))
 
     def resume_if_unconfirmed(self) -> None:
         """Resume reading when relays no longer confirm the offset."""
@@ -213,7 +215,7 @@
         if self._is_snapshot_due:
             self._is_snapshot_due = False
             self._offset = None
-        if self._offset is None:
+        if self._needs_newest():
             self._store.read_newest(
                 topic=self.topic, done=self._unless_outdated(self._on_newest)
             )
@@ -226,6 +228,10 @@
             done=self._unless_outdated(self._on_records),
         )
 
+    def _needs_newest(self) -> bool:
+        """Return whether the next read gets the newest records, not those appended."""
+        return self._offset is None
+
     def _unless_outdated(self, handle: ResultCallback) -> ResultCallback:
         """Return a callback that ignores the result once a new era has begun."""
         number = self._read_number
@@ -274,8 +280,9 @@
         else:
             self._log_reachability(False, error.detail)
             self._on_read_failed()
-        elapsed_s = self._clock.now() - self._read_started_s
-        self._schedule_read(max(RETRY_INTERVAL_S - elapsed_s, 0.0))
+        now_s = self._clock.now()
+        self._retry_at_s = max(self._read_started_s + RETRY_INTERVAL_S, now_s)
+        self._schedule_read(self._retry_at_s - now_s)
         return True
 
     def _log_reachability(self, reachable: bool, detail: str) -> None:
@@ -314,6 +321,7 @@
         self._apply = apply
         self._apply_s = apply_s
         self._version = -1
+        self._has_failed = False  # whether the latest read did
         # Latest clock time at which certainly no newer version existed.
         self._known_s = float("-inf")
 
@@ -326,6 +334,13 @@
         """Return whether every version that must be in force by now was read."""
         return self.age_s() <= self._apply_s
 
+    def _needs_newest(self) -> bool:
+        # Whole versions pile up while reads fail, of which only the newest one matters.
+        return self._has_failed or super()._needs_newest()
+
+    def _on_read_failed(self) -> None:
+        self._has_failed = True
+
     def _next_long_poll_s(self) -> float:
         # A read that returned a change did not tell whether another one followed.
         return max(self._long_poll_s - self.age_s(), MIN_CONFIG_LONG_POLL_S)
@@ -342,6 +357,7 @@
                 },
             )
         self._known_s = max(self._known_s, current_s)
+        self._has_failed = False
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         for record in records:
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -10,6 +10,7 @@
     CONFIRMATION_MAX_AGE_S,
     FOLLOW_CHECK_INTERVAL_S,
     MAX_FORWARDED_RECORDS,
+    RETRY_INTERVAL_S,
     ConfigFeed,
     FleetFeed,
     StoreFeeds,
@@ -34,6 +35,9 @@
         self.name = EntryId(name)
         self.calls = []
         self.cut_from_store = False
+        self.is_turned_away = False  # the store answers it 503
+        self.bytes_per_s = float("inf")  # of its link to the store
+        self._clock = clock
         self.silent = False  # sends no positions
         self.versions = []
         self._platform_store = platform_store
@@ -64,25 +68,32 @@
         if self.cut_from_store:
             return
         self.calls.append(exchange.target)
+        if self.is_turned_away:
+            exchange.answer(503)
+            return
         is_long_poll = "wait-ms" in exchange.target
         answer = self._platform_store.handle(exchange.method, exchange.target, b"")
         if is_long_poll and len(answer[1]) == 16:
             return  # no new records: the store leaves the long poll unanswered
-        exchange.answer(*answer)
+        transfer_s = len(answer[1]) / self.bytes_per_s
+        self._clock.call_later(transfer_s, lambda: exchange.answer(*answer))
 
 
 class RelaySimulation:
-    """Two relays that forward records, and one entry that follows them."""
+    """Relays that forward records, and one entry that follows them."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, relays=2):
         self.clock = clock
         self.store = PlatformStore(clock=clock)
         self.put_config(3)
         for number in range(4):
             self.put_instance(f"i-{number}")
-        self.relays = [self._start_entry(f"relay-{n}", True) for n in range(2)]
+        self.relays = [self._start_entry(f"relay-{n}", True) for n in range(relays)]
         self.follower = self._start_entry("follower", False)
-        self._send_positions()
+        for number, relay in enumerate(self.relays):
+            # Relays send at times of their own.
+            delay_s = RELAY_UPDATE_INTERVAL_S * number / relays
+            clock.call_later(delay_s, lambda relay=relay: self._send_positions(relay))
         clock.advance(1.0)
 
     def _start_entry(self, name, relay):
@@ -90,17 +101,21 @@
             name=name, clock=self.clock, platform_store=self.store, relay=relay
         )
 
-    def _send_positions(self):
-        self.clock.call_later(RELAY_UPDATE_INTERVAL_S, self._send_positions)
-        for relay in self.relays:
-            positions = relay.feeds.own_positions(records=True)
-            if not relay.silent:
-                self.follower.feeds.apply_positions(relay.name, positions)
+    def _send_positions(self, relay):
+        self.clock.call_later(
+            RELAY_UPDATE_INTERVAL_S, lambda: self._send_positions(relay)
+        )
+        positions = relay.feeds.own_positions(records=True)
+        if not relay.silent:
+            self.follower.feeds.apply_positions(relay.name, positions)
 
     def put_config(self, version):
         data = json.dumps(wire_config(version=version)).encode()
         self.store.put("keyed.op", "config", data)
 
+    def config_bytes(self):
+        return len(json.dumps(wire_config(version=29)))
+
     def put_instance(self, name, **changes):
         registration = {
             "service": "engines",
@@ -206,6 +221,39 @@
     assert simulation.follower.versions == [3, 7]
 
 
+def test_follower_that_the_store_turns_away_reads_at_its_usual_interval(paused_clock):
+    # Each relay tells it several times a second that there is a newer configuration.
+    simulation = RelaySimulation(paused_clock, relays=8)
+    follower = simulation.follower
+    follower.is_turned_away = True
+    simulation.put_config(4)
+    paused_clock.advance(0.5)
+    before = len(follower.calls)
+    paused_clock.advance(5.0)
+    reads = [call for call in follower.calls[before:] if "keyed.op" in call]
+    assert 1 <= len(reads) <= 5.0 / RETRY_INTERVAL_S + 1
+    follower.is_turned_away = False
+    paused_clock.advance(RETRY_INTERVAL_S + 0.05)
+    assert follower.versions == [3, 4]
+
+
+@pytest.mark.parametrize("name", ["relay", "follower"])
+def test_configuration_is_in_force_soon_after_an_outage_with_many_versions(
+    paused_clock, name
+):
+    # On a slow link, all versions took longer than a read may, again and again.
+    simulation = RelaySimulation(paused_clock, relays=8)
+    entry = simulation.relays[0] if name == "relay" else simulation.follower
+    entry.is_turned_away = True
+    for version in range(4, 30):
+        simulation.put_config(version)
+        paused_clock.advance(0.2)
+    entry.is_turned_away = False
+    entry.bytes_per_s = simulation.config_bytes() * 26 / (2 * CONFIG_APPLY_S)
+    paused_clock.advance(CONFIG_APPLY_S)
+    assert entry.versions[-1] == 29
+
+
 def test_follower_that_missed_an_update_reads_itself(paused_clock, simulation):
     before = len(simulation.follower.calls)
     for relay in simulation.relays:
