--- a/citronpin/tests/test_quarantines.py
+++ b/citronpin/tests/test_quarantines.py
@@ -471,3 +471,20 @@
         crash(one, ["request-1"], 61.6, count=1)
     for now_s in (70.0, 121.0, 150.0):
         assert all(one.admit(["request-1"], now_s=now_s) for one in kept)
+
+
+@pytest.mark.parametrize("goes_on", [True, False])
+def test_crashes_count_again_after_a_cut_unless_the_life_went_on(goes_on):
+    # A request that ends all instances of a small service looks like a lost path.
+    quarantine = CrashQuarantine(policy=ConsecutiveCrashes())
+    key = "request-1"
+    lives = [make_instance(number) for number in range(3)]
+    for number, instance in enumerate(lives):
+        quarantine.record_crash([key], instance, now_s=1.0 + 0.1 * number)
+    assert quarantine.admit([key], now_s=1.5) == key
+    quarantine.withdraw_crashes(since_s=1.15)
+    assert quarantine.admit([key], now_s=1.5) is None
+    if goes_on:
+        quarantine.record_alive(lives[2], since_s=2.5)
+    quarantine.restore_crashes(now_s=4.0)
+    assert quarantine.admit([key], now_s=4.0) == (None if goes_on else key)
