Give instances that accept a connection a second to answer a probe

Change: a connection has 0.3 s to be made, as before, and its answer 1 s.

Result: test_a_second_of_silence_of_all_instances_is_no_cut with probes that take 0.8 s failed before.

--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -106,11 +106,17 @@
 
     @abstractmethod
     def probe(
-        self, *, of: FleetInstance, timeout_s: float, done: ProbeCallback
+        self,
+        *,
+        of: FleetInstance,
+        connect_timeout_s: float,
+        timeout_s: float,
+        done: ProbeCallback,
     ) -> None:
         """Request any answer over a new connection; ``done`` receives the result.
 
-        Any status counts as an answer, also one of an instance that makes no reports.
+        ``timeout_s`` includes the time to connect. Any status counts as
+        an answer, also one of an instance that makes no reports.
         """
 
 
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -15,7 +15,8 @@
 
 logger = logging.getLogger(__name__)
 
-PROBE_TIMEOUT_S = 0.3  # covers one packet that is retransmitted after 0.2 s
+PROBE_CONNECT_TIMEOUT_S = 0.3  # connecting takes milliseconds
+PROBE_TIMEOUT_S = 1.0  # instances that are slow at worst are not taken for unreachable
 PROBE_COUNT = 3  # instances probed at once, in different domains where there are
 RECOVERY_PROBE_COUNT = 2
 RECOVERY_PROBE_INTERVAL_S = 0.25
@@ -160,6 +161,7 @@
     def _probe(self, instance: FleetInstance, reach: ServiceReach) -> None:
         self._control.probe(
             of=instance,
+            connect_timeout_s=PROBE_CONNECT_TIMEOUT_S,
             timeout_s=PROBE_TIMEOUT_S,
             done=lambda result: self._on_probed(instance, reach, result),
         )
--- a/citronpin/platform/orders.py
+++ b/citronpin/platform/orders.py
@@ -91,7 +91,12 @@
         )
 
     def probe(
-        self, *, of: FleetInstance, timeout_s: float, done: ProbeCallback
+        self,
+        *,
+        of: FleetInstance,
+        connect_timeout_s: float,
+        timeout_s: float,
+        done: ProbeCallback,
     ) -> None:
         def on_answer(answer, error: CitronpinError | None) -> None:
             if error is None:
@@ -108,7 +113,7 @@
             sink=BufferedSink(done=on_answer, limit_bytes=MAX_ANSWER_BYTES),
             headers=((HEADERS.expect_instance, of.id),),
             timeout_s=timeout_s,
-            connect_timeout_s=timeout_s,
+            connect_timeout_s=connect_timeout_s,
             max_idle_s=0.0,
         )
 
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -193,6 +193,7 @@
         self.front = FrontHandler(context=self.context)
         self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.request_count = 0
+        self.probe_delay_s = 0.0  # from the arrival of a probe until its answer
         self._check_streams()
 
     def _check_streams(self):
@@ -225,7 +226,7 @@
     def handle(self, name, exchange):
         """Answer probes of the path; the scripts handle all other exchanges."""
         if exchange.target == REPORT_PATH:
-            exchange.answer(404)
+            self.clock.call_later(self.probe_delay_s, lambda: exchange.answer(404))
         else:
             self.script(name)(exchange)
 
--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -223,7 +223,12 @@
         thread = threading.Thread(target=lambda: held.append(behave(listener)))
         thread.start()
         loop.call(
-            lambda: control.probe(of=instance, timeout_s=TIMEOUT_S, done=results.append)
+            lambda: control.probe(
+                of=instance,
+                connect_timeout_s=TIMEOUT_S,
+                timeout_s=TIMEOUT_S,
+                done=results.append,
+            )
         )
         wait_until(lambda: len(results) == count)
         thread.join()
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -289,8 +289,10 @@
         assert not entry.reach.cut_off_services()
 
 
-def test_a_second_of_silence_of_all_instances_is_no_cut(world):
+@pytest.mark.parametrize("probe_delay_s", [0.0, 0.8])
+def test_a_second_of_silence_of_all_instances_is_no_cut(world, probe_delay_s):
     entry = world.entries[0]
+    entry.probe_delay_s = probe_delay_s
     for _ in range(3):
         for replica in world.all_replicas():
             replica.delay_s = 1.0
