--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -218,7 +218,8 @@
         listener.close()
     loop, client = loops(lambda clock: HttpClient(clock=clock))
     control = HttpInstanceControl(client=client)
-    results, held = [], []
+    results, held, reported = [], [], []
+    client.connection_listeners.append(lambda *outcome: reported.append(outcome))
     for count in range(1, 4):
         thread = threading.Thread(target=lambda: held.append(behave(listener)))
         thread.start()
@@ -233,6 +234,9 @@
         wait_until(lambda: len(results) == count)
         thread.join()
     assert results == [result] * 3
+    # Listeners hear of connections, whatever becomes of the probe.
+    is_accepted = result is not ProbeResult.REFUSED
+    assert reported == [(instance.address, is_accepted)] * 3
     # Each probe takes a new connection, of which one at most is kept.
     assert len(client._conns) == kept
     listener.close()
