Review: stand-ins beside the cases, and a check of case 2 no stricter than the rule

Cause: review/common stood among the numbered cases. The check of case 2 counted foreign bytes also where the replica broke off by itself and the answer was not complete, which MIXED excuses.

Change: the stand-ins are modules of review/.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from pathlib import Path
 
-from review.common.systems import CannotRun, run_case
-from review.common.wire import ClientChannel
+from review.systems import CannotRun, run_case
+from review.wire import ClientChannel
 
 DAY_S = 92.0
 FOREIGN_AT_S = 1.0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,9 +4,9 @@
 import random
 from pathlib import Path
 
-from review.common.replicas import LAST_EVENT, event
-from review.common.systems import CannotRun, run_case
-from review.common.wire import ClientChannel, chunk_bytes, head_bytes
+from review.replicas import LAST_EVENT, event
+from review.systems import CannotRun, run_case
+from review.wire import ClientChannel, chunk_bytes, head_bytes
 
 REQUESTS = 100  # within the 5 s of the disruption
 SPACING_S = 0.05
@@ -78,13 +78,22 @@
         return answer
 
     answers = await asyncio.gather(*map(send_one, range(REQUESTS)))
+    # Foreign bytes in an answer that is not complete are excused where the replica
+    # itself broke off.
+    endless = {
+        row["attempt"]
+        for row in system.record.rows
+        if row["kind"] == "garbled" and row["without_end"]
+    }
     if sum(answer.body == WHOLE for answer in answers) < REQUESTS // 2:
         raise CannotRun("most streams are not served")
     return [
         f"{answer.attempt}: {len(answer.body)} bytes of a 200 answer that are not the "
         f"events of the stream, complete: {answer.complete}"
         for answer in answers
-        if answer.status == 200 and not WHOLE.startswith(answer.body)
+        if answer.status == 200
+        and not WHOLE.startswith(answer.body)
+        and (answer.complete or answer.attempt in endless)
     ]
 
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 is needed"'
-for file in review/common/*.py review/[0-9]*/*.py; do
+for file in review/*.py review/[0-9]*/*.py; do
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/common/systems.py
+++ b/review/systems.py
@@ -16,7 +16,7 @@
 from .store import Store
 from .wire import ClientChannel
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "towers.example"
 KEY = "key-1"
 START_LIMIT_S = 40.0
