Requests that cannot be sent fail through their sink, and no fault ends a loop

Cause: HttpClient.request raised for ids that no header carries. Reachability._start_round had marked all instances of its round as pending, and only their probes reset that: the service stayed uncertain for good, and FabricController.tick ended before it planned. MemberWatch.poll left `asking` set in the same way.

The structured log had nothing of it; a line and a metric were added.

Change: HttpClient.request never raises; what cannot be encoded, is no IPv4 address with a port, or finds no descriptor fails in a later turn as a connection that was not made. Rounds of probes and requests for reports expire. Feeds, domains, exchanges and the steps of a stop are handled each for itself. Header values outside ASCII are sent as they came.

Why it works: no caller of the client is left between setting its state and the call that resets it, and where something else raises, the state expires or the next one is handled.

--- a/citronpin/basics/clocks.py
+++ b/citronpin/basics/clocks.py
@@ -133,7 +133,13 @@
 
     @handler("generate_events", priority=10, channel="*")
     def _on_generate_events(self, event) -> None:
-        if self._clock.run_due():
+        try:
+            ran = self._clock.run_due()
+        except Exception:
+            # The timers that are still due do not wait for the next event.
+            event.reduce_time_left(0)
+            raise
+        if ran:
             event.reduce_time_left(0)
             return
         due_s = self._clock.next_due_s()
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -513,6 +513,11 @@
             self._on_caller_left("process-ends")
             self._reply.abort()
 
+    def fail(self) -> None:
+        """End the exchange after an unexpected error, which the server answers."""
+        if not self._done:
+            self._on_caller_left("failed")
+
     def _on_caller_left(self, outcome: str = "caller-left") -> None:
         last = self._last_attempt
         if last is not None and not last.is_over:
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -2,9 +2,11 @@
 
 import logging
 from collections.abc import Iterable
+from functools import partial
 
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, DomainName, ModelName
+from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.fabric_controllers import TICK_INTERVAL_S, FabricController
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.load_trackers import LoadTracker
@@ -111,36 +113,60 @@
             for controller in self._controllers.values():
                 controller.release()
             return
-        for service in self.table.services.values():
-            if service.engine is not None:
-                self._tick_service(service.name, service.engine)
+        call_each(
+            partial(self._tick_service, service.name, service.engine)
+            for service in self.table.services.values()
+            if service.engine is not None
+        )
 
     def _tick_service(self, service: ApplicationName, engine: EngineSpec) -> None:
         instances = list(self._fleet.of_service(service))
         domains = {instance.domain for instance in instances}
         pressures = self._pressures.update(models=engine.models, instances=instances)
-        for domain in domains:
-            key = (service, domain)
-            if key not in self._controllers:
-                self._controllers[key] = FabricController(
-                    service=service,
-                    domain=domain,
-                    fleet=self._fleet,
-                    planner=self._planner,
-                    control=self._control,
-                    leases=self._leases,
-                    suspects=self._suspects,
-                    clock=self._clock,
-                    heartbeat_s=self._heartbeat_s,
-                    reach=self._reach,
-                )
-            controller = self._controllers[key]
-            if not self._leases.holds(domain):
-                controller.release()
-                continue
-            controller.tick(
+        call_each(
+            partial(
+                self._tick_domain,
+                self._controller(service, domain),
                 engine=engine,
                 domain_count=len(domains),
-                before_traffic=not self.traffic_began,
                 pressures=pressures,
             )
+            for domain in domains
+        )
+
+    def _controller(
+        self, service: ApplicationName, domain: DomainName
+    ) -> FabricController:
+        key = (service, domain)
+        if key not in self._controllers:
+            self._controllers[key] = FabricController(
+                service=service,
+                domain=domain,
+                fleet=self._fleet,
+                planner=self._planner,
+                control=self._control,
+                leases=self._leases,
+                suspects=self._suspects,
+                clock=self._clock,
+                heartbeat_s=self._heartbeat_s,
+                reach=self._reach,
+            )
+        return self._controllers[key]
+
+    def _tick_domain(
+        self,
+        controller: FabricController,
+        *,
+        engine: EngineSpec,
+        domain_count: int,
+        pressures: dict[ModelName, Pressure],
+    ) -> None:
+        if not self._leases.holds(controller.domain):
+            controller.release()
+            return
+        controller.tick(
+            engine=engine,
+            domain_count=domain_count,
+            before_traffic=not self.traffic_began,
+            pressures=pressures,
+        )
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -246,7 +246,12 @@
 def _start(task: Task, reply: Reply, context: ExchangeContext) -> None:
     is_stream = task.route.kind is RequestKind.STREAM
     exchange_class = StreamExchange if is_stream else BufferedExchange
-    exchange_class(task=task, reply=reply, context=context).start()
+    exchange = exchange_class(task=task, reply=reply, context=context)
+    try:
+        exchange.start()
+    except Exception:
+        exchange.fail()
+        raise
 
 
 def parse_prompt_parts(text: str) -> tuple[PromptPartId, ...]:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -4,6 +4,7 @@
 import random
 import signal
 from abc import ABC, abstractmethod
+from functools import partial
 
 import msgspec
 from circuits import Component, handler
@@ -11,6 +12,7 @@
 
 from citronpin.basics.clocks import Clock, ClockTask
 from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.basics.loop_faults import LoopFaults, call_each
 from citronpin.basics.loop_lags import LoopLag
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
@@ -147,6 +149,12 @@
         self.fingerprints = Fingerprints()
         self.metrics = Metrics()
         self.loop_lag = LoopLag(clock=clock)
+        self.loop_faults = LoopFaults().register(self)
+        self.metrics.gauges.add(
+            "loop_faults",
+            "Exceptions that reached the event loop.",
+            lambda: self.loop_faults.count,
+        )
         self.metrics.gauges.add(
             "loop_blocked_seconds",
             "Seconds for which the event loop did not run, in pauses of 0.25 or more.",
@@ -409,9 +417,9 @@
         if self.context.open_exchanges:
             self.fabrics.traffic_began = True
         self.rests.expire()
-        for exchange in list(self.context.open_exchanges):
-            exchange.check_stall(now_s)
-            exchange.check_quarantine()
+        exchanges = list(self.context.open_exchanges)
+        call_each(partial(exchange.check_stall, now_s) for exchange in exchanges)
+        call_each(exchange.check_quarantine for exchange in exchanges)
 
     def run_until_stopped(self) -> None:
         """Run the event loop in the main thread, the only one that receives signals.
@@ -451,6 +459,7 @@
         self.connector.release_leases()
 
     def _wait_until_drained(self) -> None:
+        timer = self.clock.call_later(STOP_CHECK_INTERVAL_S, self._wait_until_drained)
         if not self.connector.leases.store_lost:
             # While the store is unreachable, no other entry could acquire them.
             self._release_leases()
@@ -461,10 +470,9 @@
         is_removed = waited_s >= BALANCER_REMOVAL_S + STOP_CHECK_INTERVAL_S
         if self._is_grace_over or (not in_progress and is_removed):
             logger.info("stopped", extra={"in_progress": in_progress})
+            timer.cancel()
             delay_s = 0.0 if self._is_grace_over else STOP_CHECK_INTERVAL_S
             self.clock.call_later(delay_s, self._finish)
-            return
-        self.clock.call_later(STOP_CHECK_INTERVAL_S, self._wait_until_drained)
 
     @property
     def _open_replies(self) -> int:
@@ -482,11 +490,10 @@
             # A request arrived after the last check, on a connection not yet closed.
             self._wait_until_drained()
             return
-        self._release_leases()
-        for exchange in list(self.context.open_exchanges):
-            exchange.abort()
-        self.connector.stop()
+        calls = [self._release_leases]
+        calls += [exchange.abort for exchange in self.context.open_exchanges]
+        calls.append(self.connector.stop)
         if self.gossip is not None:
-            self.gossip.stop()
-        self.client.close_all()
-        self.stop()
+            calls.append(self.gossip.stop)
+        calls += [self.client.close_all, self.stop]
+        call_each(calls)
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -17,6 +17,7 @@
 
 PROBE_CONNECT_TIMEOUT_S = 0.3  # connecting takes milliseconds
 PROBE_TIMEOUT_S = 2.0  # slow instances are not unreachable; see the design page
+ROUND_TIMEOUT_S = PROBE_TIMEOUT_S + 0.5  # the probes of a round have ended by then
 PROBE_COUNT = 3  # instances probed at once, in different domains where there are
 RECOVERY_PROBE_COUNT = 2
 RECOVERY_PROBE_INTERVAL_S = 0.25
@@ -135,9 +136,17 @@
         """Return whether silence of instances may be due to this entry's path."""
         reach = self._services.get(service)
         return reach is not None and (
-            reach.cut_off_since_s is not None or bool(reach.pending)
+            reach.cut_off_since_s is not None or self._is_probing(reach)
         )
 
+    def _is_probing(self, reach: ServiceReach) -> bool:
+        """Return whether a round of probes is in progress.
+
+        A probe that never ends does not keep a service uncertain.
+        """
+        age_s = self._clock.now() - reach.probed_s
+        return bool(reach.pending) and age_s < ROUND_TIMEOUT_S
+
     def cut_off_services(self) -> tuple[ApplicationName, ...]:
         """Return the services of which this entry reaches no instance."""
         return tuple(filter(self.is_cut_off, self._services))
@@ -155,7 +164,7 @@
             reach.last_connected_s = now_s
             return
         reach.failed.add(instance.id)
-        if not reach.pending and now_s - reach.last_probe_reply_s >= FRESH_S:
+        if not self._is_probing(reach) and now_s - reach.last_probe_reply_s >= FRESH_S:
             self._start_round(instance.service, reach)
 
     def _probe(self, instance: FleetInstance, reach: ServiceReach) -> None:
@@ -204,7 +213,7 @@
 
     def _start_round(self, service: ApplicationName, reach: ServiceReach) -> None:
         now_s = self._clock.now()
-        is_running = bool(reach.pending) or reach.cut_off_since_s is not None
+        is_running = self._is_probing(reach) or reach.cut_off_since_s is not None
         if is_running or now_s - reach.probed_s < MIN_ROUND_INTERVAL_S:
             return
         chosen = self._choose(service, reach, PROBE_COUNT)
@@ -264,13 +273,14 @@
         """Probe a few instances until the cut that began at ``since_s`` ends."""
         if reach.cut_off_since_s != since_s:
             return
-        for instance in self._choose(service, reach, RECOVERY_PROBE_COUNT):
-            self._probe(instance, reach)
-        reach.failed.clear()  # the next probes go to others
         self._clock.call_later(
             RECOVERY_PROBE_INTERVAL_S,
             lambda: self._probe_again(service, reach, since_s),
         )
+        chosen = self._choose(service, reach, RECOVERY_PROBE_COUNT)
+        reach.failed.clear()  # the next probes go to others
+        for instance in chosen:
+            self._probe(instance, reach)
 
 
 def _age_ms(at_s: float, now_s: float) -> int | None:
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -18,6 +18,7 @@
 BUSY_POLL_INTERVAL_S = 0.15  # after orders and while a group is under suspicion
 DEAD_MISSES = 2  # a single miss may be a lost packet
 CERTAIN_MISSES = 5  # enough without other evidence
+REPORT_EXPIRY_S = 1.0  # a request for a report has ended by then
 SILENT_HEARTBEATS = 1.4  # heartbeat periods without a new registration
 
 
@@ -61,7 +62,8 @@
         interval_s = BUSY_POLL_INTERVAL_S if busy else IDLE_POLL_INTERVAL_S
         for instance in instances:
             state = self._states.setdefault(instance.id, WatchState())
-            if state.asking or now_s - state.asked_s < interval_s:
+            idle_s = now_s - state.asked_s
+            if idle_s < (REPORT_EXPIRY_S if state.asking else interval_s):
                 continue
             state.asking = True
             state.asked_s = now_s
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -3,12 +3,14 @@
 import logging
 from abc import abstractmethod
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from result import Result
 
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import SharedFeeds
 from citronpin.gateway.registrations import (
@@ -153,10 +155,12 @@
             if position.since > self._offset:
                 self._read_now()
                 return
-            for offset, key, value in position.records:
-                if offset >= self._offset:
-                    self._apply_record(Record(key, value, offset))
-            self._offset = position.upto
+            known, self._offset = self._offset, position.upto
+            call_each(
+                partial(self._apply_record, Record(key, value, offset))
+                for offset, key, value in position.records
+                if offset >= known
+            )
         now_s = self._clock.now()
         self._confirmed_at_s[sender] = now_s
         self._on_read_succeeded(now_s - position.age_ms / MS_PER_S)
@@ -233,9 +237,23 @@
         return self._offset is None
 
     def _unless_outdated(self, handle: ResultCallback) -> ResultCallback:
-        """Return a callback that ignores the result once a new era has begun."""
+        """Return a callback that ignores the result once a new era has begun.
+
+        Reading goes on after a result whose handling raised.
+        """
         number = self._read_number
-        return lambda result: handle(result) if number == self._read_number else None
+
+        def handle_current(result: Result) -> None:
+            if number != self._read_number:
+                return
+            try:
+                handle(result)
+            except Exception:
+                if self._is_reading:
+                    self._schedule_read(RETRY_INTERVAL_S)
+                raise
+
+        return handle_current
 
     def _next_long_poll_s(self) -> float:
         """Return how long the next read waits for records, in seconds."""
@@ -245,8 +263,8 @@
         if self._handle_failure(result):
             return
         newest: NewestRecords = result.ok_value
+        self._offset = newest.end  # records that raise are not read again
         self._apply_snapshot(newest.records)
-        self._offset = newest.end
         # The newest records may lag behind; the next read tells whether they do.
         self._on_read_succeeded(self._current_s)
         self._schedule_read(0.0)
@@ -255,9 +273,8 @@
         if self._handle_failure(result):
             return
         records: RecordBatch = result.ok_value
-        for record in records.records:
-            self._apply_record(record)
-        self._offset = records.next
+        self._offset = records.next  # a record that raises is not read again
+        call_each(partial(self._apply_record, record) for record in records.records)
         # An answer without records was sent when the wait was over, or the process got
         # it before.
         waited_s = 0.0 if records.records else self._read_wait_s
@@ -360,8 +377,7 @@
         self._has_failed = False
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
-        for record in records:
-            self._apply_record(record)
+        call_each(partial(self._apply_record, record) for record in records)
 
     def _apply_record(self, record: Record) -> None:
         if record.key != CONFIG_KEY or record.value is None:
@@ -445,23 +461,30 @@
         return super().on_new_era()
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
-        present = set()
-        for record in records:
-            if record.value is None:
-                continue
-            registration = self._decode(record)
-            freshness = Freshness.CURRENT
-            if registration is not None:
-                # A store that went back may return what is known to be outdated.
-                freshness = self._history.compare(registration)
-            if freshness is not Freshness.GONE:
-                present.add(record.key)
-            if registration is not None and freshness is Freshness.CURRENT:
-                self._apply_registration(record, registration)
-        for key in set(self._routing_views) - present:
-            del self._routing_views[key]
-        self._forwarded_upto = None  # keys deleted meanwhile have no record to forward
-        self._fleet.reconcile(map(InstanceId, present), now_s=self._clock.now())
+        present: set[str] = set()
+        try:
+            call_each(
+                partial(self._apply_newest, record, present)
+                for record in records
+                if record.value is not None
+            )
+        finally:
+            for key in set(self._routing_views) - present:
+                del self._routing_views[key]
+            self._forwarded_upto = None  # keys deleted meanwhile have no record
+            self._fleet.reconcile(map(InstanceId, present), now_s=self._clock.now())
+
+    def _apply_newest(self, record: Record, present: set[str]) -> None:
+        """Apply the newest record of a key, and add the key to ``present``."""
+        registration = self._decode(record)
+        freshness = Freshness.CURRENT
+        if registration is not None:
+            # A store that went back may return what is known to be outdated.
+            freshness = self._history.compare(registration)
+        if freshness is not Freshness.GONE:
+            present.add(record.key)
+        if registration is not None and freshness is Freshness.CURRENT:
+            self._apply_registration(record, registration)
 
     def _apply_record(self, record: Record) -> None:
         if record.value is None:
--- a/citronpin/tests/test_clients.py
+++ b/citronpin/tests/test_clients.py
@@ -5,13 +5,18 @@
 
 import pytest
 
-from citronpin.basics.errors import ConnectionLost, TimedOut
+from citronpin.basics.errors import ConnectionFailed, ConnectionLost, TimedOut
 from citronpin.basics.ids import ApplicationName, FailureDomainName, InstanceId
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.ports import ProbeResult
 from citronpin.platform.orders import HttpInstanceControl
 from citronpin.tests.conftest import wait_until
-from citronpin.web.clients import MAX_HEADER_BYTES, BufferedSink, HttpClient
+from citronpin.web.clients import (
+    MAX_HEADER_BYTES,
+    BufferedSink,
+    HttpClient,
+    ResponseSink,
+)
 
 POOLED_CONNECTIONS = 3
 TIMEOUT_S = 0.3
@@ -288,3 +293,126 @@
         assert response[2] == b"x" * pieces
     else:
         assert isinstance(error, TimedOut)
+
+
+def sent_to_sink(client, **changes):
+    """Start a request and return the list that gets its ``(answer, error)``."""
+    answers = []
+    request = {"address": "127.0.0.1:9", "method": "GET", "target": "/"} | changes
+    client.request(
+        sink=BufferedSink(done=lambda *answer: answers.append(answer)), **request
+    )
+    return answers
+
+
+# Guards against callers whose state stays half set when a request raises: review/1.
+@pytest.mark.parametrize(
+    "changes",
+    [{"headers": (("X-Id", value),)} for value in ("h\ufffdst-1", "塔", "a\nb", " a")]
+    + [{"headers": (("X Id", "a"),)}, {"target": "/a b"}, {"target": "/塔"}]
+    + [{"host": "a\nb"}, {"method": "G T"}],
+)
+def test_a_request_that_cannot_be_encoded_fails_through_its_sink(paused_clock, changes):
+    client = HttpClient(clock=paused_clock)
+    answers = sent_to_sink(client, **changes)
+    assert not answers, "the sink is called before the request has returned"
+    paused_clock.advance(0.0)
+    ((answer, error),) = answers
+    assert answer is None and isinstance(error, ConnectionFailed)
+    assert not client._conns
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["", "x", ":80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536"]
+    + ["127.0.0.1:-1", "127.0.0.1:8_0", "localhost:80", "höst:80", "[::1]:80"]
+    + [f"127.0.0.1:{10**30}", "127.0.0.1:٨٠", "1.2.3:80"],
+)
+def test_a_request_to_what_is_no_address_fails_through_its_sink(paused_clock, address):
+    answers = sent_to_sink(HttpClient(clock=paused_clock), address=address)
+    paused_clock.advance(0.0)
+    ((_, error),) = answers
+    assert isinstance(error, ConnectionFailed)
+
+
+def test_a_request_without_a_free_descriptor_fails_through_its_sink(
+    paused_clock, monkeypatch
+):
+    def refuse_socket(*args):
+        raise OSError(24, "too many open files")
+
+    monkeypatch.setattr(socket, "socket", refuse_socket)
+    answers = sent_to_sink(HttpClient(clock=paused_clock))
+    paused_clock.advance(0.0)
+    ((_, error),) = answers
+    assert isinstance(error, ConnectionFailed)
+
+
+def test_header_values_outside_ascii_are_sent_byte_by_byte(loops):
+    listener = socket.create_server(("127.0.0.1", 0))
+    received = []
+
+    def answer():
+        conn, _ = listener.accept()
+        received.append(conn.recv(4_096))
+        conn.sendall(ANSWER)
+        conn.close()
+
+    thread = threading.Thread(target=answer)
+    thread.start()
+    loop, client = loops(lambda clock: HttpClient(clock=clock))
+    port = listener.getsockname()[1]
+    # A server decodes the value of a caller with one character for each byte.
+    value = "höst 塔".encode()
+    headers = (("X-Name", value.decode("latin-1")),)
+    answers = loop.call(
+        lambda: sent_to_sink(client, address=f"127.0.0.1:{port}", headers=headers)
+    )
+    wait_until(lambda: answers)
+    thread.join()
+    listener.close()
+    assert b"X-Name: " + value + b"\r\n" in received[0]
+
+
+class RaisingSink(ResponseSink):
+    """Raises in one of its methods and records its failure."""
+
+    def __init__(self, method):
+        self._method = method
+        self.errors = []
+
+    def _call(self, method):
+        if method == self._method:
+            raise RuntimeError(method)
+
+    def head(self, status, headers):
+        self._call("head")
+
+    def data(self, data):
+        self._call("data")
+
+    def end(self):
+        self._call("end")
+
+    def failed(self, error):
+        self.errors.append(error)
+
+
+@pytest.mark.parametrize("method", ["head", "data"])
+def test_a_sink_that_raises_hears_the_end_of_its_exchange(
+    loops, server, request_answer, method
+):
+    server.is_pooling = False
+    loop, client = loops(lambda clock: HttpClient(clock=clock))
+    sink = RaisingSink(method)
+    loop.call(
+        lambda: client.request(
+            address=server.address, method="GET", target="/", sink=sink, timeout_s=None
+        )
+    )
+    wait_until(lambda: sink.errors)
+    assert isinstance(sink.errors[0], ConnectionLost)
+    assert not client._conns
+    later = request_answer()
+    wait_until(lambda: later)
+    assert later[0][1] is None
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -346,3 +346,14 @@
         exchange.abort()
     assert reply.aborted and not gateway.context.open_exchanges
     assert len(gateway.client.sent) == 1
+
+
+# Guards against a request that stays open after its start raised.
+def test_a_request_whose_start_raises_is_not_kept_open(gateway, monkeypatch):
+    def refuse_to_send(**request):
+        raise RuntimeError("no")
+
+    monkeypatch.setattr(gateway.client, "request", refuse_to_send)
+    with pytest.raises(RuntimeError):
+        gateway.send("/swap/1")
+    assert not gateway.context.open_exchanges and not gateway.loads.own()
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -19,7 +19,11 @@
     target_group_counts,
 )
 from citronpin.platform.leases import PartitionLeases
-from citronpin.tests.platforms.simulations import PlatformSimulation, make_routing_table
+from citronpin.tests.platforms.simulations import (
+    CLOCK_STEP_S,
+    PlatformSimulation,
+    make_routing_table,
+)
 
 SETTLE_S = 8.0
 CALM_S = 60.0  # covers one load at the configured rate with all its retries
@@ -695,3 +699,24 @@
     monkeypatch.setattr(fabric_controllers, "_membership_to_leave", lambda *args: None)
     with pytest.raises(AssertionError):
         cut_serving_head_from_store()
+
+
+# Guards against a fault of one domain that ends the control of the others.
+def test_a_domain_whose_control_raises_holds_up_no_other(monkeypatch):
+    simulation = PlatformSimulation(domains=("d0", "d1"), per_domain=4, controllers=1)
+    (controller,) = simulation.controllers.values()
+    plan = controller.fabrics._planner.plan
+
+    def plan_or_raise(*, view, now_s):
+        if any(name.startswith("i-d0") for name in view.instances):
+            raise RuntimeError("d0")
+        return plan(view=view, now_s=now_s)
+
+    monkeypatch.setattr(controller.fabrics._planner, "plan", plan_or_raise)
+    for _ in range(round(SETTLE_S / CLOCK_STEP_S)):
+        try:
+            simulation.advance(CLOCK_STEP_S)
+        except RuntimeError as exc:
+            assert str(exc) == "d0"
+    domains = {head.domain for head in simulation.platform.open_heads()}
+    assert domains == {"d1"}
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -42,8 +42,10 @@
     "service": "engines",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1",
     "slots": 9,
     "state": "ready",
+    "cold-remaining-ms": 0,
     "domain": "d0",
     "models": [{"name": "small", "version": 1, "adapters": []}],
     "staged": ["small"],
@@ -492,3 +494,33 @@
     """Return the normalized name of a distribution from a requirement."""
     name = re.split(r"[^A-Za-z0-9._-]", requirement, maxsplit=1)[0]
     return re.sub(r"[-_.]+", "-", name).lower()
+
+
+# Guards against a feed that stops reading when the handling of a record raises.
+@pytest.mark.parametrize("is_snapshot", [True, False])
+def test_a_record_whose_handling_raises_holds_up_no_other(
+    paused_clock, store, platform_store, monkeypatch, is_snapshot
+):
+    fleet = Fleet()
+    register = fleet.register
+
+    def register_or_raise(instance, **more):
+        if instance.id == "bad":
+            raise RuntimeError("bad")
+        register(instance, **more)
+
+    monkeypatch.setattr(fleet, "register", register_or_raise)
+    feed = FleetFeed(store=store, clock=paused_clock, fleet=fleet, drain_s=2.0)
+    if not is_snapshot:
+        feed.start()
+        paused_clock.advance(0.1)
+    for name in ("a", "bad", "c"):
+        put_registration(platform_store, name)
+    if is_snapshot:
+        feed.start()
+    with pytest.raises(RuntimeError):
+        paused_clock.advance(2.0)
+    put_registration(platform_store, "d")
+    paused_clock.advance(2.0)
+    assert fleet.is_loaded
+    assert sorted(found.id for found in fleet.all()) == ["a", "c", "d"]
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -18,6 +18,7 @@
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
+from citronpin.basics.addresses import parse_address
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.errors import (
     CitronpinError,
@@ -107,7 +108,7 @@
         self,
         *,
         address: str,
-        head: h11.Request,
+        head: h11.Request | None,
         body: bytes,
         sink: ResponseSink,
         started_s: float,
@@ -122,7 +123,7 @@
         self.connect_timeout_s = connect_timeout_s
         self.max_idle_s = max_idle_s
         self.address = address
-        self.head = head
+        self.head = head  # ``None`` if the request cannot be encoded
         self.body = body
         self.sink = sink
         self.timeout_s = timeout_s
@@ -206,15 +207,26 @@
         A response whose bytes still arrive then may take up to ``max_timeout_s``.
         A connection that was idle for ``max_idle_s`` is not reused; 0 forces a new one,
         which is kept afterwards if no other is idle there.
-        ``host`` replaces the address in the ``Host`` header.
+        ``host`` replaces the address in the ``Host`` header. Characters of header
+        values stand for bytes, as in requests that `BoundedHttp` received.
+
+        No call raises: callers keep state that only the sink resets. The sink is told
+        of a request that cannot be encoded or sent in a later turn of the loop.
         """
         self.counters.requests += 1
         all_headers = [("Host", host or address), *headers]
         if body or method in ("POST", "PUT", "PATCH"):
             all_headers.append(("Content-Length", str(len(body))))
+        head, fault = None, ""
+        try:
+            head = h11.Request(
+                method=method, target=target, headers=_encode_values(all_headers)
+            )
+        except (h11.LocalProtocolError, UnicodeError) as exc:
+            fault = f"A request to {address} cannot be encoded: {exc}."
         exchange = Exchange(
             address=address,
-            head=h11.Request(method=method, target=target, headers=all_headers),
+            head=head,
             body=body,
             sink=sink,
             started_s=self._clock.now(),
@@ -227,7 +239,10 @@
             exchange.timer = self._clock.call_later(
                 timeout_s, lambda: self._time_out(exchange)
             )
-        self._assign(exchange)
+        if head is None:
+            self._fail_later(exchange, ConnectionFailed(fault))
+        else:
+            self._assign(exchange)
         return exchange
 
     def is_unsent(self, exchange: Exchange) -> bool:
@@ -279,20 +294,12 @@
 
     def _open(self, address: str, timeout_s: float) -> Connection | None:
         """Begin to connect; return ``None`` if that fails at once."""
-        host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
         try:
-            code = sock.connect_ex((host, int(port)))
+            sock = _start_connecting(address)
         except (OSError, ValueError) as exc:
-            code = getattr(exc, "errno", None) or errno.EINVAL
-        if code not in (0, errno.EINPROGRESS):
-            sock.close()
-            logger.debug("connection failed", extra={"address": address, "code": code})
+            logger.debug(
+                "connection failed", extra={"address": address, "detail": str(exc)}
+            )
             self._clock.call_later(0.0, lambda: self._report(address, False))
             return None
         conn = Connection(address=address, sock=sock)
@@ -407,6 +414,11 @@
                 self._fail_connection(conn, "The head of the response is too long.")
         except h11.RemoteProtocolError as exc:
             self._fail_connection(conn, str(exc))
+        except Exception:
+            # The sink hears the end of its exchange, whatever it raised before.
+            if conn.exchange is exchange:
+                self._fail_connection(conn, "The response could not be handled.")
+            raise
 
     def _deliver(self, conn: Connection, exchange: Exchange, event) -> None:
         if isinstance(event, h11.Data):
@@ -534,6 +546,36 @@
         conn.sock.close()
 
 
+def _start_connecting(address: str) -> socket.socket:
+    """Return a socket that connects to ``IP:PORT``.
+
+    Raises `ValueError` for another form, and `OSError` if no connection can begin.
+    """
+    target = parse_address(address)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        code = sock.connect_ex(target)
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, errno.errorcode.get(code, str(code)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _encode_values(headers: list[tuple[str, str]]) -> list[tuple[str, bytes]]:
+    """Return headers with their values as bytes, one for each character.
+
+    Raises `UnicodeError` if a character does not fit.
+    """
+    return [(name, value.encode("latin-1")) for name, value in headers]
+
+
 def _parse_keep_alive_s(header: str) -> float:
     """Return how long an idle connection may be reused, by a ``Keep-Alive`` header."""
     for part in header.split(","):
--- a/citronpin/web/http_conns.py
+++ b/citronpin/web/http_conns.py
@@ -435,11 +435,11 @@
         self.fire(close(sock))
 
     def _sweep(self) -> None:
+        self._sweep_timer = self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
         now_s = self._clock.now()
         for sock, conn in list(self._conns.items()):
             self._close_if_slow_or_idle(sock, conn, now_s - conn.phase_started_s)
             self._drop_if_stalled(sock, conn, now_s)
-        self._sweep_timer = self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _close_if_slow_or_idle(
         self, sock, conn: CallerConnection, age_s: float
