An entry of another writer names no instance

Cause: the decoder gave slots and sequence a default and did not read version and cold-remaining-ms, so entries without them were instances. Ids with bytes that are not UTF-8 were read with replacement characters, of which two may be the same and no header can carry one. Slots of 0, integers over 64 bits and names of hosts as addresses were accepted. A page of the newest records that ends with an unreadable key was asked for again without end.

Change: an entry needs all fields of the platform's page, an id of visible ASCII and an IPv4 address with a port. The next page begins after the unreadable keys; a page that repeats ends the read. The stand-ins write whole entries.

--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -5,10 +5,13 @@
 """
 
 import logging
+import re
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
 
+from citronpin.basics.addresses import parse_address
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.decodings import guard_recursion
 from citronpin.basics.errors import CitronpinError
@@ -41,6 +44,11 @@
 PER_THOUSAND = 1_000.0
 PER_MILLION = 1_000_000.0
 SERVER_STATES = ("ready", "draining")
+INSTANCE_ID = re.compile("[!-~]+")  # what a header carries unchanged
+
+# Frames between entries carry no larger integers.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 
 
 class UnreadableRecord(CitronpinError):
@@ -159,8 +167,8 @@
     """Membership of an instance in a group."""
 
     name: str
-    epoch: int
-    rank: int
+    epoch: Count
+    rank: Count
     state: str
 
 
@@ -176,22 +184,27 @@
     models: tuple[WireModelName, ...] = ()
     staged: tuple[str | WireModelName, ...] = ()
     group: WireGroup | None = None
-    born: int = 0  # Unix ms of the start
-    running: int = 0
-    waiting: int = 0
+    born: Count = 0  # Unix ms of the start
+    running: Count = 0
+    waiting: Count = 0
     pace: float = 1.0  # above 1 when the instance is slow
 
 
 class WireServer(WireReport, kw_only=True):
-    """Registration of an instance in the store."""
+    """Registration of an instance in the store.
+
+    Where a field without a default is missing, another writer wrote the entry.
+    """
 
     service: str
     address: str
     zone: str
+    version: str | int  # of its software
     state: str
-    slots: int = 1
+    slots: PositiveCount
+    cold_remaining_ms: float  # how much longer it is slow after its start
+    sequence: Count  # rises with each registration since the start
     domain: str | int | None = None
-    sequence: int = 0
 
 
 _decode_config = guard_recursion(msgspec.json.Decoder(WireConfig).decode)
@@ -296,9 +309,16 @@
 def decode_registration(
     name: str, data: bytes
 ) -> Result[Registration, UnreadableRecord]:
-    """Decode the registration of an instance; its id is ``name``, the record's key."""
+    """Decode the registration of an instance; its id is ``name``, the record's key.
+
+    `Err` when it names no instance that can be used: its form is wrong, its state is
+    unknown, or no request can name its id or reach its address.
+    """
     try:
+        if INSTANCE_ID.fullmatch(name) is None:
+            raise ValueError("the id is not visible ASCII")
         wire = _decode_server(data)
+        parse_address(wire.address)
         if wire.state not in SERVER_STATES:
             raise ValueError(f"state {wire.state!r} is unknown")
         instance = FleetInstance(
--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -22,6 +22,9 @@
 MAX_TRANSFER_S = 4.0  # added to a timeout while the answer still arrives
 MAX_READ_KB = 1_024
 
+UNREADABLE = "\ufffd"
+LAST_BYTE = b"\xff"
+
 ERA_HEADER = "store-era"
 
 HTTP_OK = 200
@@ -80,7 +83,10 @@
 
 
 class Record(msgspec.Struct, frozen=True):
-    """A record of a keyed topic; ``value`` is ``None`` where the key is deleted."""
+    """A record of a keyed topic; ``value`` is ``None`` where the key is deleted.
+
+    `UNREADABLE` stands for each byte of the key that is not UTF-8.
+    """
 
     key: str
     value: bytes | None
@@ -101,6 +107,14 @@
     end: int
 
 
+class _NewestPage(msgspec.Struct, frozen=True):
+    """One page of the newest records."""
+
+    records: tuple[Record, ...]
+    end: int
+    has_more: bool
+
+
 class AppendedRange(msgspec.Struct, frozen=True):
     """Offset of the first appended record, and end of the partition after the last."""
 
@@ -240,26 +254,28 @@
         found: list[Record] = []
         ends: list[int] = []
 
-        def request_page(after: str | None) -> None:
+        def request_page(after: bytes | None) -> None:
             query = {"topic": topic, "part": 0}
             if after is not None:
                 query["after"] = after
+
+            def on_page(result: Result) -> None:
+                if result.is_err():
+                    done(result)
+                    return
+                page: _NewestPage = result.ok_value
+                ends.append(page.end)
+                found.extend(page.records)
+                following = _key_to_read_after(page)
+                if following is not None and following != after:
+                    request_page(following)
+                else:
+                    done(Ok(NewestRecords(tuple(found), ends[0])))
+
             self._send_request(
                 "GET", "/v1/log-newest", query, _parse_newest_page, on_page
             )
 
-        def on_page(result: Result) -> None:
-            if result.is_err():
-                done(result)
-                return
-            wire: _WireNewest = result.ok_value
-            ends.append(wire.end)
-            found.extend(_decode_newest_item(item) for item in wire.items)
-            if wire.has_more and wire.items:
-                request_page(wire.items[-1].key)
-            else:
-                done(Ok(NewestRecords(tuple(found), ends[0])))
-
         request_page(None)
 
     def join_group(
@@ -354,9 +370,12 @@
 
 
 def _parse_newest_page(status: int, data: bytes) -> Result:
-    if status == HTTP_OK:
-        return Ok(msgspec.json.decode(data, type=_WireNewest))
-    return Err(_error_for_answer(status, data))
+    if status != HTTP_OK:
+        return Err(_error_for_answer(status, data))
+    # A key of another writer need not be text.
+    wire = msgspec.json.decode(data.decode("utf-8", "replace"), type=_WireNewest)
+    records = tuple(_decode_newest_item(item) for item in wire.items)
+    return Ok(_NewestPage(records, wire.end, wire.has_more))
 
 
 def _decode_newest_item(item: _WireNewestItem) -> Record:
@@ -364,6 +383,18 @@
     return Record(item.key, value, item.offset)
 
 
+def _key_to_read_after(page: _NewestPage) -> bytes | None:
+    """Return the key after which the next page begins, ``None`` after the last page.
+
+    The bytes of an unreadable key are not known. The next page begins after all keys
+    that differ from it only from its first unreadable byte on.
+    """
+    if not page.has_more or not page.records:
+        return None
+    readable, unreadable, _ = page.records[-1].key.partition(UNREADABLE)
+    return readable.encode() + (LAST_BYTE if unreadable else b"")
+
+
 def _error_for_answer(status: int, data: bytes) -> StoreError:
     try:
         wire = msgspec.json.decode(data, type=_WireRefusal)
--- a/citronpin/tests/platforms/instances.py
+++ b/citronpin/tests/platforms/instances.py
@@ -94,8 +94,10 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
+            "version": "v1",
             "slots": 9,
             "state": self.state,
+            "cold-remaining-ms": 0,
             "sequence": self.registration_count,
         }
 
--- a/citronpin/tests/platforms/stores.py
+++ b/citronpin/tests/platforms/stores.py
@@ -108,8 +108,11 @@
 
     def put(self, topic, key, value):
         """Append a keyed record, as the operator or an instance does."""
-        name = key.encode()
-        self.topic(topic).append([bytes([len(name)]) + name + value])
+        self.put_raw(topic, key.encode(), value)
+
+    def put_raw(self, topic, key, value):
+        """Append a keyed record whose key need not be text."""
+        self.topic(topic).append([bytes([len(key)]) + key + value])
 
     def delete_records(self, topic):
         """Delete all records, but keep the newest of each key."""
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -19,8 +19,10 @@
     target_group_counts,
 )
 from citronpin.platform.leases import PartitionLeases
+from citronpin.tests.platforms.foreign_entries import write_foreign_entries
 from citronpin.tests.platforms.simulations import (
     CLOCK_STEP_S,
+    STORE_ADDRESS,
     PlatformSimulation,
     make_routing_table,
 )
@@ -701,6 +703,26 @@
         cut_serving_head_from_store()
 
 
+# Guards against the repair that entries of another writer ended: review/1.
+def test_groups_are_repaired_beside_entries_of_another_writer(simulation):
+    write_foreign_entries(simulation.store)
+    simulation.advance(2.0)
+    for model in ("small", "small", "big"):
+        head = find_serving_head(simulation, model)
+        member = other_member(simulation, head)
+        member.kill()
+        simulation.advance(4.5)
+        member.restart()
+        simulation.advance(3.0)
+    simulation.advance(SETTLE_S)
+    assert simulation.count_serving_groups() == {"big": 1, "small": 3}
+    assert not simulation.platform.violations
+    known = {instance.address for instance in simulation.platform.instances.values()}
+    for controller in simulation.controllers.values():
+        asked = {sent.address for sent in controller.client.sent}
+        assert asked <= known | {STORE_ADDRESS}
+
+
 # Guards against a fault of one domain that ends the control of the others.
 def test_a_domain_whose_control_raises_holds_up_no_other(monkeypatch):
     simulation = PlatformSimulation(domains=("d0", "d1"), per_domain=4, controllers=1)
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -121,13 +121,16 @@
             "service": "engines",
             "address": "10.0.0.1:80",
             "zone": "a",
+            "version": "v1",
             "slots": 9,
             "state": "ready",
+            "cold-remaining-ms": 0,
             "staged": [],
             "models": [],
             "group": None,
             "born": 1_000,
             "domain": "d0",
+            "sequence": 0,
         }
         self.store.put(
             "keyed.servers", name, json.dumps(registration | changes).encode()
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -6,10 +6,13 @@
 import sys
 from importlib import metadata
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from citronpin.basics.addresses import parse_address
 from citronpin.basics.ids import DomainName, InstanceId
 from citronpin.gateway.fleets import RELIST_GRACE_S, Fleet, Phase
 from citronpin.gateway.routings import RequestKind
@@ -34,6 +37,12 @@
     parse_records,
 )
 from citronpin.tests.platforms.clients import MemoryClient
+from citronpin.tests.platforms.foreign_entries import (
+    ENTRY,
+    ODD_KEYS,
+    foreign_values,
+    write_foreign_entries,
+)
 from citronpin.tests.platforms.requests import ROUTES
 from citronpin.tests.platforms.simulations import STORE_ADDRESS, wire_config
 from citronpin.tests.platforms.stores import PlatformStore
@@ -496,6 +505,65 @@
     return re.sub(r"[-_.]+", "-", name).lower()
 
 
+@pytest.mark.parametrize("value", foreign_values())
+def test_an_entry_with_a_missing_or_wrong_field_names_no_instance(value):
+    assert decode_registration("i-1", value).unwrap_err().remedy
+
+
+@pytest.mark.parametrize("key", ODD_KEYS)
+def test_an_entry_under_an_id_that_no_header_carries_names_no_instance(key):
+    name = key.decode("utf-8", "replace")
+    data = json.dumps(ENTRY).encode()
+    assert decode_registration("i-1", data).is_ok()
+    assert decode_registration(name, data).unwrap_err().remedy
+
+
+# Any writer may write anything; what is taken for an instance must be usable as one.
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    name=st.text(max_size=8),
+    changes=st.dictionaries(
+        st.sampled_from(sorted(ENTRY)),
+        st.one_of(
+            st.none(),
+            st.booleans(),
+            st.integers(-(2**70), 2**70),
+            st.floats(allow_nan=False, allow_infinity=False),
+            st.text(max_size=6),
+            st.lists(st.text(max_size=2), max_size=2),
+            st.dictionaries(st.text(max_size=2), st.integers(), max_size=2),
+        ),
+        max_size=3,
+    ),
+)
+def test_whatever_is_taken_for_an_instance_can_be_named_reached_and_told(name, changes):
+    data = json.dumps(ENTRY | changes).encode()
+    result = decode_registration(name, data)
+    if result.is_err():
+        return
+    found = result.ok_value.instance
+    assert found.id.isascii() and found.id.isprintable() and found.id.strip()
+    parse_address(found.address)
+    assert found.slots >= 1
+    msgspec.msgpack.encode((found.born_ms, result.ok_value.sequence))
+
+
+def test_entries_of_another_writer_leave_the_other_instances(
+    paused_clock, store, platform_store
+):
+    write_foreign_entries(platform_store)
+    put_registration(platform_store, "i-1")
+    fleet = Fleet()
+    feed = FleetFeed(store=store, clock=paused_clock, fleet=fleet, drain_s=2.0)
+    feed.start()
+    paused_clock.advance(0.1)
+    assert fleet.is_loaded and [found.id for found in fleet.all()] == ["i-1"]
+    write_foreign_entries(platform_store)
+    put_registration(platform_store, "i-2")
+    paused_clock.advance(2.0)
+    assert sorted(found.id for found in fleet.all()) == ["i-1", "i-2"]
+
+
 # Guards against a feed that stops reading when the handling of a record raises.
 @pytest.mark.parametrize("is_snapshot", [True, False])
 def test_a_record_whose_handling_raises_holds_up_no_other(
@@ -524,3 +592,54 @@
     paused_clock.advance(2.0)
     assert fleet.is_loaded
     assert sorted(found.id for found in fleet.all()) == ["a", "c", "d"]
+
+
+def page(keys, has_more, key_bytes=None):
+    """Return a page of the newest records, with the bytes of a key as they are."""
+    items = [{"key": key, "offset": 0, "value": "e30="} for key in keys]
+    data = json.dumps({"items": items, "end": 9, "has-more": has_more}).encode()
+    return data.replace(b"RAW", key_bytes or b"RAW")
+
+
+@pytest.mark.parametrize("is_replaced", [True, False], ids=["replaced", "as-written"])
+def test_pages_go_on_after_keys_that_cannot_be_read(paused_clock, is_replaced):
+    # The store returns as many unreadable keys as a page has, and an older page again.
+    asked = []
+    client = MemoryClient(clock=paused_clock)
+    key = "h\ufffdst" if is_replaced else "hRAWst"
+
+    def answer(exchange):
+        query = parse_qs(urlsplit(exchange.target).query, encoding="latin-1")
+        asked.append(query.get("after", [""])[0])
+        if asked[-1] in ("", "h\xef\xbf\xbdst"):
+            exchange.answer(200, page(["a", key], True, b"\xf6"))
+        else:
+            exchange.answer(200, page(["i-1"], False))
+
+    client.handlers[STORE_ADDRESS] = answer
+    results = []
+    LogStore(client=client, address=STORE_ADDRESS).read_newest(
+        topic="keyed.servers", done=results.append
+    )
+    paused_clock.advance(1.0)
+    assert asked == ["", "h\xff"]
+    (result,) = results
+    assert [record.key for record in result.ok_value.records] == [
+        "a",
+        "h\ufffdst",
+        "i-1",
+    ]
+
+
+def test_a_store_that_returns_the_same_page_again_ends_the_read(paused_clock):
+    client = MemoryClient(clock=paused_clock)
+    client.handlers[STORE_ADDRESS] = lambda exchange: exchange.answer(
+        200, page(["RAW"], True, b"\xff")
+    )
+    results = []
+    LogStore(client=client, address=STORE_ADDRESS).read_newest(
+        topic="keyed.servers", done=results.append
+    )
+    paused_clock.advance(1.0)
+    (result,) = results
+    assert result.is_ok() and client.sent[2:] == []
