Bytes that are no event end an attempt instead of reaching the client

Cause: EventSplitter took whatever ends with a blank line for an event, and StreamExchange forwarded events without an id at any point, each as progress, so that no stall was seen.

Change: an event has fields of the platform's format, is UTF-8 and has one numeric id. Other bytes fail the attempt as corrupt, also while they are incomplete; the stream resumes on another instance after its last event. Comments and empty lines are dropped, and are no progress.

Why it works: nothing is forwarded but events that follow the last one; what the instance sends otherwise ends its attempt.

--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -33,6 +33,7 @@
     last_event: str  # event after which a stream resumes
     retry_after: str  # in an answer: seconds for which the instance wants no request
     leaving: str  # in an answer: the instance leaves
+    weight_versions: str  # in an answer, and as the first line of an event
     request_limit: str  # in an answer: requests per second that the instance takes
 
 
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -5,7 +5,7 @@
 from citronpin.gateway.answers import Refusal, quarantined_subject
 from citronpin.gateway.attempts import MAX_BUFFERED_BYTES, Attempt, Fault
 from citronpin.gateway.contexts import ExchangeContext, Task
-from citronpin.gateway.event_streams import EventSplitter, EventTooLong, StreamEvent
+from citronpin.gateway.event_streams import EventSplitter, InvalidEvent, StreamEvent
 from citronpin.gateway.exchanges import Exchange, end_to_end_headers
 from citronpin.gateway.placers import PlacementFailure
 from citronpin.gateway.quarantines import CrashKey
@@ -30,7 +30,7 @@
 
     def __init__(self, *, task: Task, reply: Reply, context: ExchangeContext) -> None:
         super().__init__(task=task, reply=reply, context=context)
-        self._splitter = EventSplitter()
+        self._splitter = self._make_splitter()
         self._parts: list[bytes] = []  # body of an answer that is not a stream
         self._buffered_bytes = 0
         self._last_event_number = self._requested_event_number()
@@ -40,6 +40,9 @@
         self._unplaced_since_s: float | None = None
         self._is_stream = False  # whether the last attempt answers with a stream
 
+    def _make_splitter(self) -> EventSplitter:
+        return EventSplitter(more_fields=(self._context.names.weight_versions,))
+
     def _requested_event_number(self) -> int | None:
         text = self._task.req.headers.get(self._context.names.last_event, "")
         return int(text) if text.isdigit() else None
@@ -61,7 +64,7 @@
 
     def attempt_head(self, attempt: Attempt) -> None:
         super().attempt_head(attempt)
-        self._splitter = EventSplitter()
+        self._splitter = self._make_splitter()
         self._parts = []
         self._buffered_bytes = 0
         self._is_stream = (
@@ -73,13 +76,11 @@
             self._buffer(attempt, data)
             return
         try:
-            events = self._splitter.feed(data)
-        except EventTooLong as exc:
+            for event in self._splitter.feed(data):
+                if not self._forward(attempt, event):
+                    return
+        except InvalidEvent as exc:
             self._fail_attempt(attempt, Fault.INVALID, str(exc))
-            return
-        for event in events:
-            if not self._forward(attempt, event):
-                return
 
     def _buffer(self, attempt: Attempt, data: bytes) -> None:
         self._buffered_bytes += len(data)
@@ -91,7 +92,7 @@
     def _forward(self, attempt: Attempt, event: StreamEvent) -> bool:
         """Forward an event; return false when the attempt was cancelled."""
         last, number = self._last_event_number, event.number
-        if number is not None and last is not None:
+        if last is not None:
             if number <= last:
                 return True  # a duplicate
             if number > last + 1:
@@ -99,8 +100,7 @@
                     attempt, Fault.INVALID, f"event {last + 1} is missing"
                 )
                 return False
-        if number is not None:
-            self._last_event_number = number
+        self._last_event_number = number
         if attempt.events == 0:
             attempt.recipient.record_first_event(attempt, self._task)
             self._context.quarantine.record_success(
--- a/citronpin/platform/names.py
+++ b/citronpin/platform/names.py
@@ -17,5 +17,6 @@
     last_event="last-event-id",
     retry_after="retry-after",
     leaving="server-leaving",
+    weight_versions="x-citronpin-weight-versions",
     request_limit="server-limit",
 )
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -121,9 +121,19 @@
     ``scripts`` maps the name of an instance, or ``"*"``, to a handler of exchanges.
     """
 
-    def __init__(self, *, clock, engines=3, books=2, policy=None, name="n0", **config):
+    def __init__(
+        self,
+        *,
+        clock,
+        engines=3,
+        books=2,
+        policy=None,
+        name="n0",
+        client=None,
+        **config,
+    ):
         self.clock = clock
-        self.client = MemoryClient(clock=clock)
+        self.client = client or MemoryClient(clock=clock)
         self.suspects = Suspects()
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
         self.scripts = {}
@@ -202,8 +212,11 @@
             exchange.check_stall(self.clock.now())
             exchange.check_quarantine()
 
-    def add(self, name, service, head=False, epoch=1):
-        address = f"10.1.0.{len(self.client.handlers) + 1}:80"
+    def add(self, name, service, head=False, epoch=1, address=None):
+        """Register an instance; one with an ``address`` listens there itself."""
+        is_scripted = address is None
+        if is_scripted:
+            address = f"10.1.0.{len(self.client.handlers) + 1}:80"
         membership = Membership(
             group=GroupId(name), epoch=epoch, rank=0, phase=Phase.OPEN
         )
@@ -221,7 +234,8 @@
             now_s=self.clock.now(),
         )
         self.fleet.is_loaded = True
-        self.client.handlers[address] = lambda exchange: self.handle(name, exchange)
+        if is_scripted:
+            self.client.handlers[address] = lambda exchange: self.handle(name, exchange)
 
     def handle(self, name, exchange):
         """Answer probes of the path; the scripts handle all other exchanges."""
--- /dev/null
+++ b/citronpin/tests/test_garbled_answers.py
@@ -0,0 +1,321 @@
+"""Garbled answers of instances over sockets, as clients of the gateway see them."""
+
+import socket
+import threading
+
+import pytest
+
+from citronpin.basics.errors import ConnectionLost
+from citronpin.platform.names import HEADERS
+from citronpin.tests.conftest import wait_until
+from citronpin.tests.platforms.requests import (
+    FrontHarness,
+    event,
+    whole_stream,
+)
+from citronpin.web.clients import BufferedSink, HttpClient
+
+LAST = 6
+WHOLE = whole_stream(LAST)
+FOREIGN = b"\x00\xfeno event\n\n\r\n\r\n" * 40
+TIMEOUT_S = 5.0
+
+
+class RawServer:
+    """Passes each request to a script, which writes the bytes of its answer.
+
+    The script gets the connection, the headers of the request and its number on the
+    connection; the connection is closed if it returns true.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self.requests = []  # headers of each
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn):
+        number, data = 0, b""
+        try:
+            with conn:
+                while True:
+                    while b"\r\n\r\n" not in data:
+                        received = conn.recv(4_096)
+                        if not received:
+                            return
+                        data += received
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    headers = read_headers(head)
+                    length = int(headers.get("content-length", 0))
+                    while len(data) < length:
+                        data += conn.recv(4_096)
+                    data = data[length:]
+                    self.requests.append(headers)
+                    if self._script(conn, headers, number):
+                        return
+                    number += 1
+        except OSError:
+            return
+
+
+def read_headers(head):
+    rows = head.decode("latin-1").split("\r\n")[1:]
+    return {
+        name.strip().lower(): value.strip()
+        for name, _, value in (row.partition(":") for row in rows)
+    }
+
+
+def answer_head(headers, *rows, status="200 OK"):
+    """Return the head of a genuine answer to a request."""
+    echo = f"{HEADERS.attempt}: {headers[HEADERS.attempt]}"
+    found = [f"HTTP/1.1 {status}", echo, f"{HEADERS.digest}: 3e1b", *rows]
+    return "\r\n".join(found).encode() + b"\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Framing:
+    """Writes a stream in chunks, with a length, or without either."""
+
+    def __init__(self, name):
+        self.name = name
+
+    def head(self, headers, body):
+        rows = {
+            "chunks": ["Transfer-Encoding: chunked"],
+            "length": [f"Content-Length: {len(body)}"],
+            "none": [],
+        }
+        return answer_head(headers, *rows[self.name])
+
+    def write(self, conn, headers, body, piece_bytes):
+        """Write a whole answer; return whether the connection ends with it."""
+        conn.sendall(self.head(headers, body))
+        for at in range(0, len(body), piece_bytes):
+            piece = body[at : at + piece_bytes]
+            conn.sendall(chunk(piece) if self.name == "chunks" else piece)
+        if self.name == "chunks":
+            conn.sendall(b"0\r\n\r\n")
+        return self.name == "none"
+
+
+def following(headers):
+    """Return the number of the first event that a request asks for."""
+    text = headers.get(HEADERS.last_event, "")
+    return int(text) + 1 if text else 0
+
+
+def sound(conn, headers, number):
+    return Framing("chunks").write(conn, headers, events_from(following(headers)), 999)
+
+
+def events_from(first, last=LAST):
+    return b"".join(event(number) for number in range(first, last + 1))
+
+
+@pytest.fixture
+def live(loops):
+    """Return a function that sends a request to instances with the given scripts.
+
+    It returns the reply, once that has ended, and the servers.
+    """
+    servers = []
+
+    def send(path, *scripts, requests=1, config=None):
+        loop, client = loops(lambda clock: HttpClient(clock=clock))
+        servers.extend(RawServer(script) for script in scripts)
+        service = "engines" if path.startswith("/draft") else "book"
+
+        def begin():
+            harness = FrontHarness(
+                clock=loop.clock, engines=0, books=0, client=client, **(config or {})
+            )
+            for number, server in enumerate(servers):
+                harness.add(f"i{number}", service, head=True, address=server.address)
+            return harness
+
+        harness = loop.call(begin)
+        replies = []
+        for _ in range(requests):
+            replies.append(loop.call(lambda: harness.send(path)))
+            wait_until(lambda: replies[-1].ended, TIMEOUT_S)
+        return replies[-1], servers
+
+    yield send
+    for server in servers:
+        server.close()
+
+
+# Guards against bytes that are no event in the answer of a client: review/2.
+@pytest.mark.parametrize("piece_bytes", [1, 50, 10_000])
+@pytest.mark.parametrize("sound_events", [0, 3, LAST + 1])
+@pytest.mark.parametrize("framing", ["chunks", "length", "none"])
+def test_a_garbled_stream_continues_on_another_instance(
+    live, framing, sound_events, piece_bytes
+):
+    garbled = whole_stream(sound_events - 1) + FOREIGN + events_from(sound_events)
+    asked = []  # in each attempt, the event after which it resumes
+
+    def garbled_once(conn, headers, number):
+        asked.append(headers.get(HEADERS.last_event))
+        if len(asked) > 1:
+            return sound(conn, headers, number)
+        return Framing(framing).write(conn, headers, garbled, piece_bytes)
+
+    reply, _ = live("/draft/1", garbled_once, garbled_once)
+    assert reply.body == WHOLE and reply.ended and not reply.aborted
+    assert asked == [None, str(sound_events - 1) if sound_events else None]
+
+
+@pytest.mark.parametrize("framing", ["chunks", "length", "none"])
+def test_a_stream_garbled_in_its_resumed_part_is_not_ended_as_complete(live, framing):
+    def break_off(conn, headers, number):
+        first = following(headers)
+        if first:
+            garbled = event(first) + FOREIGN + events_from(first + 1)
+            return Framing(framing).write(conn, headers, garbled, 10_000)
+        conn.sendall(Framing("chunks").head(headers, b"") + chunk(events_from(0, 2)))
+        return True
+
+    reply, _ = live("/draft/1", break_off, break_off)
+    assert reply.aborted and reply.body == events_from(0, 3)
+
+
+def test_foreign_bytes_without_end_are_given_up(live):
+    ended = threading.Event()
+
+    def endless(conn, headers, number):
+        conn.sendall(Framing("chunks").head(headers, b"") + chunk(events_from(0, 2)))
+        try:
+            while True:
+                conn.sendall(chunk(b"x" * 8_192))
+        except OSError:
+            ended.set()
+        return True
+
+    reply, _ = live("/draft/1", endless, endless)
+    assert reply.aborted and reply.body == events_from(0, 2)
+    assert ended.wait(TIMEOUT_S)
+
+
+def error_answer(status, *rows, body=b"out of memory", digest=True):
+    def answer(conn, headers, number):
+        length = f"Content-Length: {len(body)}"
+        head = answer_head(headers, length, *rows, status=status)
+        if not digest:
+            head = head.replace(HEADERS.digest.encode(), b"x-other")
+        conn.sendall(head + body)
+
+    return answer
+
+
+def foreign_head_in_a_stream(conn, headers, number):
+    head = Framing("chunks").head(headers, b"")
+    conn.sendall(head + chunk(b"HTTP/1.1 500 Error\r\n\r\nout of memory") + chunk(b""))
+
+
+def foreign_head_between_chunks(conn, headers, number):
+    head = Framing("chunks").head(headers, b"")
+    conn.sendall(head + b"HTTP/1.1 500 Error\r\n\r\nout of memory")
+
+
+# Guards against the text or the head of an error within a stream that had begun, and
+# against its end as complete.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        error_answer("500 Error"),
+        error_answer("500 Error", digest=False),
+        error_answer("404 Not Found"),
+        error_answer("503 Busy", f"{HEADERS.not_run}: 1"),
+        error_answer("421 Misdirected", body=b""),
+        error_answer("200 OK", digest=False),
+        error_answer("200 OK"),
+        error_answer("200 OK", body=b'{"error": "out of memory"}\n\n'),
+        error_answer("200 OK", body=b"", digest=False),
+        error_answer("204 No Content", body=b""),
+        foreign_head_in_a_stream,
+        foreign_head_between_chunks,
+    ],
+)
+def test_an_error_after_a_stream_broke_off_is_no_part_of_it(live, answer):
+    asked = []
+
+    def break_off_first(conn, headers, number):
+        asked.append(headers)
+        if len(asked) > 1:
+            return answer(conn, headers, number)
+        conn.sendall(Framing("chunks").head(headers, b"") + chunk(events_from(0, 2)))
+        return True
+
+    reply, _ = live("/draft/1", break_off_first, break_off_first)
+    assert len(asked) >= 2
+    assert reply.status == 200 and reply.body == events_from(0, 2)
+    assert reply.aborted
+
+
+def cut_heads(step):
+    """Return the beginnings of the head of an answer, for a length and for chunks."""
+    rows = (f"{HEADERS.attempt}: a1", f"{HEADERS.digest}: 3e1b")
+    for last in ("Content-Length: 2", "Transfer-Encoding: chunked"):
+        head = "\r\n".join(["HTTP/1.1 200 OK", *rows, last]) + "\r\n\r\n"
+        yield from (head[:at].encode() for at in range(0, len(head), step))
+
+
+# Guards against a 200 with an empty or short body after a head that broke off.
+def test_a_head_that_breaks_off_anywhere_is_no_answer(loops):
+    heads = list(cut_heads(1))
+    written = iter(heads)
+
+    def break_off(conn, headers, number):
+        conn.sendall(next(written))
+        return True
+
+    server = RawServer(break_off)
+    loop, client = loops(lambda clock: HttpClient(clock=clock))
+    answers = []
+
+    def request_next(*answer):
+        answers.extend(answer)
+        if len(answers) < 2 * len(heads):
+            client.request(
+                address=server.address,
+                method="GET",
+                target="/",
+                headers=((HEADERS.attempt, "a1"),),
+                sink=BufferedSink(done=request_next),
+                timeout_s=TIMEOUT_S,
+            )
+
+    loop.call(request_next)
+    wait_until(lambda: len(answers) == 2 * len(heads))
+    server.close()
+    assert set(answers[::2]) == {None}
+    assert {type(error) for error in answers[1::2]} == {ConnectionLost}
+
+
+@pytest.mark.parametrize("head", list(cut_heads(24)))
+@pytest.mark.parametrize("path", ["/swap/1", "/look-up/1", "/draft/1"])
+def test_callers_get_no_success_after_a_head_that_broke_off(live, path, head):
+    def break_off(conn, headers, number):
+        conn.sendall(head)
+        return True
+
+    reply, _ = live(path, break_off, break_off)
+    assert (reply.status, reply.outcome) == (502, "unknown")
