An earlier refusal is not taken for that of a later request

Without an id, callers were told "not run" for streams and reads that two instances had run, and a stream that must not run twice ran at a second instance (TWICE). With the id of the earlier request neither happened, nor for unsafe requests.

Cause: an answer without an id counted as that of the request in progress on any connection, and streams that may not resume took kept connections.

Change: on a connection that carried earlier exchanges, an answer without the id of the request counts as corrupt, so that the request may have run. What may run only once takes a new connection.

Why it works: a refusal is believed only if it names the request, or if no earlier answer can have been written on its connection.

--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -208,6 +208,9 @@
         if echoed is not None and echoed != self._id:
             self._fail_misrouted("the answer belongs to another request")
             return
+        if echoed is None and self._id and self._exchange.is_reused:
+            self._fail_misrouted("the answer may belong to an earlier request")
+            return
         if not self.is_over:
             self._owner.attempt_head(self)
 
--- a/citronpin/gateway/buffered_exchanges.py
+++ b/citronpin/gateway/buffered_exchanges.py
@@ -6,7 +6,6 @@
 from citronpin.gateway.contexts import ExchangeContext, Task
 from citronpin.gateway.exchanges import MIN_SERVER_ERROR_STATUS, Exchange
 from citronpin.gateway.placers import PlacementFailure
-from citronpin.gateway.routings import RequestKind
 from citronpin.web.replies import Reply
 
 logger = logging.getLogger(__name__)
@@ -24,12 +23,6 @@
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
 
-    def _max_idle_s(self) -> float:
-        # The instance can close a kept-alive connection while the request is in
-        # flight; whether it ran is then unknown.
-        safe = self._task.route.kind is RequestKind.SAFE
-        return self.MAX_CONNECTION_IDLE_S if safe else 0.0
-
     def attempt_head(self, attempt: Attempt) -> None:
         super().attempt_head(attempt)
         self._parts = []
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -287,7 +287,9 @@
         attempt.recipient.record_head(attempt)
 
     def _max_idle_s(self) -> float:
-        return self.MAX_CONNECTION_IDLE_S
+        # On a kept-alive connection, an instance may close while the request is in
+        # flight, or repeat an earlier answer. Whether the request ran is then unknown.
+        return self.MAX_CONNECTION_IDLE_S if self._task.route.repeatable else 0.0
 
     def _override_headers(self) -> dict[str, str]:
         """Return headers that override those of the caller."""
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -17,6 +17,7 @@
         self.cancelled = False
         self.timer = None
         self.connected = False
+        self.is_reused = False
         self.on_cancel = None  # called when the client closes the connection
         self.held = []  # calls that wait until the link to the address is back
 
@@ -125,6 +126,7 @@
             return
         address = exchange.address
         is_reused = self._take_idle(exchange) and address not in self.closing
+        exchange.is_reused = is_reused
         if address in self.mute or (address in self.hanging and is_reused):
             if not is_reused:
                 self._report(address, True)
--- a/citronpin/tests/test_garbled_answers.py
+++ b/citronpin/tests/test_garbled_answers.py
@@ -9,6 +9,9 @@
 from citronpin.platform.names import HEADERS
 from citronpin.tests.conftest import wait_until
 from citronpin.tests.platforms.requests import (
+    SAFE_ROUTE,
+    STREAM_ROUTE,
+    UNSAFE_ROUTE,
     FrontHarness,
     event,
     whole_stream,
@@ -214,6 +217,57 @@
     assert ended.wait(TIMEOUT_S)
 
 
+class RepeatedRefusal:
+    """Refuses the first request of a connection, and then writes that refusal again.
+
+    The later requests run all the same.
+    """
+
+    def __init__(self, has_id):
+        self._has_id = has_id
+        self.runs = []  # attempt ids of the requests that ran
+
+    def __call__(self, conn, headers, number):
+        if number == 0:
+            echo = f"{HEADERS.attempt}: {headers[HEADERS.attempt]}\r\n"
+            self.refusal = (
+                f"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+                f"{HEADERS.not_run}: 1\r\n{echo if self._has_id else ''}\r\n"
+            ).encode()
+        else:
+            self.runs.append(headers[HEADERS.attempt])
+        conn.sendall(self.refusal)
+
+
+ONE_RUN_STREAM = STREAM_ROUTE | {"resumable": False}
+
+
+# Guards against "not run" for what ran, and second runs, after an earlier refusal came
+# once more on a kept connection.
+@pytest.mark.parametrize("has_id", [True, False], ids=["id", "no-id"])
+@pytest.mark.parametrize("route", [UNSAFE_ROUTE, ONE_RUN_STREAM])
+def test_a_request_that_runs_once_takes_no_connection_with_earlier_answers(
+    live, route, has_id
+):
+    refusals = [RepeatedRefusal(has_id), RepeatedRefusal(has_id)]
+    config = {"routes": [route]}
+    reply, _ = live(f"{route['path-prefix']}1", *refusals, requests=3, config=config)
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert not refusals[0].runs + refusals[1].runs
+
+
+@pytest.mark.parametrize("has_id", [True, False], ids=["id", "no-id"])
+@pytest.mark.parametrize("route", [SAFE_ROUTE, STREAM_ROUTE])
+def test_an_earlier_refusal_is_not_taken_for_that_of_a_later_request(
+    live, route, has_id
+):
+    refusals = [RepeatedRefusal(has_id), RepeatedRefusal(has_id)]
+    reply, _ = live(f"{route['path-prefix']}1", *refusals, requests=2)
+    runs = refusals[0].runs + refusals[1].runs
+    assert runs == ["a2"] * route["max-attempts"]
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
 def error_answer(status, *rows, body=b"out of memory", digest=True):
     def answer(conn, headers, number):
         length = f"Content-Length: {len(body)}"
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -129,6 +129,7 @@
         self.timeout_s = timeout_s
         self.timer: TimerHandle | None = None
         self.conn: Connection | None = None
+        self.is_reused = False  # whether its connection carried earlier exchanges
         self.head_bytes = 0  # received before the body
         self.body_bytes = 0
         self.ended = False
@@ -270,6 +271,7 @@
         if conn is None:
             return
         exchange.conn = conn
+        exchange.is_reused = conn.exchange_count > 0
         conn.exchange = exchange
         if conn.connected:
             self._send(conn)
