An empty resumed answer without an end of its own is not complete

Cause: a resumed answer may have no event, if the stream broke off after its last one. The end of the connection counted as the end of such an answer.

Change: an answer without events is complete only with a length or chunks; otherwise it is lost, and another instance is asked.

--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -16,6 +16,7 @@
 
 MISDIRECTED_STATUS = 421
 REFUSED_STATUS = 503
+FRAMING_HEADERS = ("content-length", "transfer-encoding")
 CONNECT_TIMEOUT_S = 0.4  # connecting takes milliseconds; a dead host never replies
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
@@ -149,6 +150,11 @@
             return ""
         return self.headers.get(REFUSAL_HEADER, "")
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the answer has an end other than that of its connection."""
+        return not self.headers.keys().isdisjoint(FRAMING_HEADERS)
+
     @property
     def not_run(self) -> bool:
         """Return whether the answer states that the request did not run."""
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -139,9 +139,13 @@
             return Fault.INVALID
         if not self._is_stream:
             return Fault.ERROR
-        # Only a stream that resumes after its last event has none.
-        is_empty = not attempt.events and self._last_event_number is None
-        return Fault.LOST if self._splitter.partial or is_empty else None
+        if attempt.events:
+            return Fault.LOST if self._splitter.partial else None
+        # Only a stream that resumes after its last event has none. Without a length or
+        # chunks it cannot be told from one whose instance ended.
+        is_resumed = self._last_event_number is not None
+        is_complete = is_resumed and attempt.is_framed and not self._splitter.partial
+        return None if is_complete else Fault.LOST
 
     def _finish_stream(self, attempt: Attempt) -> None:
         if not self._started:
--- a/citronpin/tests/test_garbled_answers.py
+++ b/citronpin/tests/test_garbled_answers.py
@@ -324,6 +324,23 @@
     assert reply.aborted
 
 
+# Guards against an instance that ends after the head of a resumed answer.
+@pytest.mark.parametrize("framing", ["chunks", "length", "none"])
+def test_an_empty_resumed_answer_is_complete_only_with_an_end_of_its_own(live, framing):
+    asked = []
+
+    def break_off_first(conn, headers, number):
+        asked.append(headers)
+        if len(asked) > 1:
+            return Framing(framing).write(conn, headers, b"", 1)
+        conn.sendall(Framing("chunks").head(headers, b"") + chunk(events_from(0, 2)))
+        return True
+
+    reply, _ = live("/draft/1", break_off_first, break_off_first)
+    assert reply.body == events_from(0, 2)
+    assert reply.aborted == (framing == "none")
+
+
 def cut_heads(step):
     """Return the beginnings of the head of an answer, for a length and for chunks."""
     rows = (f"{HEADERS.attempt}: a1", f"{HEADERS.digest}: 3e1b")
