A call of the store ends also when its new era is not handled

LogStore told its listeners of a new era before it passed the answer on; one that raised left the caller waiting for good, and a feed reads nothing more while it waits.

Change: the call ends with StoreUnreachable, and the exception goes on to the event loop.

Result: test_a_listener_that_raises_in_a_new_era_ends_no_call passes; before, the second call had no result. No listener is known to raise.

--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -337,7 +337,12 @@
                 return
             status, headers, data = answer
             era = _parse_era(headers, default=self.era)
-            self._record_era(era)
+            try:
+                self._record_era(era)
+            except Exception:
+                # The caller waits for the end of its call, whatever a listener raised.
+                done(Err(StoreUnreachable(f"{path}: era {era} was not handled.")))
+                raise
             self._has_answered = True
             if era < self.era:
                 done(
--- a/citronpin/tests/test_store_eras.py
+++ b/citronpin/tests/test_store_eras.py
@@ -18,7 +18,7 @@
 from citronpin.platform.directories import EntryRecord, StoreDirectory
 from citronpin.platform.feeds import ConfigFeed, FleetFeed
 from citronpin.platform.leases import PartitionLeases
-from citronpin.platform.stores import LogStore
+from citronpin.platform.stores import EraListener, LogStore
 from citronpin.tests.platforms.clients import MemoryClient
 from citronpin.tests.platforms.simulations import STORE_ADDRESS, wire_config
 from citronpin.tests.platforms.stores import PlatformStore
@@ -436,3 +436,23 @@
     for _ in range(12):
         poll_store(paused_clock, entries)
     assert "n1" not in entries[0].addresses()
+
+
+# Guards against a call that never ends when the new era is not handled.
+def test_a_listener_that_raises_in_a_new_era_ends_no_call(
+    paused_clock, platform_store, make_process
+):
+    store = make_process().store
+    class RaisingListener(EraListener):
+        def on_new_era(self):
+            raise RuntimeError("era")
+
+    results = []
+    store.read_newest(topic="keyed.op", done=results.append)
+    paused_clock.advance(0.1)
+    store.add_era_listener(RaisingListener())
+    platform_store.go_back(0.0)
+    store.read_newest(topic="keyed.op", done=results.append)
+    with pytest.raises(RuntimeError):
+        paused_clock.advance(0.1)
+    assert results[0].is_ok() and results[1].is_err()
