Soak: garbled answers and entries of another writer

Cause: the soak had neither, so that both faults of the review passed it. Its check of streams looked at ids of events only and at the whole body only of complete answers.

Change: faults do_garble_answers (foreign bytes before any event, followed by more without end, by the rest, by an end or a break) and do_write_foreign_entries; the body of any stream must be the beginning of the instance's.

--- a/citronpin/tests/soaks/checks.py
+++ b/citronpin/tests/soaks/checks.py
@@ -78,6 +78,8 @@
     event_ids = [int(event_id) for event_id in EVENT_ID.findall(outcome.body)]
     if event_ids != list(range(len(event_ids))):
         return [f"{outcome.attempt} got events {event_ids}"]
+    if not whole_stream(last=LAST_EVENT).startswith(outcome.body):
+        return [f"{outcome.attempt} got bytes that are no event"]
     if outcome.complete and outcome.body != whole_stream(last=LAST_EVENT):
         return [f"{outcome.attempt} ended as complete after {len(event_ids)} events"]
     return []
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -3,7 +3,9 @@
 import base64
 import hashlib
 import json
+import random
 from collections import defaultdict
+from enum import Enum
 
 from circuits import Component
 
@@ -27,6 +29,35 @@
 RESTART_S = 2.0
 SERVICE_TIME_S = 0.02
 NOT_RUN_HEADERS = {HEADERS.not_run: "1"}
+# Bytes that are no event, with blank lines that could end one.
+FOREIGN_BYTES = b"\x00\xfe\n\ntext\n\nHTTP/1.1 500 Error\r\n\r\n" * 40
+
+
+class Garble(Enum):
+    """What follows foreign bytes in an answer."""
+
+    MORE = "more"  # of them, until the client closes the connection
+    REST = "rest"  # of the answer
+    END = "end"  # of the answer, as if it were complete
+    BREAK = "break"  # of the connection
+
+
+class GarbledAnswers:
+    """Which of the next answers are garbled, and how."""
+
+    def __init__(self, *, seed):
+        self._rng = random.Random(seed)
+        self.share = 0.0
+
+    def draw(self):
+        """Return the event before which foreign bytes come, and what follows them.
+
+        The event is ``None`` if the answer is sound.
+        """
+        how = self._rng.choice(list(Garble))
+        number = self._rng.randint(0, LAST_EVENT + 1)
+        is_garbled = self._rng.random() < self.share
+        return (number, how) if is_garbled else (None, None)
 
 
 class LiveExchange:
@@ -102,6 +133,7 @@
         self.crashes = defaultdict(list)
         self.limits = {}  # instance -> its latest `LimitEpisode`, while it lasts
         self.limit_episodes = []
+        self.garbled = GarbledAnswers(seed=1)
         self.rest = {}  # instance -> value of Retry-After with which it refuses
         self.rests = []  # (clock time in s, instance, attempt, value) of refusals
         self.leaving = set()  # instances whose answers say that they leave
@@ -357,6 +389,7 @@
             exchange,
             instance.member,
             0 if not last_received else int(last_received) + 1,
+            self.garbled.draw(),
         )
 
     def _refuse_for_rest(self, instance, exchange, attempt):
@@ -392,16 +425,30 @@
             instance.restart()
 
     def _send_answer(self, instance, exchange, attempt):
-        if not instance.dead:
-            body = answer_body(attempt)
-            headers = self._answer_headers(instance, attempt, body_digest(body))
+        if instance.dead:
+            return
+        body = answer_body(attempt)
+        headers = self._answer_headers(instance, attempt, body_digest(body))
+        if self.garbled.draw()[0] is None:
             exchange.answer(200, body, headers)
+            return
+        exchange.reply.start(200, "application/json", headers)
+        exchange.reply.push(body[: len(body) // 2])
+        exchange.reply.abort()
+
+    def _send_foreign_bytes(self, exchange):
+        if not exchange.is_gone:
+            exchange.reply.push(FOREIGN_BYTES)
+            self.clock.call_later(
+                EVENT_INTERVAL_S, lambda: self._send_foreign_bytes(exchange)
+            )
 
-    def _send_events(self, instance, exchange, member, number):
+    def _send_events(self, instance, exchange, member, number, garbled):
         """Send event ``number`` and schedule the next one.
 
         The stream stalls when an instance of the group is dead, and is aborted when the
-        head is no longer an open or closing member of the group.
+        head is no longer an open or closing member of the group. Foreign bytes come
+        where ``garbled`` says.
         """
         if exchange.is_gone or instance.dead:
             return
@@ -411,13 +458,25 @@
         group_instances = [self.fleet.instances[name] for name in member.members]
         if any(group_instance.dead for group_instance in group_instances):
             return
+        garbled_number, how = garbled
+        if number == garbled_number:
+            if how is Garble.MORE:
+                self._send_foreign_bytes(exchange)
+                return
+            exchange.reply.push(FOREIGN_BYTES)
+            if how is Garble.END:
+                exchange.reply.finish()
+                return
+            if how is Garble.BREAK:
+                exchange.reply.abort()
+                return
         if number > LAST_EVENT:
             exchange.reply.finish()
             return
         exchange.reply.push(event(number))
         self.clock.call_later(
             EVENT_INTERVAL_S,
-            lambda: self._send_events(instance, exchange, member, number + 1),
+            lambda: self._send_events(instance, exchange, member, number + 1, garbled),
         )
 
 
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from citronpin.tests.platforms.cuts import Cut
+from citronpin.tests.platforms.foreign_entries import write_foreign_entries
 from citronpin.tests.platforms.ports import free_port
 from citronpin.tests.soaks import checks
 from citronpin.tests.soaks.callers import Caller, Kind
@@ -497,6 +498,20 @@
             self._limited_outcomes += sender.outcomes
         self.platform.call(lambda: self.platform.limit_instances(service, None))
 
+    def _do_garble_answers(self):
+        """Let instances put bytes that belong to no answer into a part of theirs."""
+        share, garbled = self._rng.choice([0.1, 0.4]), self.platform.garbled
+        self._hold_fault(
+            self._rng.choice([1.0, 4.0]),
+            lambda: setattr(garbled, "share", share),
+            lambda: setattr(garbled, "share", 0.0),
+        )
+
+    def _do_write_foreign_entries(self):
+        """Write entries that name no instance among the registrations, for good."""
+        store = self.platform.store
+        self.platform.call(lambda: write_foreign_entries(store))
+
     def _do_leave_order_unanswered(self):
         """Make an instance leave its next order unanswered and apply it late."""
         name = f"i-{self._rng.randrange(10)}"
@@ -506,6 +521,7 @@
         """End all faults of the platform and restart dead instances."""
         store = self.platform.store
         store.down = store.silent = False
+        self.platform.garbled.share = 0.0
         for proxy in [
             *self.platform.instance_proxies.values(),
             *self.platform.store_proxies.values(),
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -53,6 +53,11 @@
     run_soak(5, SHORT_RUN_S, tmp_path, ["do_ask_for_rest", "do_let_instance_leave"])
 
 
+def test_garbled_answers_and_foreign_entries_are_told_apart_under_faults(tmp_path):
+    names = ["do_garble_answers", "do_write_foreign_entries", "do_lose_instance"]
+    run_soak(6, SHORT_RUN_S, tmp_path, names)
+
+
 def test_one_deadly_request_is_stopped_under_faults(tmp_path):
     names = ["do_send_request_that_crashes_instances", "do_limit_instances"]
     run_soak(2, SHORT_RUN_S, tmp_path, names)
@@ -126,6 +131,8 @@
         make_outcome(Kind.STREAM, body=event(0) + event(2)),
         make_outcome(Kind.STREAM, body=event(0) + event(0)),
         make_outcome(Kind.STREAM, body=event(0) + event(1)),
+        make_outcome(Kind.STREAM, body=event(0) + b"text\n\n" + event(1)),
+        make_outcome(Kind.STREAM, body=event(0) + b"text", complete=False),
     ],
 )
 def test_a_wrong_answer_is_reported(outcome):
--- a/citronpin/tests/test_store_eras.py
+++ b/citronpin/tests/test_store_eras.py
@@ -443,6 +443,7 @@
     paused_clock, platform_store, make_process
 ):
     store = make_process().store
+
     class RaisingListener(EraListener):
         def on_new_era(self):
             raise RuntimeError("era")
