A customer whose name is not Latin is named to instances in UTF-8

What callers saw: requests of a customer whose name has characters outside ASCII were answered 500. Since requests that cannot be encoded fail as connections that were not made, they would have counted as instances that are not reached.

Cause: the name went into a header as text.

Change: the name is sent in UTF-8.

--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -116,7 +116,8 @@
         headers.append((names.deadline_ms, str(max(int(left_s * MS_PER_S), 1))))
         headers.append((names.expect_instance, self.instance.id))
         if task.customer is not None:
-            headers.append((names.customer, task.customer))
+            # The characters of a header value stand for its bytes.
+            headers.append((names.customer, task.customer.encode().decode("latin-1")))
         if task.engine is not None:
             headers.append((names.urgency, str(urgency(pending).value)))
         return (*headers, *overrides.items())
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -357,3 +357,15 @@
     with pytest.raises(RuntimeError):
         gateway.send("/swap/1")
     assert not gateway.context.open_exchanges and not gateway.loads.own()
+
+
+# Guards against requests that cannot be encoded, which count as instances not reached.
+def test_a_customer_whose_name_is_not_latin_is_named_in_utf8(paused_clock):
+    tenants = [{"name": "塔", "api-keys": ["key-1"]}]
+    gateway = FrontHarness(clock=paused_clock, tenants=tenants)
+    gateway.scripts["*"] = ok
+    reply = gateway.send("/swap/1")
+    paused_clock.advance(0.1)
+    (sent,) = gateway.client.sent
+    assert sent.headers[HEADERS.customer].encode("latin-1").decode() == "塔"
+    assert reply.status == 200
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -211,8 +211,9 @@
         ``host`` replaces the address in the ``Host`` header. Characters of header
         values stand for bytes, as in requests that `BoundedHttp` received.
 
-        No call raises: callers keep state that only the sink resets. The sink is told
-        of a request that cannot be encoded or sent in a later turn of the loop.
+        No call raises: callers keep state that only the sink resets. The sink hears in
+        a later turn of the loop if the request cannot be encoded or no connection be
+        begun, but possibly at once if a write to an idle connection fails.
         """
         self.counters.requests += 1
         all_headers = [("Host", host or address), *headers]
