--- a/citronpin/basics/metrics.py
+++ b/citronpin/basics/metrics.py
@@ -198,6 +198,11 @@
             doc="Tokens passed to callers.",
             labels=["customer", "target"],
         )
+        self._forwards = LimitedCounter(
+            name="forwards",
+            doc="Attempts through other entries, by the first of what came of them.",
+            labels=["target", "result"],
+        )
 
     def count_request(
         self, customer: str, target: str, outcome: str, kind: str
@@ -209,11 +214,21 @@
         """Count tokens that were passed to a caller."""
         self._tokens.count((customer, target), tokens)
 
+    def count_forward(self, target: str, result: str) -> None:
+        """Count an attempt through another entry, by what came of it first."""
+        self._forwards.count((target, result))
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         from prometheus_client import CollectorRegistry, generate_latest
 
         registry = CollectorRegistry()
-        for collector in (self.latencies, self.gauges, self._requests, self._tokens):
+        for collector in (
+            self.latencies,
+            self.gauges,
+            self._requests,
+            self._tokens,
+            self._forwards,
+        ):
             registry.register(collector)
         return generate_latest(registry)
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -236,7 +236,10 @@
         return (*headers, (FORWARDED_HEADER, text), *overrides.items())
 
     def record_head(self, attempt):
-        """Learn nothing: the answer tells of an instance, not of this entry."""
+        self._count(attempt.refusal or "taken")
+
+    def _count(self, result: str) -> None:
+        self._context.log.count_forward(service=self._service, result=result)
 
     def record_progress(self):
         """Learn nothing: the other entry keeps the health of instances."""
@@ -245,6 +248,8 @@
         """Learn nothing: the times of instances are measured where they are sent."""
 
     def record_fault(self, attempt, fault, keys):
+        if not attempt.status:
+            self._count(fault.value)
         if attempt.refusal:
             if fault is Fault.UNSENT:
                 self._context.forward_peers.declined(self.entry, self._service)
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -67,6 +67,10 @@
             },
         )
 
+    def count_forward(self, *, service: str, result: str) -> None:
+        """Count an attempt through another entry: ``taken``, or why it was not."""
+        self._metrics.count_forward(service, result)
+
     def refused(self, *, request: str, reason: str, status: int, config: int) -> None:
         """Log and count a request refused before its exchange started."""
         self._metrics.count_request("", "", reason, "")
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -130,9 +130,11 @@
         policy=None,
         name="n0",
         client=None,
+        failure_domain="a",
         **config,
     ):
         self.clock = clock
+        self.metrics = Metrics()
         self.client = client or MemoryClient(clock=clock)
         self.suspects = Suspects()
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
@@ -166,8 +168,9 @@
             clock=clock,
             rng=random.Random(8),
         )
+        self.failure_domain = FailureDomainName(failure_domain)
         self.forward_peers = ForwardPeers(
-            failure_domain=FailureDomainName("a"), clock=clock, rng=random.Random(9)
+            failure_domain=self.failure_domain, clock=clock, rng=random.Random(9)
         )
         self.forward_codec = ForwardCodec(entry=self.name)
         self.context = ExchangeContext(
@@ -195,7 +198,7 @@
             reach=self.reach,
             forward_peers=self.forward_peers,
             forward_codec=self.forward_codec,
-            log=RequestLog(metrics=Metrics()),
+            log=RequestLog(metrics=self.metrics),
             rng=rng,
             make_budget=lambda: RetryBudget(ratio=0.2, slack=100, window_s=10),
         )
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -137,6 +137,18 @@
     assert float(reply.headers["retry-after"]) > 0
 
 
+def test_attempts_through_other_entries_are_counted_by_result(world):
+    cut_and_notice(world, *world.entries[:3])
+    entry = world.entries[0]
+    text = entry.metrics.text().decode()
+    assert 'citronpin_forwards_total{result="taken",target="book"}' not in text
+    world.entries[3].forwarded.stop()
+    send_read(entry)
+    world.clock.advance(FORWARD_TIME_S)
+    text = entry.metrics.text().decode()
+    assert 'citronpin_forwards_total{result="stopping",target="book"} 1.0' in text
+
+
 def test_a_request_is_passed_on_once_at_most(world):
     cut_and_notice(world, *world.entries)
     replies = [send_swap(entry) for entry in world.entries for _ in range(5)]
