--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from citronpin.basics.errors import ConnectionFailed
-from citronpin.basics.ids import FailureDomainName, InstanceId
+from citronpin.basics.ids import InstanceId
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.gossips import Gossip
 from citronpin.gateway.relays import RelayRole
@@ -226,13 +226,14 @@
 class Entry(FrontHarness):
     """A front with gossip, whose instances are those of the world."""
 
-    def __init__(self, *, world, name, replicas, policy):
+    def __init__(self, *, world, name, replicas, policy, failure_domain):
         super().__init__(
             clock=world.clock,
             engines=replicas,
             books=len(world.books),
             policy=policy,
             name=name,
+            failure_domain=failure_domain,
         )
         for replica in world.all_replicas():
             self.scripts[replica.name] = replica.handle
@@ -292,8 +293,19 @@
 class CrashWorld:
     """Entries and instances; `sent` and `crashed_s` hold what reached an instance."""
 
-    def __init__(self, *, clock, entries=9, replicas=40, books=2, policy=None, seed=1):
+    def __init__(
+        self,
+        *,
+        clock,
+        entries=9,
+        replicas=40,
+        books=2,
+        policy=None,
+        seed=1,
+        failure_domains=("a",),
+    ):
         self.clock = clock
+        self.failure_domains = failure_domains  # of the entries, in turn
         self.rng = random.Random(seed)
         self.network = Network(clock=clock)
         self.sent = []  # (clock time in s, parts)
@@ -339,6 +351,9 @@
             name=f"n{len(self.entries)}",
             replicas=len(self.replicas),
             policy=self.policy,
+            failure_domain=self.failure_domains[
+                len(self.entries) % len(self.failure_domains)
+            ],
         )
         self.entries.append(entry)
         for one in self.entries:
@@ -351,7 +366,7 @@
                 ForwardPeer(
                     name=other.name,
                     address=other.forward_address,
-                    failure_domain=FailureDomainName("a"),
+                    failure_domain=other.failure_domain,
                 )
                 for other in self.entries
                 if other is not one
--- a/citronpin/tests/platforms/cuts.py
+++ b/citronpin/tests/platforms/cuts.py
@@ -59,13 +59,15 @@
     return reply.status == 200 and reply.ended and not reply.aborted
 
 
-def check_served_alike(first_tries, *, cut_entries, since_s):
+def check_served_alike(
+    first_tries, *, cut_entries, since_s, stability_window_s=STABILITY_WINDOW_S
+):
     """Check that callers of entries that are cut off are served as the others are.
 
     ``first_tries`` are triples of clock time, entry and reply; those count that came a
     stability window after ``since_s``.
     """
-    counted = [try_ for try_ in first_tries if try_[0] >= since_s + STABILITY_WINDOW_S]
+    counted = [try_ for try_ in first_tries if try_[0] >= since_s + stability_window_s]
     served = {True: [], False: []}
     for _, entry, reply in counted:
         served[entry in cut_entries].append(is_served(reply))
