Entries with a path take the leases where no relay has one

What callers saw: with nine tenths of 89 entries cut off from the instances, seven of eight relays were, which alone hold leases. Had it been eight, no group would have been repaired until the cut ended.

Cause: an entry is a relay by its rank alone, and a relay that is cut off gives its leases only to other relays.

Change: an entry that reaches the instances that form groups counts only relays that reach them too, as it already counts only those that reach the store. An entry that is cut off counts all, so that relays stay few where no entry has a path.

test_another_entry_takes_leases_where_no_relay_has_a_path failed before; the messages are unchanged.

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -1,7 +1,7 @@
 """Exchanges loads, suspicions and serving groups between entries."""
 
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
@@ -121,7 +121,12 @@
         self._leases.set_extended(self._all_entries_lost_store(now_s))
         others = self._addresses()
         is_mesh = len(others) < MAX_MESH_ENTRIES
-        self.role.update(others=others, store_lost=self._leases.store_lost, now_s=now_s)
+        self.role.update(
+            others=others,
+            store_lost=self._leases.store_lost,
+            now_s=now_s,
+            is_cut_off=bool(self._with_groups(self._reach.cut_off_services())),
+        )
         self._leases.set_participating(
             self.role.is_relay and not self._should_release_leases(now_s)
         )
@@ -191,11 +196,7 @@
 
         That ends a while after the path is back, so that leases do not move to and fro.
         """
-        cut_off = {
-            service
-            for service in self._reach.cut_off_services()
-            if has_fabric(self._fleet.of_service(service))
-        }
+        cut_off = self._with_groups(self._reach.cut_off_services())
         others = [
             services
             for entry, services in self._cut_off_reports.items()
@@ -205,6 +206,14 @@
             self._last_cut_off_s = now_s
         return now_s - self._last_cut_off_s < LEASE_RETURN_S
 
+    def _with_groups(self, services: Iterable[ApplicationName]) -> set[ApplicationName]:
+        """Return those services whose instances form groups."""
+        return {
+            service
+            for service in services
+            if has_fabric(self._fleet.of_service(service))
+        }
+
     def _recipients(self, is_mesh: bool, now_s: float) -> set[str]:
         """Return the addresses that receive the updates."""
         recipients = self._addresses()
@@ -321,7 +330,11 @@
             self._store_lost_reports[sender] = (now_s, message.store_lost)
             self._relay_update_s[sender] = now_s
             if not message.store_lost:
-                self.role.record_relay_update(sender, now_s=now_s)
+                self.role.record_relay_update(
+                    sender,
+                    now_s=now_s,
+                    is_cut_off=bool(self._with_groups(message.cut_off)),
+                )
         self._feeds.apply_positions(sender, message.positions)
         for head in message.heads:
             self._fleet.apply_peer_report(head.instance, _group_report(head, now_s))
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -25,30 +25,49 @@
 
     Up to ``MAX_MESH_ENTRIES`` entries are all relays. With more, those of the lowest
     ranks are, without an election: an entry becomes a relay when it hears fewer than
-    ``RELAY_COUNT`` relays of lower rank, and resigns when it hears enough of them.
+    ``RELAY_COUNT`` relays of lower rank, and resigns when it hears enough of them. An
+    entry that reaches the instances that form groups hears only relays that do.
     """
 
     def __init__(self, *, name: EntryId) -> None:
         self.name = name
         self._last_update_s: dict[EntryId, float] = {}
+        self._cut_off: set[EntryId] = set()  # relays that reach no group
         self._too_few_since_s: float | None = None
         self.is_relay = True
         self.is_forwarding = False
 
-    def record_relay_update(self, sender: EntryId, *, now_s: float) -> None:
-        """Record an update from a relay that reaches the store."""
+    def record_relay_update(
+        self, sender: EntryId, *, now_s: float, is_cut_off: bool = False
+    ) -> None:
+        """Record an update from a relay that reaches the store.
+
+        ``is_cut_off`` tells that it reaches no instance of those that form groups.
+        """
         self._last_update_s[sender] = now_s
+        if is_cut_off:
+            self._cut_off.add(sender)
+        else:
+            self._cut_off.discard(sender)
 
     def update(
-        self, *, others: Collection[EntryId], store_lost: bool, now_s: float
+        self,
+        *,
+        others: Collection[EntryId],
+        store_lost: bool,
+        now_s: float,
+        is_cut_off: bool = False,
     ) -> None:
         """Update the role; ``others`` are all other known entries."""
         needs_relays = len(others) >= MAX_MESH_ENTRIES
-        lower_relay_count = sum(
-            now_s - last_update_s <= RELAY_TIMEOUT_S
-            and relay_rank(entry) < relay_rank(self.name)
+        lower_relays = {
+            entry
             for entry, last_update_s in self._last_update_s.items()
-        )
+            if now_s - last_update_s <= RELAY_TIMEOUT_S
+            and relay_rank(entry) < relay_rank(self.name)
+        }
+        counted = lower_relays if is_cut_off else lower_relays - self._cut_off
+        lower_relay_count = len(counted)
         is_relay = self._should_be_relay(
             needs_relays, lower_relay_count, others, store_lost, now_s
         )
@@ -59,7 +78,7 @@
             )
         self.is_relay = is_relay
         self.is_forwarding = (
-            needs_relays and is_relay and lower_relay_count < FORWARDER_COUNT
+            needs_relays and is_relay and len(lower_relays) < FORWARDER_COUNT
         )
 
     def _should_be_relay(
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -31,6 +31,7 @@
 from citronpin.tests.platforms.clients import MemoryClient
 
 HEAD = InstanceId("i-1")
+STABILITY_WINDOW_S = 4.0  # of a deployment with more entries than a full mesh has
 IDLE_WARM_UP_S = 1.0
 IDLE_MEASURED_S = 2.0
 # What control may cost an entry, by the target in docs/CAPACITY.md.
@@ -329,6 +330,50 @@
     assert cut_node.leases.is_participating
 
 
+def cut_relays_off(relayed_nodes):
+    """Let all nodes have groups, and no relay reach them."""
+    for node in relayed_nodes:
+        head = msgspec.structs.replace(head_instance(), domain="d0")
+        node.fleet.register(head, now_s=0.0)
+    for node in relayed_nodes[:RELAY_COUNT]:
+        node.gossip._reach = CutReach()
+
+
+def test_another_entry_takes_leases_where_no_relay_has_a_path(
+    paused_clock, relayed_nodes
+):
+    # With nine tenths of 89 entries cut off, seven of eight relays were.
+    cut_relays_off(relayed_nodes)
+    paused_clock.advance(STABILITY_WINDOW_S)
+    participating = [node.leases.is_participating for node in relayed_nodes]
+    assert not any(participating[:RELAY_COUNT])
+    assert any(participating[RELAY_COUNT:])
+
+
+def test_relays_stay_few_where_no_entry_has_a_path(paused_clock, relayed_nodes):
+    cut_relays_off(relayed_nodes)
+    for node in relayed_nodes[RELAY_COUNT:]:
+        node.gossip._reach = CutReach()
+    paused_clock.advance(2 * STABILITY_WINDOW_S)
+    participating = [node.leases.is_participating for node in relayed_nodes]
+    assert participating == [True] * RELAY_COUNT + [False] * (
+        len(relayed_nodes) - RELAY_COUNT
+    )
+
+
+def test_other_relays_resign_once_those_of_lowest_rank_have_a_path(
+    paused_clock, relayed_nodes
+):
+    cut_relays_off(relayed_nodes)
+    paused_clock.advance(STABILITY_WINDOW_S)
+    for node in relayed_nodes[:RELAY_COUNT]:
+        node.gossip._reach.is_cut_off = False
+    paused_clock.advance(LEASE_RETURN_S + 1.0)
+    assert [node.leases.is_participating for node in relayed_nodes] == [
+        True
+    ] * RELAY_COUNT + [False] * (len(relayed_nodes) - RELAY_COUNT)
+
+
 def test_leases_stay_where_no_other_entry_has_a_path(paused_clock, nodes):
     for node in nodes:
         head = msgspec.structs.replace(head_instance(), domain="d0")
