Entries that are cut off ask those that take requests, and learn of them

What callers saw: where most of many entries had lost their path to the instances, their callers were refused with 503 although other entries reached every instance.

Cause: with more than 16 entries only the relays hear who is cut off. An entry without a path asked up to four others blindly, those of its own failure domain first, and forgot after 1 s who had declined. Nothing kept who had taken a request.

Change: an entry remembers which others take requests for a service and asks them first, wherever they are. An entry that declines names some that take requests. A refusal costs milliseconds and does not count among the four attempts; up to eight are allowed. After one refusal, entries of all failure domains are asked alike. What nobody takes is refused as unreachable, not as no-place.

Messages between entries are unchanged; the build before ignores the new header of a refusal.

--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -23,7 +23,12 @@
 from citronpin.gateway.attempts import Attempt, AttemptOwner, Fault, OutgoingRequest
 from citronpin.gateway.contexts import ExchangeContext, OpenExchange, Task
 from citronpin.gateway.fleets import FleetInstance
-from citronpin.gateway.forward_codecs import REFUSAL_HEADER
+from citronpin.gateway.forward_codecs import (
+    CARRIERS_HEADER,
+    ENTRY_HEADERS,
+    REFUSAL_HEADER,
+    encode_names,
+)
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.instance_gates import Barrier
 from citronpin.gateway.overloads import Pending
@@ -41,7 +46,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_SENDS = 4  # of one request to instances, counting those that these refused
-MAX_FORWARDS = 4  # of one request to other entries, counting those that these declined
+MAX_FORWARDS = 4  # of one request to other entries, without those that these declined
+MAX_DECLINES = 8  # of one request by other entries, which take milliseconds
 MAX_UNSENT = 3  # connections that may fail before another entry is asked
 SILENCE_S = 0.5  # until the path to the instances is doubted
 MOVE_AFTER_S = 0.25  # without progress, when no instance is reached any more
@@ -247,7 +253,7 @@
     def _send_to_entry(self) -> None:
         """Send to another entry, or answer when none takes the request."""
         peer = self._select_peer()
-        if peer is None or self._count_attempts(to_entries=True) >= MAX_FORWARDS:
+        if peer is None or not self._has_forwards_left:
             self._on_placement_failure(PlacementFailure.unreachable())
             return
         left = max(self._task.route.max_attempts - self.run_count, 1)
@@ -313,9 +319,15 @@
     @property
     def _has_attempts_left(self) -> bool:
         if self._should_forward:
-            return self._count_attempts(to_entries=True) < MAX_FORWARDS
+            return self._has_forwards_left
         return self._count_attempts(to_entries=False) < MAX_SENDS
 
+    @property
+    def _has_forwards_left(self) -> bool:
+        declined = sum(bool(attempt.refusal) for attempt in self._attempts)
+        others = self._count_attempts(to_entries=True) - declined
+        return others < MAX_FORWARDS and declined < MAX_DECLINES
+
     def _report_fault(self, attempt: Attempt, fault: Fault) -> None:
         """Report a fault, which later placements take into account."""
         attempt.recipient.record_fault(attempt, fault, self._keys_of_crash(attempt))
@@ -467,7 +479,12 @@
         self._close(refusal.kind, refusal.status)
         headers = self._echo_headers()
         if self.is_forwarded:
-            headers[REFUSAL_HEADER] = refusal.kind
+            headers |= refusal_headers(
+                refusal,
+                self._context.forward_peers.recommend(
+                    self._task.service, to=self._task.forwarded_by
+                ),
+            )
         send_refusal(self._reply, refusal, headers)
 
     def _echo_headers(self) -> dict[str, str]:
@@ -479,8 +496,12 @@
             timed_out = fault is Fault.TIMED_OUT
             kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.LOST
             self._answer(kind.value)
-            return
-        self._refuse("the instances that were asked did not run it")
+        elif self._attempts and all(
+            attempt.fault is Fault.UNSENT for attempt in self._attempts
+        ):
+            self._refuse_placement(PlacementFailure.unreachable())
+        else:
+            self._refuse("the instances that were asked did not run it")
 
     def _deliver_answer(self, attempt: Attempt, body: bytes) -> None:
         """Forward the complete answer of an instance unchanged."""
@@ -549,5 +570,16 @@
     return {
         name: value
         for name, value in headers.items()
-        if name not in HOP_BY_HOP_HEADERS and name != REFUSAL_HEADER
+        if name not in HOP_BY_HOP_HEADERS and name not in ENTRY_HEADERS
     }
+
+
+def refusal_headers(refusal: Refusal, carriers: list[EntryId]) -> dict[str, str]:
+    """Return the headers of a refusal to another entry.
+
+    ``carriers`` are entries that may take the request instead.
+    """
+    headers = {REFUSAL_HEADER: refusal.kind}
+    if carriers:
+        headers[CARRIERS_HEADER] = encode_names(carriers)
+    return headers
--- a/citronpin/gateway/forward_codecs.py
+++ b/citronpin/gateway/forward_codecs.py
@@ -3,6 +3,8 @@
 import base64
 import binascii
 import logging
+from collections.abc import Iterable
+from urllib.parse import quote, unquote
 
 from result import Err, Ok, Result
 
@@ -15,6 +17,19 @@
 
 FORWARDED_HEADER = "citronpin-forwarded"  # marks the only hop between entries
 REFUSAL_HEADER = "citronpin-refusal"  # kind of a refusal of the other entry itself
+# In such a refusal, names of entries that take requests for the service.
+CARRIERS_HEADER = "citronpin-carriers"
+ENTRY_HEADERS = frozenset({FORWARDED_HEADER, REFUSAL_HEADER, CARRIERS_HEADER})
+
+
+def encode_names(entries: Iterable[EntryId]) -> str:
+    """Return a header value that lists entries."""
+    return ",".join(quote(entry, safe="") for entry in entries)
+
+
+def decode_names(text: str) -> list[EntryId]:
+    """Return the entries that a header value lists."""
+    return [EntryId(unquote(name)) for name in text.split(",") if name]
 
 
 class NotForwarded(CitronpinError):
--- a/citronpin/gateway/forward_peers.py
+++ b/citronpin/gateway/forward_peers.py
@@ -13,11 +13,14 @@
 logger = logging.getLogger(__name__)
 
 REMOTE_COST_REQUESTS = 8.0  # prefers the own failure domain until it has so many more
-DECLINED_S = 1.0  # for which an entry that declined is not asked again
-UNREACHABLE_S = 1.0  # for which an entry that took no connection is not asked again
+DECLINED_S = 2.0  # for which an entry that declined is not asked again
+UNREACHABLE_S = 2.0  # for which an entry that took no connection is not asked again
 SLOW_S = 2.0  # for which an entry through which an answer stalled is asked after others
 SLOW_COST_REQUESTS = 64.0
 REPORT_TTL_S = 2.0  # of what an entry says it cannot reach
+MIN_CARRIERS = 4  # with fewer known, others are tried, so that the load is shared
+MAX_CARRIERS = 32  # known for a service
+MAX_RECOMMENDED = 4  # carriers that a refusal names
 
 
 class ForwardPeer(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,8 +34,10 @@
 class ForwardPeers:
     """Selects entries by requests passed on in progress, near ones first.
 
-    Entries that reported that they cannot reach a service, declined a request for it
-    or did not answer are left out for a while.
+    Entries that took a request for a service, or that another entry recommended, are
+    its carriers, and come before all others until they take no more. Entries that
+    reported that they cannot reach a service, declined a request for it or did not
+    answer are left out for a while.
     """
 
     def __init__(
@@ -45,6 +50,8 @@
         self._open: Counter[EntryId] = Counter()
         self._slow_until_s: dict[EntryId, float] = {}
         self._avoided_until_s: dict[tuple[EntryId, ApplicationName | None], float] = {}
+        # By service, in the order in which they were found.
+        self._carriers: dict[ApplicationName, dict[EntryId, None]] = {}
 
     def set_peers(self, peers: Iterable[ForwardPeer]) -> None:
         """Set the other entries that take requests."""
@@ -55,14 +62,39 @@
     ) -> None:
         """Store of which services another entry reaches no instance."""
         for service in services:
+            self._carriers_of(service).pop(entry, None)
             self._avoid(entry, service, REPORT_TTL_S)
 
+    def taken(self, entry: EntryId, service: ApplicationName) -> None:
+        """Record that an entry took a request for a service."""
+        self._add_carrier(entry, service)
+
+    def recommended(self, entries: Iterable[EntryId], service: ApplicationName) -> None:
+        """Record that another entry named entries that take requests for a service."""
+        for entry in entries:
+            if not self._is_avoided(entry, service):
+                self._add_carrier(entry, service)
+
+    def recommend(
+        self, service: ApplicationName, *, to: EntryId | None = None
+    ) -> list[EntryId]:
+        """Return some carriers of a service, for another entry that asks in vain."""
+        found = [
+            entry
+            for entry in self._carriers_of(service)
+            if entry != to and not self._is_avoided(entry, service)
+        ]
+        return self._rng.sample(found, min(len(found), MAX_RECOMMENDED))
+
     def declined(self, entry: EntryId, service: ApplicationName) -> None:
         """Record that an entry does not take requests for a service now."""
+        self._carriers_of(service).pop(entry, None)
         self._avoid(entry, service, DECLINED_S)
 
     def unreachable(self, entry: EntryId) -> None:
         """Record that an entry takes no connection."""
+        for carriers in self._carriers.values():
+            carriers.pop(entry, None)
         self._avoid(entry, None, UNREACHABLE_S)
 
     def stalled(self, entry: EntryId) -> None:
@@ -73,6 +105,15 @@
         """
         self._slow_until_s[entry] = self._clock.now() + SLOW_S
 
+    def _carriers_of(self, service: ApplicationName) -> dict[EntryId, None]:
+        return self._carriers.setdefault(service, {})
+
+    def _add_carrier(self, entry: EntryId, service: ApplicationName) -> None:
+        carriers = self._carriers_of(service)
+        carriers[entry] = None
+        if len(carriers) > MAX_CARRIERS:
+            del carriers[next(iter(carriers))]
+
     def _avoid(
         self, entry: EntryId, service: ApplicationName | None, for_s: float
     ) -> None:
@@ -91,14 +132,26 @@
     def select(
         self, service: ApplicationName, *, excluded: Collection[EntryId] = ()
     ) -> ForwardPeer | None:
-        """Return the entry that gets the next request, or ``None`` without one."""
+        """Return the entry that gets the next request, or ``None`` without one.
+
+        ``excluded`` are the entries that did not take the same request.
+        """
         usable = [
             peer
             for peer in self._peers
             if peer.name not in excluded and not self._is_avoided(peer.name, service)
         ]
         self._rng.shuffle(usable)
-        return min(usable, key=self._cost, default=None)
+        carriers = self._carriers_of(service)
+        known = [peer for peer in usable if peer.name in carriers]
+        unknown = [peer for peer in usable if peer.name not in carriers]
+        is_first = not excluded
+        if known and not (is_first and unknown and len(known) < MIN_CARRIERS):
+            return min(known, key=self._cost)
+        if is_first:
+            return min(unknown, key=self._cost, default=None)
+        # What cut this entry and those near it off may have spared others.
+        return next(iter(unknown), None)
 
     def _is_avoided(self, entry: EntryId, service: ApplicationName) -> bool:
         now_s = self._clock.now()
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -1,9 +1,10 @@
 """Accepts requests of callers and of other entries and starts their exchanges."""
 
 import logging
+from collections.abc import Iterable
 
 from citronpin.basics.clocks import MS_PER_S
-from citronpin.basics.ids import ApplicationName, ModelName, PromptPartId
+from citronpin.basics.ids import ApplicationName, EntryId, ModelName, PromptPartId
 from citronpin.gateway.answers import (
     Refusal,
     RefusalKind,
@@ -12,11 +13,8 @@
 )
 from citronpin.gateway.buffered_exchanges import BufferedExchange
 from citronpin.gateway.contexts import ExchangeContext, Task
-from citronpin.gateway.forward_codecs import (
-    FORWARDED_HEADER,
-    REFUSAL_HEADER,
-    ForwardCodec,
-)
+from citronpin.gateway.exchanges import refusal_headers
+from citronpin.gateway.forward_codecs import FORWARDED_HEADER, ForwardCodec
 from citronpin.gateway.forwards import make_task
 from citronpin.gateway.routings import (
     EngineSpec,
@@ -26,6 +24,7 @@
     Tenant,
 )
 from citronpin.gateway.stream_exchanges import StreamExchange
+from citronpin.peers.messages import ForwardedRequest
 from citronpin.web.replies import HttpHandler, HttpRequest, Reply
 
 logger = logging.getLogger(__name__)
@@ -180,11 +179,13 @@
             self._refuse(req, reply, RefusalKind.NOT_FORWARDED.value)
             return
         sender, message = result.ok_value
+        self._context.forward_peers.record_cut_off(sender, [message.service])
+        if message.attempt != self._attempt_of(req):
+            self._refuse(req, reply, RefusalKind.NOT_FORWARDED.value)
+            return
         refusal = self._refusal(message.service)
-        if refusal is None and message.attempt != self._attempt_of(req):
-            refusal = RefusalKind.NOT_FORWARDED.value
         if refusal is not None:
-            self._refuse(req, reply, refusal)
+            self._refuse_forwarded(req, reply, refusal, sender, message)
             return
         engine = _engine_of(message.service, self._context.table)
         model, prompt_parts = _model_and_parts(req, engine, self._context)
@@ -217,11 +218,27 @@
     def _attempt_of(self, req: HttpRequest) -> str:
         return req.headers.get(self._context.names.attempt, "")
 
-    def _refuse(self, req: HttpRequest, reply: Reply, refusal: Refusal) -> None:
-        headers = {
-            self._context.names.attempt: self._attempt_of(req),
-            REFUSAL_HEADER: refusal.kind,
-        }
+    def _refuse_forwarded(
+        self,
+        req: HttpRequest,
+        reply: Reply,
+        refusal: Refusal,
+        sender: EntryId,
+        message: ForwardedRequest,
+    ) -> None:
+        """Refuse a request, and name entries that may take it."""
+        carriers = self._context.forward_peers.recommend(message.service, to=sender)
+        self._refuse(req, reply, refusal, carriers)
+
+    def _refuse(
+        self,
+        req: HttpRequest,
+        reply: Reply,
+        refusal: Refusal,
+        carriers: Iterable[EntryId] = (),
+    ) -> None:
+        headers = {self._context.names.attempt: self._attempt_of(req)}
+        headers |= refusal_headers(refusal, list(carriers))
         send_refusal(reply, refusal, headers)
 
 
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -14,7 +14,11 @@
 )
 from citronpin.gateway.contexts import ExchangeContext, Task
 from citronpin.gateway.fleets import FleetInstance
-from citronpin.gateway.forward_codecs import FORWARDED_HEADER
+from citronpin.gateway.forward_codecs import (
+    CARRIERS_HEADER,
+    FORWARDED_HEADER,
+    decode_names,
+)
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.forwards import describe
 from citronpin.gateway.overloads import Pending, urgency
@@ -237,6 +241,8 @@
 
     def record_head(self, attempt):
         self._count(attempt.refusal or "taken")
+        if not attempt.refusal:
+            self._context.forward_peers.taken(self.entry, self._service)
 
     def _count(self, result: str) -> None:
         self._context.log.count_forward(service=self._service, result=result)
@@ -253,6 +259,8 @@
         if attempt.refusal:
             if fault is Fault.UNSENT:
                 self._context.forward_peers.declined(self.entry, self._service)
+                names = decode_names(attempt.headers.get(CARRIERS_HEADER, ""))
+                self._context.forward_peers.recommended(names, self._service)
         elif fault is Fault.UNSENT:
             self._context.forward_peers.unreachable(self.entry)
 
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -7,6 +7,7 @@
     REFUSAL_HEADER,
     ForwardCodec,
 )
+from citronpin.gateway.forward_peers import DECLINED_S
 from citronpin.gateway.fronts import ForwardHandler
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import REPORT_PATH
@@ -51,8 +52,8 @@
 
 
 def sent_to_instances(entry):
-    """Return the requests that an entry sent to instances."""
-    return [one for one in entry.client.sent if FORWARDED_HEADER not in one.headers]
+    """Return the requests that an entry sent to instances, without its probes."""
+    return [one for one in entry.sent_requests() if FORWARDED_HEADER not in one.headers]
 
 
 def test_a_stream_through_another_entry_arrives_whole(world):
@@ -239,6 +240,21 @@
     assert all(map(is_served, replies))
 
 
+def test_an_entry_that_declines_names_one_that_takes_requests(world):
+    cut_and_notice(world, *world.entries[:3])
+    asking, asked, _, sound = world.entries
+    peers = {peer.name: peer for peer in asking.forward_peers._peers}
+    asking.forward_peers.set_peers([peers[asked.name]])
+    asked.forward_peers.taken(sound.name, "book")
+    asked.is_cut_off = True  # and tells nobody that it reaches no instance
+    world.clock.advance(DECLINED_S)
+    reply = send_read(asking)
+    world.clock.advance(FORWARD_TIME_S)
+    assert reply.status == 503
+    asking.forward_peers.set_peers([peers[sound.name]])
+    assert asking.forward_peers.recommend("book") == [sound.name]
+
+
 def test_an_entry_that_boots_cut_off_serves_through_others(world):
     entry = world.start_entry()
     cut_off(entry, world.all_replicas(), Cut.HANG)
--- a/citronpin/tests/test_large_cuts.py
+++ b/citronpin/tests/test_large_cuts.py
@@ -56,18 +56,13 @@
 
 @pytest.mark.parametrize(
     ("share", "how"),
-    [
-        (2 / 3, Cut.RESET),
-        pytest.param(0.9, Cut.HANG, marks=pytest.mark.known_red),
-        pytest.param(0.9, Cut.MUTE, marks=pytest.mark.known_red),
-    ],
+    [(2 / 3, Cut.RESET), (0.9, Cut.HANG), (0.9, Cut.MUTE)],
 )
 def test_callers_are_served_where_most_entries_reach_no_instance(world, share, how):
     world.cut_entries_off(world.choose(share), how)
     serve_and_check(world)
 
 
-@pytest.mark.known_red
 def test_callers_are_served_where_a_failure_domain_reaches_no_instance(world):
     world.cut_entries_off(
         [entry for entry in world.entries if entry.failure_domain == "a"], Cut.HANG
@@ -75,14 +70,12 @@
     serve_and_check(world)
 
 
-@pytest.mark.known_red
 def test_callers_are_served_where_most_entries_do_not_reach_one_service(world):
     world.kinds = ("read", "swap")
     world.cut_entries_off(world.choose(0.9), Cut.CLOSE, [*world.books.values()])
     serve_and_check(world)
 
 
-@pytest.mark.known_red
 def test_callers_are_served_where_other_entries_are_cut_off_next(world):
     for how in (Cut.RESET, Cut.HANG):
         world.cut_entries_off(world.choose(0.8), how)
