An entry proves its path to instances before it takes requests of others

What callers of entries that are cut off saw: time-outs and lost answers of requests that were passed on, unsafe ones among them.

Cause: an entry with few callers notices a lost path only by their requests. At three requests a second it hears of a plain service every three seconds, and meanwhile it took requests of others and sent them where nobody was reached.

Change: an entry that heard of no instance of a service for a second probes some, and takes the request of another entry once one answers, within 0.25 s; otherwise it declines. A doubt of one service raises doubts of those of which nothing was heard for a second.

--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -120,6 +120,10 @@
         """Return the instances of a service."""
         return self._by_service.get(service, {}).values()
 
+    def services(self) -> tuple[ApplicationName, ...]:
+        """Return the services that instances were registered for."""
+        return tuple(self._by_service)
+
     def all(self) -> Iterable[FleetInstance]:
         """Return every instance."""
         return self._instances.values()
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -156,7 +156,9 @@
     """Starts the exchanges of requests that other entries pass on.
 
     The entry that received a request from its caller has decided on route and
-    customer. What cannot be taken is refused at once, so that it asks another entry.
+    customer. What cannot be taken is refused at once, so that it asks another entry. An
+    entry that heard of no instance for a while proves its path first, since it may be
+    cut off without knowing it.
     """
 
     MAX_FORWARDED_REQUESTS = 256  # in progress, of all other entries together
@@ -184,6 +186,31 @@
             self._refuse(req, reply, RefusalKind.NOT_FORWARDED.value)
             return
         refusal = self._refusal(message.service)
+        if refusal is not None:
+            self._refuse_forwarded(req, reply, refusal, sender, message)
+            return
+        arrival = ForwardedArrival(
+            req=req, reply=reply, received_s=self._context.clock.now()
+        )
+        self._context.reach.prove(
+            message.service,
+            lambda reached: self._on_path_proved(arrival, sender, message, reached),
+        )
+
+    def _on_path_proved(
+        self,
+        arrival: "ForwardedArrival",
+        sender: EntryId,
+        message: ForwardedRequest,
+        reached: bool,
+    ) -> None:
+        if arrival.is_abandoned:
+            return
+        req, reply = arrival.req, arrival.reply
+        reply.on_disconnect = None
+        refusal = self._refusal(message.service)
+        if refusal is None and not reached:
+            refusal = unreachable_refusal(wait_s=0.0)
         if refusal is not None:
             self._refuse_forwarded(req, reply, refusal, sender, message)
             return
@@ -193,7 +220,7 @@
             message,
             req=req,
             sender=sender,
-            now_s=self._context.clock.now(),
+            now_s=arrival.received_s,
             engine=engine,
             model=model,
             prompt_parts=prompt_parts,
@@ -242,6 +269,20 @@
         send_refusal(reply, refusal, headers)
 
 
+class ForwardedArrival:
+    """A request of another entry that waits for a proof of the path to instances."""
+
+    def __init__(self, *, req: HttpRequest, reply: Reply, received_s: float) -> None:
+        self.req = req
+        self.reply = reply
+        self.received_s = received_s  # clock time
+        self.is_abandoned = False
+        reply.on_disconnect = self._abandon
+
+    def _abandon(self) -> None:
+        self.is_abandoned = True
+
+
 def _engine_of(service: ApplicationName, table: RoutingTable) -> EngineSpec | None:
     spec = table.services.get(service)
     return None if spec is None else spec.engine
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -3,12 +3,14 @@
 import logging
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 
 import msgspec
 
 from citronpin.basics.clocks import MS_PER_S, Clock
 from citronpin.basics.ids import ApplicationName, InstanceId
+from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import InstanceControl, ProbeResult
 from citronpin.web.clients import HttpClient
@@ -25,6 +27,7 @@
 HEARD_S = 1.0
 MIN_LOST_AT_ONCE = 2  # instances; a crash of one says nothing of the path
 FRESH_S = 0.25  # no doubt while an instance was heard within this time
+PROOF_TIMEOUT_S = 0.25  # another entry may be asked instead
 NEVER_S = float("-inf")
 
 
@@ -40,6 +43,8 @@
     accepted: bool = False  # whether one of them took the connection, in this round
     lost: set[InstanceId] = set()  # whose answers broke off since one was heard
     cut_off_since_s: float | None = None
+    # Called with whether an instance is reached, once that is known.
+    waiting: list[Callable[[bool], None]] = []
 
 
 class ReachListener(ABC):
@@ -89,7 +94,7 @@
     def _of(self, service: ApplicationName) -> ServiceReach:
         if service not in self._services:
             self._services[service] = ServiceReach(
-                pending=set(), failed=set(), lost=set()
+                pending=set(), failed=set(), lost=set(), waiting=[]
             )
         return self._services[service]
 
@@ -98,6 +103,7 @@
         reach = self._of(service)
         reach.last_reply_s = self._clock.now()
         reach.lost.clear()
+        self._end_proof(reach, True)
 
     def last_reply_s(self, service: ApplicationName) -> float:
         """Return when an instance of a service last sent something, in clock time."""
@@ -109,6 +115,30 @@
         if self._clock.now() - reach.last_reply_s >= FRESH_S:
             self._start_round(service, reach)
 
+    def prove(self, service: ApplicationName, done: Callable[[bool], None]) -> None:
+        """Call ``done`` with whether an instance of a service is reached.
+
+        If none was heard a moment ago, instances are probed. A path that is not proved
+        within `PROOF_TIMEOUT_S` counts as lost.
+        """
+        if self.is_cut_off(service) or self.is_heard(service):
+            done(not self.is_cut_off(service))
+            return
+        reach = self._of(service)
+        reach.waiting.append(done)
+        self._start_round(service, reach)
+
+        def give_up() -> None:
+            if done in reach.waiting:
+                reach.waiting.remove(done)
+                done(False)
+
+        self._clock.call_later(PROOF_TIMEOUT_S, give_up)
+
+    def _end_proof(self, reach: ServiceReach, is_reached: bool) -> None:
+        waiting, reach.waiting = reach.waiting, []
+        call_each(partial(done, is_reached) for done in waiting)
+
     def record_lost_answer(self, instance: FleetInstance) -> None:
         """Record that the answer of an instance broke off, perhaps with the path.
 
@@ -197,6 +227,7 @@
         reach.pending.clear()
         reach.failed.clear()
         reach.lost.clear()
+        self._end_proof(reach, True)
         if reach.cut_off_since_s is None:
             return
         logger.warning(
@@ -224,6 +255,17 @@
         reach.pending = {instance.id for instance in chosen}
         for instance in chosen:
             self._probe(instance, reach)
+        self._doubt_others(service)
+
+    def _doubt_others(self, service: ApplicationName) -> None:
+        """Probe the services of which nothing was heard for a while.
+
+        What cut this entry off from one service may have cut it off from others, of
+        which it would hear only by failed requests.
+        """
+        for other in self._fleet.services():
+            if other != service and not self.is_heard(other):
+                self._start_round(other, self._of(other))
 
     def _choose(
         self, service: ApplicationName, reach: ServiceReach, count: int
@@ -261,11 +303,9 @@
         )
         for listener in self._listeners:
             listener.on_cut_off(service)
+        self._end_proof(reach, False)
         self._probe_again(service, reach, now_s)
-        # What cut this entry off from one service may have cut it off from others.
-        for other, other_reach in list(self._services.items()):
-            if other != service:
-                self._start_round(other, other_reach)
+        self._doubt_others(service)
 
     def _probe_again(
         self, service: ApplicationName, reach: ServiceReach, since_s: float
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -9,6 +9,7 @@
 )
 from citronpin.gateway.forward_peers import DECLINED_S
 from citronpin.gateway.fronts import ForwardHandler
+from citronpin.gateway.reachabilities import HEARD_S
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import REPORT_PATH
 from citronpin.tests.platforms.crashes import LAST_EVENT, CrashWorld
@@ -255,6 +256,40 @@
     assert asking.forward_peers.recommend("book") == [sound.name]
 
 
+@pytest.mark.parametrize("how", [Cut.HANG, Cut.MUTE, Cut.RESET])
+def test_an_entry_that_lost_its_path_unawares_takes_no_unsafe_request(world, how):
+    # Entries with few callers noticed only by requests of others, which were lost.
+    cut_and_notice(world, world.entries[0])
+    for entry in world.entries[1:3]:
+        cut_off(entry, world.all_replicas(), how)
+    world.clock.advance(HEARD_S)
+    replies = [send_swap(world.entries[0]) for _ in range(9)]
+    world.clock.advance(1.0)
+    assert all(map(is_served, replies))
+
+
+def test_a_caller_that_leaves_while_a_path_is_proved_starts_no_work(world):
+    cut_and_notice(world, world.entries[0])
+    for entry in world.entries[1:]:
+        entry.probe_delay_s = 0.1
+    world.clock.advance(HEARD_S)
+    reply = send_swap(world.entries[0])
+    world.clock.advance(0.05)
+    reply.leave()
+    runs = sum(world.runs.values())
+    world.clock.advance(1.0)
+    assert sum(world.runs.values()) == runs
+
+
+def test_a_cut_raises_doubts_of_services_without_requests(world):
+    entry = world.entries[0]
+    cut_off(entry, world.all_replicas(), Cut.HANG)
+    world.clock.advance(HEARD_S)
+    world.send(entry=entry)
+    world.clock.advance(KNOWN_AFTER_S)
+    assert set(entry.reach.cut_off_services()) == {"engines", "book"}
+
+
 def test_an_entry_that_boots_cut_off_serves_through_others(world):
     entry = world.start_entry()
     cut_off(entry, world.all_replicas(), Cut.HANG)
