One odd announcement hides no other entry

What happened: a record of another writer in the topic of the entries, nested too deeply, raised RecursionError while it was read. Among the newest records it ended their application, so that an entry that started knew neither the others nor the key of their frames. One with an address without a host or a port ended each tick of the exchange between entries.

Cause: announcements were decoded without the guard of the other decoders, their addresses were not checked, and all newest records were applied in one loop. Elsewhere: numbers of the configuration that frames cannot carry were applied, and an answer of the store of an unexpected form ended its call without a result.

Change: announcements are checked like registrations and applied one by one; numbers are bounded; a call to the store ends whatever its answer is.

--- a/citronpin/peers/links.py
+++ b/citronpin/peers/links.py
@@ -199,7 +199,14 @@
         push_socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
         push_socket.reconnect_time_min = RECONNECT_MIN_MS
         push_socket.reconnect_time_max = RECONNECT_MAX_MS
-        push_socket.dial(address, block=False)
+        try:
+            push_socket.dial(address, block=False)
+        except pynng.exceptions.NNGException as exc:
+            push_socket.close()
+            logger.warning(
+                "entry not connected", extra={"address": address, "detail": str(exc)}
+            )
+            return
         self._push_sockets[address] = push_socket
 
     def disconnect(self, address: str) -> None:
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -49,6 +49,8 @@
 # Frames between entries carry no larger integers.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
+Duration = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**53)]  # fits a frame in ms
 
 
 class UnreadableRecord(CitronpinError):
@@ -76,15 +78,15 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: Duration
+    target_latency_ms: Duration = 0.0
+    priority: Priority = 0
     service: str | None = None  # takes precedence over ``backends``
     backends: tuple[WireBackend, ...] = ()
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0  # objective for the longest pause between events
+    gap_aim_ms: Duration = 0.0  # objective for the longest pause between events
 
 
 class WireModel(_WireStruct, kw_only=True):
@@ -141,22 +143,22 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Priority | None = None
 
 
 class WireLimits(_WireStruct, kw_only=True):
     """Limits on the requests and connections of callers."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Duration = 3_000
+    idle_timeout_ms: Duration = 15_000
 
 
 class WireConfig(_WireStruct, kw_only=True):
     """One version of the configuration."""
 
-    version: int
+    version: Count
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
--- a/citronpin/platform/directories.py
+++ b/citronpin/platform/directories.py
@@ -3,12 +3,16 @@
 import logging
 import secrets
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from result import Result
 
+from citronpin.basics.addresses import parse_address
 from citronpin.basics.clocks import Clock
+from citronpin.basics.decodings import guard_recursion
 from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.ports import PeerDirectory
 from citronpin.platform.feeds import KeyedFeed
@@ -40,6 +44,9 @@
     failure_domain: FailureDomainName = FailureDomainName("")
 
 
+_decode_record = guard_recursion(msgspec.json.Decoder(EntryRecord).decode)
+
+
 class StoreDirectory(KeyedFeed, PeerDirectory):
     """Announces this entry and follows the announcements of others.
 
@@ -166,8 +173,7 @@
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         self._entries.clear()
-        for record in records:
-            self._apply_record(record)
+        call_each(partial(self._apply_record, record) for record in records)
 
     def _apply_record(self, record: Record) -> None:
         if record.key == FRAME_KEY_RECORD and record.value is not None:
@@ -183,8 +189,25 @@
             self._unconfirmed.pop(name, None)
             return
         try:
-            announced = msgspec.json.decode(value, type=EntryRecord)
-        except msgspec.MsgspecError as exc:
-            logger.warning("announcement cannot be decoded", extra={"detail": str(exc)})
+            announced = _decode_announcement(name, value)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            logger.warning(
+                "announcement cannot be decoded",
+                extra={"name_of_entry": name, "detail": str(exc)},
+            )
             return
         self._entries[name] = announced
+
+
+def _decode_announcement(name: EntryId, value: bytes) -> EntryRecord:
+    """Return an announcement; raises an error of `msgspec` or `ValueError`.
+
+    Another writer may have written it.
+    """
+    if not (name.isascii() and name.isprintable() and name):
+        raise ValueError(f"the name {name!r} is not printable ASCII")
+    record = _decode_record(value)
+    parse_address(record.address)
+    if record.forward:
+        parse_address(record.forward)
+    return record
--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -353,7 +353,8 @@
                 return
             try:
                 result = parse_answer(status, data)
-            except (msgspec.MsgspecError, ValueError, struct.error) as exc:
+            except Exception as exc:
+                # The caller waits for the end of its call, whatever came as an answer.
                 result = Err(StoreUnreachable(f"{path}: unreadable answer: {exc}."))
             done(result)
 
--- a/citronpin/tests/platforms/foreign_entries.py
+++ b/citronpin/tests/platforms/foreign_entries.py
@@ -2,6 +2,7 @@
 
 import json
 
+DEEP = 100_000  # levels, more than the interpreter allows
 UNREADABLE_KEY = b"h\xf6st-1"
 # Keys that no header carries unchanged.
 ODD_KEYS = (
@@ -65,6 +66,12 @@
     ]
     wrong = [ENTRY | {field: value} for field, value in WRONG_VALUES]
     texts = [b"\xff", b"{", b"[]", b"7", b"null", b'{"service":"engines'] + [b"[" * 999]
+    texts += [b"[" * DEEP, b'{"x":' * DEEP, b"9" * 5_000, b"1e999", b"-1e999"]
+    texts += [
+        json.dumps(ENTRY | {field: "@"}).encode().replace(b'"@"', value)
+        for field in ("slots", "born", "sequence", "cold-remaining-ms", "group")
+        for value in (b"9" * 5_000, b"1e999", b"[" * DEEP, b'{"x":' * DEEP)
+    ]
     return [json.dumps(fields).encode() for fields in without + wrong] + texts
 
 
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -38,6 +38,7 @@
 )
 from citronpin.tests.platforms.clients import MemoryClient
 from citronpin.tests.platforms.foreign_entries import (
+    DEEP,
     ENTRY,
     ODD_KEYS,
     foreign_values,
@@ -292,6 +293,48 @@
     assert applied_versions == [3, 4]
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[" * DEEP,
+        b'{"version":' * DEEP,
+        b'{"version":9,"x":' + b"[" * DEEP,
+        b'{"version":' + b"9" * 5_000 + b',"routes":[],"services":[]}',
+        b'{"version":18446744073709551616,"routes":[],"services":[]}',
+        b'{"version":1e999,"routes":[],"services":[]}',
+        b'{"version":-1,"routes":[],"services":[]}',
+        b"\xff",
+    ],
+    ids=range(8),
+)
+def test_an_odd_configuration_hides_no_later_one(
+    paused_clock, platform_store, applied_versions, value
+):
+    platform_store.put("keyed.op", "config", value)
+    platform_store.put("keyed.op", "another", value)
+    platform_store.put_raw("keyed.op", b"\xff", value)
+    paused_clock.advance(1.0)
+    put_config(platform_store, 10)
+    paused_clock.advance(1.0)
+    assert applied_versions == [3, 10]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"priority": 2**70},
+        {"timeout-ms": 1e300},
+        {"timeout-ms": -1},
+        {"max-attempts": 2**70},
+        {"gap-aim-ms": 1e300},
+    ],
+)
+def test_a_route_that_frames_cannot_carry_is_not_applied(change):
+    # Its requests could not be described to other entries.
+    config = wire_config(routes=[ROUTES[0], ROUTES[1] | change])
+    assert decode_config(json.dumps(config).encode()).is_err()
+
+
 @pytest.fixture
 def fleet(paused_clock, store, platform_store):
     """A fleet that follows the registrations of two instances."""
