Requests that are open at the end of a planned stop get an answer

What callers saw: a request with a time-out beyond the grace period, taken before the signal or within 3 s of it, ended with its connection, also where it had not been sent to an instance. The rest of an answer that was written, but not yet sent, could be lost as well.

Cause: at the end of the grace period all exchanges were aborted alike, and a response counted as complete once it was in the buffer of its connection.

Change: a request without an answer is told that it did not run, or that it may have; only a stream that has begun is broken off. Responses are open until they are sent. Requests that come later than 3 s after the signal were already taken only if they end before the process: that part of the report is shown not to happen.

--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -100,8 +100,8 @@
         """Move to another entry, if an instance of a lost service has the request."""
 
     @abstractmethod
-    def abort(self) -> None:
-        """Abort the request at the end of the process."""
+    def end_with_process(self) -> None:
+        """End the request, with an answer if none has begun."""
 
 
 class ExchangeContext(ReachListener):
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -526,15 +526,20 @@
         """Send the final answer at the time-out of the request."""
         self._answer_fault(Fault.TIMED_OUT)
 
-    def abort(self) -> None:
-        """Abort the exchange at the end of the process.
-
-        The connection is aborted, so that the caller does not take a partial answer
-        for a complete one.
-        """
-        if not self._done:
-            self._on_caller_left("process-ends")
-            self._reply.abort()
+    def end_with_process(self) -> None:
+        """End the exchange before the process ends, and say whether it may have run."""
+        if self._done:
+            return
+        last = self._last_attempt
+        if last is not None and not last.is_over:
+            fault = Fault.UNSENT if last.is_unsent else Fault.LOST
+            self._cancel_attempt(last, fault, "the process ends")
+        self._answer_process_end()
+
+    def _answer_process_end(self) -> None:
+        """Send the final answer before the process ends."""
+        kind = RefusalKind.LOST if self.run_count else RefusalKind.STOPPING
+        self._answer(kind.value)
 
     def fail(self) -> None:
         """End the exchange after an unexpected error, which the server answers."""
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -471,8 +471,10 @@
         if self._is_grace_over or (not in_progress and is_removed):
             logger.info("stopped", extra={"in_progress": in_progress})
             timer.cancel()
-            delay_s = 0.0 if self._is_grace_over else STOP_CHECK_INTERVAL_S
-            self.clock.call_later(delay_s, self._finish)
+            if self._is_grace_over:
+                exchanges = list(self.context.open_exchanges)
+                call_each(exchange.end_with_process for exchange in exchanges)
+            self.clock.call_later(STOP_CHECK_INTERVAL_S, self._finish)
 
     @property
     def _open_replies(self) -> int:
@@ -491,7 +493,7 @@
             self._wait_until_drained()
             return
         calls = [self._release_leases]
-        calls += [exchange.abort for exchange in self.context.open_exchanges]
+        calls += [x.end_with_process for x in self.context.open_exchanges]
         calls.append(self.connector.stop)
         if self.gossip is not None:
             calls.append(self.gossip.stop)
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -250,6 +250,12 @@
         else:
             super()._answer_timeout()
 
+    def _answer_process_end(self) -> None:
+        if self._started:
+            self._abort_stream()
+        else:
+            super()._answer_process_end()
+
     def check_stall(self, now_s: float) -> None:
         """Resume on another instance when no data has arrived for too long."""
         last = self._last_attempt
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -4,6 +4,7 @@
 
 from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.requests import (
+    ROUTES,
     FrontHarness,
     ScriptedStream,
     event,
@@ -338,12 +339,42 @@
     assert short.status == 200
 
 
+@pytest.mark.parametrize("kind", ["stream", "read", "swap"])
+@pytest.mark.parametrize("waited_s", [0.0, 1.0, 2.9, 3.1, 4.5, 6.0, 7.0, 7.55])
+def test_each_request_of_a_planned_stop_gets_an_answer(paused_clock, kind, waited_s):
+    # Requests with long time-outs, taken late, were cut off by the end of the process.
+    routes = [route | {"timeout-ms": 20_000} for route in ROUTES]
+    gateway = FrontHarness(clock=paused_clock, routes=routes)
+    ran = []
+    gateway.scripts["*"] = ran.append
+    end_s = paused_clock.now() + 7.6
+    stop_after(gateway, waited_s)
+    path = {"stream": "/draft/1", "read": "/look-up/1", "swap": "/swap/1"}[kind]
+    reply = gateway.send(path, **{HEADERS.deadline_ms: "30000"})
+    paused_clock.advance(end_s - paused_clock.now())
+    for exchange in list(gateway.context.open_exchanges):
+        exchange.end_with_process()
+    assert reply.ended and not reply.aborted
+    assert reply.outcome == ("unknown" if ran else "not-run")
+    assert (reply.status == 503) is not bool(ran)
+    assert not gateway.context.open_exchanges
+
+
+def test_a_request_without_a_connection_at_the_end_of_the_process_did_not_run(gateway):
+    gateway.client.silent |= set(gateway.client.handlers)
+    reply = gateway.send("/swap/1")
+    gateway.clock.advance(0.1)
+    for exchange in list(gateway.context.open_exchanges):
+        exchange.end_with_process()
+    assert (reply.status, reply.outcome) == (503, "not-run")
+
+
 def test_an_exchange_aborted_at_the_end_of_the_process_is_not_retried(gateway):
     gateway.scripts["*"] = ScriptedStream(clock=gateway.clock, last=1000)
     reply = gateway.send("/draft/1")
     gateway.clock.advance(0.3)
     for exchange in list(gateway.context.open_exchanges):
-        exchange.abort()
+        exchange.end_with_process()
     assert reply.aborted and not gateway.context.open_exchanges
     assert len(gateway.client.sent) == 1
 
--- a/citronpin/tests/test_servers.py
+++ b/citronpin/tests/test_servers.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server on raw sockets."""
 
 import socket
+import time
 
 import pytest
 
@@ -13,6 +14,7 @@
     request_timeout_s=0.5, stall_timeout_s=0.5, write_buffer_bytes=256 * 1024
 )
 PIECE_BYTES = 64 * 1024
+SETTLE_S = 0.3  # by then the server has written what it can
 
 
 def _routes(clock):
@@ -70,6 +72,18 @@
         return received
 
 
+def test_a_response_counts_as_open_until_it_is_sent(server):
+    # The process waits for open responses before it ends.
+    with socket.create_connection((server.host, server.port), timeout=10) as conn:
+        conn.sendall(b"GET /fill HTTP/1.1\r\nHost: a\r\n\r\n")
+        received = len(conn.recv(1024))
+        time.sleep(SETTLE_S)
+        assert server.http.open_replies == 1
+        while received < 64 * PIECE_BYTES:
+            received += len(conn.recv(1 << 20))
+        wait_until(lambda: server.http.open_replies == 0)
+
+
 def test_pipelined_requests_are_answered_in_order(server):
     sent = b"".join(
         b"GET /%b HTTP/1.1\r\nHost: a\r\n\r\n" % path
--- a/citronpin/web/http_conns.py
+++ b/citronpin/web/http_conns.py
@@ -149,8 +149,11 @@
 
     @property
     def open_replies(self) -> int:
-        """Return the number of requests whose response is not yet complete."""
-        return sum(conn.res is not None for conn in self._conns.values())
+        """Return the number of requests whose response is not yet sent whole."""
+        return sum(
+            conn.res is not None or self.buffered_bytes(sock) > 0
+            for sock, conn in self._conns.items()
+        )
 
     def close_idle(self) -> None:
         """Close the connections that carry no request, not even part of one."""
