A request that other entries decline for a second is refused

Where all entries had just lost their paths and none knew it, each entry asked takes 0.25 s to find that it cannot prove its own, so that a request waited for eight of them. It is refused after 1 s. test_a_request_is_refused_soon_where_no_entry_knows_that_it_is_cut_off failed before.

--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -48,6 +48,7 @@
 MAX_SENDS = 4  # of one request to instances, counting those that these refused
 MAX_FORWARDS = 4  # of one request to other entries, without those that these declined
 MAX_DECLINES = 8  # of one request by other entries, which take milliseconds
+MAX_ASKING_S = 1.0  # entries that do not take the request; then it is refused
 MAX_UNSENT = 3  # connections that may fail before another entry is asked
 SILENCE_S = 0.5  # until the path to the instances is doubted
 MOVE_AFTER_S = 0.25  # without progress, when no instance is reached any more
@@ -326,7 +327,21 @@
     def _has_forwards_left(self) -> bool:
         declined = sum(bool(attempt.refusal) for attempt in self._attempts)
         others = self._count_attempts(to_entries=True) - declined
-        return others < MAX_FORWARDS and declined < MAX_DECLINES
+        return (
+            others < MAX_FORWARDS
+            and declined < MAX_DECLINES
+            and self._asked_in_vain_s < MAX_ASKING_S
+        )
+
+    @property
+    def _asked_in_vain_s(self) -> float:
+        """Return for how long only entries were asked that did not take the request."""
+        since_s = now_s = self._context.clock.now()
+        for attempt in reversed(self._attempts):
+            if not attempt.recipient.is_entry or attempt.fault is not Fault.UNSENT:
+                break
+            since_s = attempt.sent_s
+        return now_s - since_s
 
     def _report_fault(self, attempt: Attempt, fault: Fault) -> None:
         """Report a fault, which later placements take into account."""
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from citronpin.gateway.exchanges import MAX_ASKING_S
 from citronpin.gateway.forward_codecs import (
     FORWARDED_HEADER,
     REFUSAL_HEADER,
@@ -9,7 +10,7 @@
 )
 from citronpin.gateway.forward_peers import DECLINED_S
 from citronpin.gateway.fronts import ForwardHandler
-from citronpin.gateway.reachabilities import HEARD_S
+from citronpin.gateway.reachabilities import HEARD_S, PROOF_TIMEOUT_S
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import REPORT_PATH
 from citronpin.tests.platforms.crashes import LAST_EVENT, CrashWorld
@@ -139,6 +140,20 @@
     assert float(reply.headers["retry-after"]) > 0
 
 
+def test_a_request_is_refused_soon_where_no_entry_knows_that_it_is_cut_off(world):
+    # Each entry takes 0.25 s to find that it cannot prove its path.
+    for _ in range(10):
+        world.start_entry()
+    entry = world.entries[0]
+    cut_and_notice(world, entry)
+    for other in world.entries[1:]:
+        cut_off(other, world.all_replicas(), Cut.MUTE)
+    world.clock.advance(HEARD_S)
+    reply = world.send(entry=entry)
+    world.clock.advance(MAX_ASKING_S + PROOF_TIMEOUT_S + 0.05)
+    assert (reply.status, reply.outcome) == (503, "not-run")
+
+
 def test_attempts_through_other_entries_are_counted_by_result(world):
     cut_and_notice(world, *world.entries[:3])
     entry = world.entries[0]
