A proof of the path ends in a turn of its own; next hops

An exception of a request that waited for a proof would have reached the exchange whose answer gave it, and left the sender without an answer until its time-out. Callbacks of a proof run in their own turn of the loop now, and the sender's connection is aborted, since the request may have been sent. Seen in reading, not in a run; test_a_fault_after_a_proof_ends_the_request_it_befell.

The entries that take requests of others are called next hops, as in the field, and a request that waits is one object in place of five parameters.

--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -2,6 +2,7 @@
 
 import logging
 from abc import abstractmethod
+from collections.abc import Sequence
 from functools import cached_property
 
 from citronpin.basics.clocks import MS_PER_S, TimerHandle
@@ -24,8 +25,8 @@
 from citronpin.gateway.contexts import ExchangeContext, OpenExchange, Task
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.forward_codecs import (
-    CARRIERS_HEADER,
     ENTRY_HEADERS,
+    NEXT_HOPS_HEADER,
     REFUSAL_HEADER,
     encode_names,
 )
@@ -594,12 +595,12 @@
     }
 
 
-def refusal_headers(refusal: Refusal, carriers: list[EntryId]) -> dict[str, str]:
+def refusal_headers(refusal: Refusal, next_hops: Sequence[EntryId]) -> dict[str, str]:
     """Return the headers of a refusal to another entry.
 
-    ``carriers`` are entries that may take the request instead.
+    ``next_hops`` are entries that may take the request instead.
     """
     headers = {REFUSAL_HEADER: refusal.kind}
-    if carriers:
-        headers[CARRIERS_HEADER] = encode_names(carriers)
+    if next_hops:
+        headers[NEXT_HOPS_HEADER] = encode_names(next_hops)
     return headers
--- a/citronpin/gateway/forward_codecs.py
+++ b/citronpin/gateway/forward_codecs.py
@@ -18,8 +18,8 @@
 FORWARDED_HEADER = "citronpin-forwarded"  # marks the only hop between entries
 REFUSAL_HEADER = "citronpin-refusal"  # kind of a refusal of the other entry itself
 # In such a refusal, names of entries that take requests for the service.
-CARRIERS_HEADER = "citronpin-carriers"
-ENTRY_HEADERS = frozenset({FORWARDED_HEADER, REFUSAL_HEADER, CARRIERS_HEADER})
+NEXT_HOPS_HEADER = "citronpin-next-hops"
+ENTRY_HEADERS = frozenset({FORWARDED_HEADER, REFUSAL_HEADER, NEXT_HOPS_HEADER})
 
 
 def encode_names(entries: Iterable[EntryId]) -> str:
--- a/citronpin/gateway/forward_peers.py
+++ b/citronpin/gateway/forward_peers.py
@@ -18,9 +18,9 @@
 SLOW_S = 2.0  # for which an entry through which an answer stalled is asked after others
 SLOW_COST_REQUESTS = 64.0
 REPORT_TTL_S = 2.0  # of what an entry says it cannot reach
-MIN_CARRIERS = 4  # with fewer known, others are tried, so that the load is shared
-MAX_CARRIERS = 32  # known for a service
-MAX_RECOMMENDED = 4  # carriers that a refusal names
+MIN_NEXT_HOPS = 4  # with fewer known, others are tried, so that the load is shared
+MAX_NEXT_HOPS = 32  # known for a service
+MAX_RECOMMENDED = 4  # next hops that a refusal names
 
 
 class ForwardPeer(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,7 +35,7 @@
     """Selects entries by requests passed on in progress, near ones first.
 
     Entries that took a request for a service, or that another entry recommended, are
-    its carriers, and come before all others until they take no more. Entries that
+    its next hops, and come before all others until they take none. Entries that
     reported that they cannot reach a service, declined a request for it or did not
     answer are left out for a while.
     """
@@ -51,7 +51,7 @@
         self._slow_until_s: dict[EntryId, float] = {}
         self._avoided_until_s: dict[tuple[EntryId, ApplicationName | None], float] = {}
         # By service, in the order in which they were found.
-        self._carriers: dict[ApplicationName, dict[EntryId, None]] = {}
+        self._next_hops: dict[ApplicationName, dict[EntryId, None]] = {}
 
     def set_peers(self, peers: Iterable[ForwardPeer]) -> None:
         """Set the other entries that take requests."""
@@ -62,39 +62,39 @@
     ) -> None:
         """Store of which services another entry reaches no instance."""
         for service in services:
-            self._carriers_of(service).pop(entry, None)
+            self._next_hops_of(service).pop(entry, None)
             self._avoid(entry, service, REPORT_TTL_S)
 
     def taken(self, entry: EntryId, service: ApplicationName) -> None:
         """Record that an entry took a request for a service."""
-        self._add_carrier(entry, service)
+        self._add_next_hop(entry, service)
 
     def recommended(self, entries: Iterable[EntryId], service: ApplicationName) -> None:
         """Record that another entry named entries that take requests for a service."""
         for entry in entries:
             if not self._is_avoided(entry, service):
-                self._add_carrier(entry, service)
+                self._add_next_hop(entry, service)
 
     def recommend(
         self, service: ApplicationName, *, to: EntryId | None = None
     ) -> list[EntryId]:
-        """Return some carriers of a service, for another entry that asks in vain."""
+        """Return some next hops for a service, for another entry that asks in vain."""
         found = [
             entry
-            for entry in self._carriers_of(service)
+            for entry in self._next_hops_of(service)
             if entry != to and not self._is_avoided(entry, service)
         ]
         return self._rng.sample(found, min(len(found), MAX_RECOMMENDED))
 
     def declined(self, entry: EntryId, service: ApplicationName) -> None:
         """Record that an entry does not take requests for a service now."""
-        self._carriers_of(service).pop(entry, None)
+        self._next_hops_of(service).pop(entry, None)
         self._avoid(entry, service, DECLINED_S)
 
     def unreachable(self, entry: EntryId) -> None:
         """Record that an entry takes no connection."""
-        for carriers in self._carriers.values():
-            carriers.pop(entry, None)
+        for next_hops in self._next_hops.values():
+            next_hops.pop(entry, None)
         self._avoid(entry, None, UNREACHABLE_S)
 
     def stalled(self, entry: EntryId) -> None:
@@ -105,14 +105,14 @@
         """
         self._slow_until_s[entry] = self._clock.now() + SLOW_S
 
-    def _carriers_of(self, service: ApplicationName) -> dict[EntryId, None]:
-        return self._carriers.setdefault(service, {})
+    def _next_hops_of(self, service: ApplicationName) -> dict[EntryId, None]:
+        return self._next_hops.setdefault(service, {})
 
-    def _add_carrier(self, entry: EntryId, service: ApplicationName) -> None:
-        carriers = self._carriers_of(service)
-        carriers[entry] = None
-        if len(carriers) > MAX_CARRIERS:
-            del carriers[next(iter(carriers))]
+    def _add_next_hop(self, entry: EntryId, service: ApplicationName) -> None:
+        next_hops = self._next_hops_of(service)
+        next_hops[entry] = None
+        if len(next_hops) > MAX_NEXT_HOPS:
+            del next_hops[next(iter(next_hops))]
 
     def _avoid(
         self, entry: EntryId, service: ApplicationName | None, for_s: float
@@ -142,11 +142,11 @@
             if peer.name not in excluded and not self._is_avoided(peer.name, service)
         ]
         self._rng.shuffle(usable)
-        carriers = self._carriers_of(service)
-        known = [peer for peer in usable if peer.name in carriers]
-        unknown = [peer for peer in usable if peer.name not in carriers]
+        next_hops = self._next_hops_of(service)
+        known = [peer for peer in usable if peer.name in next_hops]
+        unknown = [peer for peer in usable if peer.name not in next_hops]
         is_first = not excluded
-        if known and not (is_first and unknown and len(known) < MIN_CARRIERS):
+        if known and not (is_first and unknown and len(known) < MIN_NEXT_HOPS):
             return min(known, key=self._cost)
         if is_first:
             return min(unknown, key=self._cost, default=None)
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -1,7 +1,8 @@
 """Accepts requests of callers and of other entries and starts their exchanges."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Sequence
+from functools import partial
 
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.ids import ApplicationName, EntryId, ModelName, PromptPartId
@@ -182,50 +183,54 @@
             return
         sender, message = result.ok_value
         self._context.forward_peers.record_cut_off(sender, [message.service])
-        if message.attempt != self._attempt_of(req):
-            self._refuse(req, reply, RefusalKind.NOT_FORWARDED.value)
-            return
-        refusal = self._refusal(message.service)
-        if refusal is not None:
-            self._refuse_forwarded(req, reply, refusal, sender, message)
-            return
         arrival = ForwardedArrival(
-            req=req, reply=reply, received_s=self._context.clock.now()
-        )
-        self._context.reach.prove(
-            message.service,
-            lambda reached: self._on_path_proved(arrival, sender, message, reached),
+            req=req,
+            reply=reply,
+            sender=sender,
+            message=message,
+            received_s=self._context.clock.now(),
         )
+        refusal = self._refusal(message.service)
+        if message.attempt != self._attempt_of(req):
+            self._refuse(req, reply, RefusalKind.NOT_FORWARDED.value)
+        elif refusal is not None:
+            self._refuse_arrival(arrival, refusal)
+        else:
+            self._context.reach.prove(
+                message.service, partial(self._on_path_proved, arrival)
+            )
 
-    def _on_path_proved(
-        self,
-        arrival: "ForwardedArrival",
-        sender: EntryId,
-        message: ForwardedRequest,
-        reached: bool,
-    ) -> None:
+    def _on_path_proved(self, arrival: "ForwardedArrival", reached: bool) -> None:
+        """Start the exchange of a request, unless it cannot be sent to an instance."""
         if arrival.is_abandoned:
             return
-        req, reply = arrival.req, arrival.reply
-        reply.on_disconnect = None
-        refusal = self._refusal(message.service)
+        arrival.reply.on_disconnect = None
+        refusal = self._refusal(arrival.message.service)
         if refusal is None and not reached:
             refusal = unreachable_refusal(wait_s=0.0)
         if refusal is not None:
-            self._refuse_forwarded(req, reply, refusal, sender, message)
+            self._refuse_arrival(arrival, refusal)
             return
+        try:
+            self._start(arrival)
+        except Exception:
+            arrival.reply.abort()  # it may have been sent
+            raise
+
+    def _start(self, arrival: "ForwardedArrival") -> None:
+        req, message = arrival.req, arrival.message
         engine = _engine_of(message.service, self._context.table)
         model, prompt_parts = _model_and_parts(req, engine, self._context)
         task = make_task(
             message,
             req=req,
-            sender=sender,
+            sender=arrival.sender,
             now_s=arrival.received_s,
             engine=engine,
             model=model,
             prompt_parts=prompt_parts,
         )
-        _start(task, reply, self._context)
+        _start(task, arrival.reply, self._context)
 
     def _refusal(self, service: ApplicationName) -> Refusal | None:
         """Return why a request for a service is not taken now."""
@@ -245,38 +250,43 @@
     def _attempt_of(self, req: HttpRequest) -> str:
         return req.headers.get(self._context.names.attempt, "")
 
-    def _refuse_forwarded(
-        self,
-        req: HttpRequest,
-        reply: Reply,
-        refusal: Refusal,
-        sender: EntryId,
-        message: ForwardedRequest,
-    ) -> None:
+    def _refuse_arrival(self, arrival: "ForwardedArrival", refusal: Refusal) -> None:
         """Refuse a request, and name entries that may take it."""
-        carriers = self._context.forward_peers.recommend(message.service, to=sender)
-        self._refuse(req, reply, refusal, carriers)
+        next_hops = self._context.forward_peers.recommend(
+            arrival.message.service, to=arrival.sender
+        )
+        self._refuse(arrival.req, arrival.reply, refusal, next_hops)
 
     def _refuse(
         self,
         req: HttpRequest,
         reply: Reply,
         refusal: Refusal,
-        carriers: Iterable[EntryId] = (),
+        next_hops: Sequence[EntryId] = (),
     ) -> None:
         headers = {self._context.names.attempt: self._attempt_of(req)}
-        headers |= refusal_headers(refusal, list(carriers))
+        headers |= refusal_headers(refusal, next_hops)
         send_refusal(reply, refusal, headers)
 
 
 class ForwardedArrival:
     """A request of another entry that waits for a proof of the path to instances."""
 
-    def __init__(self, *, req: HttpRequest, reply: Reply, received_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        req: HttpRequest,
+        reply: Reply,
+        sender: EntryId,
+        message: ForwardedRequest,
+        received_s: float,
+    ) -> None:
         self.req = req
         self.reply = reply
+        self.sender = sender
+        self.message = message
         self.received_s = received_s  # clock time
-        self.is_abandoned = False
+        self.is_abandoned = False  # whether the sender closed its connection
         reply.on_disconnect = self._abandon
 
     def _abandon(self) -> None:
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -10,7 +10,6 @@
 
 from citronpin.basics.clocks import MS_PER_S, Clock
 from citronpin.basics.ids import ApplicationName, InstanceId
-from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import InstanceControl, ProbeResult
 from citronpin.web.clients import HttpClient
@@ -137,7 +136,9 @@
 
     def _end_proof(self, reach: ServiceReach, is_reached: bool) -> None:
         waiting, reach.waiting = reach.waiting, []
-        call_each(partial(done, is_reached) for done in waiting)
+        for done in waiting:
+            # In a turn of its own: the caller handles the answer to another request.
+            self._clock.call_later(0.0, partial(done, is_reached))
 
     def record_lost_answer(self, instance: FleetInstance) -> None:
         """Record that the answer of an instance broke off, perhaps with the path.
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -15,8 +15,8 @@
 from citronpin.gateway.contexts import ExchangeContext, Task
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.forward_codecs import (
-    CARRIERS_HEADER,
     FORWARDED_HEADER,
+    NEXT_HOPS_HEADER,
     decode_names,
 )
 from citronpin.gateway.forward_peers import ForwardPeer
@@ -259,7 +259,7 @@
         if attempt.refusal:
             if fault is Fault.UNSENT:
                 self._context.forward_peers.declined(self.entry, self._service)
-                names = decode_names(attempt.headers.get(CARRIERS_HEADER, ""))
+                names = decode_names(attempt.headers.get(NEXT_HOPS_HEADER, ""))
                 self._context.forward_peers.recommended(names, self._service)
         elif fault is Fault.UNSENT:
             self._context.forward_peers.unreachable(self.entry)
--- a/citronpin/tests/test_forward_peers.py
+++ b/citronpin/tests/test_forward_peers.py
@@ -7,7 +7,7 @@
 from citronpin.gateway.forward_codecs import decode_names, encode_names
 from citronpin.gateway.forward_peers import (
     DECLINED_S,
-    MIN_CARRIERS,
+    MIN_NEXT_HOPS,
     ForwardPeer,
     ForwardPeers,
 )
@@ -42,10 +42,10 @@
 
 
 def test_entries_that_took_requests_come_first_wherever_they_are(peers):
-    carriers = {f"n{3 * number + 1}" for number in range(MIN_CARRIERS)}
-    for name in carriers:
+    next_hops = {f"n{3 * number + 1}" for number in range(MIN_NEXT_HOPS)}
+    for name in next_hops:
         peers.taken(name, SERVICE)
-    assert {peers.select(SERVICE).name for _ in range(50)} <= carriers
+    assert {peers.select(SERVICE).name for _ in range(50)} <= next_hops
 
 
 def test_others_are_tried_while_few_entries_are_known_to_take_requests(peers):
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -296,6 +296,18 @@
     assert sum(world.runs.values()) == runs
 
 
+def test_a_fault_after_a_proof_ends_the_request_it_befell(world, monkeypatch):
+    cut_and_notice(world, world.entries[0])
+    for entry in world.entries[1:]:
+        monkeypatch.setattr(entry.forwarded, "_start", lambda arrival: 1 / 0)
+    world.clock.advance(HEARD_S)
+    reply = send_swap(world.entries[0])
+    with pytest.raises(ZeroDivisionError):
+        world.clock.advance(FORWARD_TIME_S)
+    world.clock.advance(FORWARD_TIME_S)
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
 def test_a_cut_raises_doubts_of_services_without_requests(world):
     entry = world.entries[0]
     cut_off(entry, world.all_replicas(), Cut.HANG)
