Soak: probes of the configuration count for the node they were sent to

They have ids now, which the checks of rests, leaving and limits know; the check that only sent attempts run covers them too. The stand-in of the store no longer fails on refusals without a body.

--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -343,7 +343,9 @@
                 self.clock.call_later(READ_POLL_INTERVAL_S, answer_or_wait)
                 return
             status, body, *rest = answer
-            exchange.answer(status, self._for_node(node, exchange.target, body), *rest)
+            if status == 200:
+                body = self._for_node(node, exchange.target, body)
+            exchange.answer(status, body, *rest)
 
         answer_or_wait()
 
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -13,6 +13,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.cuts import Cut
 from citronpin.tests.platforms.foreign_entries import (
     write_foreign_announcements,
@@ -87,11 +88,12 @@
         self.process.kill()
         self.process.wait()
 
-    def get_status(self, port, path, host="marks.example"):
+    def get_status(self, port, path, host="marks.example", attempt=""):
         """Return the status of a GET on a new connection, or ``None`` if it failed."""
+        headers = {"Host": host} | ({HEADERS.attempt: attempt} if attempt else {})
         conn = http.client.HTTPConnection("127.0.0.1", port, timeout=1.0)
         try:
-            conn.request("GET", path, headers={"Host": host})
+            conn.request("GET", path, headers=headers)
             return conn.getresponse().status
         except (OSError, http.client.HTTPException):
             return None
@@ -154,6 +156,7 @@
         self._planned_stops = []  # (node, start_s, end_s)
         self._cuts = []  # (nodes, start_s, end_s) of cuts from instances
         self._config_observations = []  # (incarnation_id, version, status)
+        self._config_attempts = {}  # attempt of a request for it -> name of the node
         self._config_write_times = {}  # version -> monotonic time in s
         self._threads = []
         self._finished = threading.Event()
@@ -554,7 +557,11 @@
             for node in self.nodes:
                 node.get_status(node.metrics_port, "/metrics")  # must not delay it
                 incarnation_id = f"{node.name}/{node.incarnation}"
-                status = node.get_status(node.front_port, f"/v{newest_due}/mark")
+                attempt = f"config-{len(self._config_attempts)}"
+                self._config_attempts[attempt] = node.name
+                status = node.get_status(
+                    node.front_port, f"/v{newest_due}/mark", attempt=attempt
+                )
                 # A restart during the request leaves open which process answered.
                 if incarnation_id == f"{node.name}/{node.incarnation}":
                     self._config_observations.append(
@@ -582,7 +589,7 @@
         runs = {
             attempt: list(instance_names)
             for attempt, instance_names in self.platform.runs.items()
-            if attempt  # requests of `_probe_configs` have no attempt id
+            if attempt not in self._config_attempts
         }
         self.outcome_counts = Counter(
             (outcome.kind.name, outcome.status) for outcome in outcomes
@@ -602,6 +609,7 @@
             outcomes, self._cuts, self._config_faults + self._planned_stops
         )
         nodes = {outcome.attempt: outcome.node for outcome in outcomes}
+        nodes |= self._config_attempts
         disturbances = self._config_faults + self._planned_stops
         # Requests of a node that is cut off reach instances from other nodes.
         cuts = [
@@ -617,7 +625,7 @@
         )
         self.violations += checks.check_limits(
             self.platform.limit_episodes,
-            {outcome.attempt: outcome.node for outcome in outcomes},
+            nodes,
             self._config_faults + self._planned_stops,
         )
         self.violations += self.platform.fleet.violations
