--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -49,7 +49,7 @@
 MAX_SENDS = 4  # of one request to instances, counting those that these refused
 MAX_FORWARDS = 4  # of one request to other entries, without those that these declined
 MAX_DECLINES = 8  # of one request by other entries, which take milliseconds
-MAX_ASKING_S = 1.0  # entries that do not take the request; then it is refused
+MAX_ASKING_S = 1.0  # while no entry takes the request; then it is refused
 MAX_UNSENT = 3  # connections that may fail before another entry is asked
 SILENCE_S = 0.5  # until the path to the instances is doubted
 MOVE_AFTER_S = 0.25  # without progress, when no instance is reached any more
@@ -336,7 +336,7 @@
 
     @property
     def _asked_in_vain_s(self) -> float:
-        """Return for how long only entries were asked that did not take the request."""
+        """Return for how many seconds no entry that was asked took the request."""
         since_s = now_s = self._context.clock.now()
         for attempt in reversed(self._attempts):
             if not attempt.recipient.is_entry or attempt.fault is not Fault.UNSENT:
@@ -497,7 +497,7 @@
         if self.is_forwarded:
             headers |= refusal_headers(
                 refusal,
-                self._context.forward_peers.recommend(
+                self._context.forward_peers.sample_next_hops(
                     self._task.service, to=self._task.forwarded_by
                 ),
             )
--- a/citronpin/gateway/forward_peers.py
+++ b/citronpin/gateway/forward_peers.py
@@ -69,16 +69,18 @@
         """Record that an entry took a request for a service."""
         self._add_next_hop(entry, service)
 
-    def recommended(self, entries: Iterable[EntryId], service: ApplicationName) -> None:
+    def add_next_hops(
+        self, entries: Iterable[EntryId], service: ApplicationName
+    ) -> None:
         """Record that another entry named entries that take requests for a service."""
         for entry in entries:
             if not self._is_avoided(entry, service):
                 self._add_next_hop(entry, service)
 
-    def recommend(
+    def sample_next_hops(
         self, service: ApplicationName, *, to: EntryId | None = None
     ) -> list[EntryId]:
-        """Return some next hops for a service, for another entry that asks in vain."""
+        """Return a few next hops for a service, to name them to another entry."""
         found = [
             entry
             for entry in self._next_hops_of(service)
--- a/citronpin/gateway/fronts.py
+++ b/citronpin/gateway/fronts.py
@@ -252,7 +252,7 @@
 
     def _refuse_arrival(self, arrival: "ForwardedArrival", refusal: Refusal) -> None:
         """Refuse a request, and name entries that may take it."""
-        next_hops = self._context.forward_peers.recommend(
+        next_hops = self._context.forward_peers.sample_next_hops(
             arrival.message.service, to=arrival.sender
         )
         self._refuse(arrival.req, arrival.reply, refusal, next_hops)
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -260,7 +260,7 @@
             if fault is Fault.UNSENT:
                 self._context.forward_peers.declined(self.entry, self._service)
                 names = decode_names(attempt.headers.get(NEXT_HOPS_HEADER, ""))
-                self._context.forward_peers.recommended(names, self._service)
+                self._context.forward_peers.add_next_hops(names, self._service)
         elif fault is Fault.UNSENT:
             self._context.forward_peers.unreachable(self.entry)
 
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -26,7 +26,7 @@
     Up to ``MAX_MESH_ENTRIES`` entries are all relays. With more, those of the lowest
     ranks are, without an election: an entry becomes a relay when it hears fewer than
     ``RELAY_COUNT`` relays of lower rank, and resigns when it hears enough of them. An
-    entry that reaches the instances that form groups hears only relays that do.
+    entry that reaches the instances that form groups counts only relays that do.
     """
 
     def __init__(self, *, name: EntryId) -> None:
--- a/citronpin/tests/test_forward_peers.py
+++ b/citronpin/tests/test_forward_peers.py
@@ -63,17 +63,17 @@
         peers.record_cut_off("n1", [SERVICE])
     else:
         peers.unreachable("n1")
-    peers.recommended(["n1"], SERVICE)
-    assert peers.recommend(SERVICE) == []
+    peers.add_next_hops(["n1"], SERVICE)
+    assert peers.sample_next_hops(SERVICE) == []
     paused_clock.advance(DECLINED_S)
-    peers.recommended(["n1"], SERVICE)
-    assert peers.recommend(SERVICE) == ["n1"]
-    assert peers.recommend(SERVICE, to="n1") == []
+    peers.add_next_hops(["n1"], SERVICE)
+    assert peers.sample_next_hops(SERVICE) == ["n1"]
+    assert peers.sample_next_hops(SERVICE, to="n1") == []
 
 
 def test_an_entry_may_take_requests_for_one_service_only(peers):
     peers.taken("n1", SERVICE)
-    assert peers.recommend("engines") == []
+    assert peers.sample_next_hops("engines") == []
 
 
 @pytest.mark.parametrize("names", [[], ["n1"], ["n1", "a,b", "\u5854", "x\r\ny"]])
--- a/citronpin/tests/test_forwards.py
+++ b/citronpin/tests/test_forwards.py
@@ -268,7 +268,7 @@
     world.clock.advance(FORWARD_TIME_S)
     assert reply.status == 503
     asking.forward_peers.set_peers([peers[sound.name]])
-    assert asking.forward_peers.recommend("book") == [sound.name]
+    assert asking.forward_peers.sample_next_hops("book") == [sound.name]
 
 
 @pytest.mark.parametrize("how", [Cut.HANG, Cut.MUTE, Cut.RESET])
