A registration that arrives late does not override a newer report

Cause: of a registration and a report of an instance, the controller took the one that arrived later for the newer one. A registration whose write was held up tells of a state before the report. One without a membership made the head of an open group a free instance.

Change: for a second after a report, a registration counts only if its life, epoch or phase is certainly later. Otherwise the next report decides.

--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -7,7 +7,7 @@
 from citronpin.basics.clocks import Clock
 from citronpin.basics.errors import CitronpinError
 from citronpin.basics.ids import InstanceId
-from citronpin.gateway.fleets import Fleet, FleetInstance
+from citronpin.gateway.fleets import Fleet, FleetInstance, Phase
 from citronpin.gateway.ports import InstanceControl, Report
 from citronpin.gateway.reachabilities import Reachability
 from citronpin.peers.messages import NO_LOAD
@@ -19,6 +19,8 @@
 DEAD_MISSES = 2  # a single miss may be a lost packet
 CERTAIN_MISSES = 5  # enough without other evidence
 REPORT_EXPIRY_S = 1.0  # a request for a report has ended by then
+REPORT_PRECEDENCE_S = 1.0  # before a registration that may have been written earlier
+PHASE_ORDER = (Phase.JOINING, Phase.READY, Phase.OPEN, Phase.CLOSING, Phase.BROKEN)
 SILENT_HEARTBEATS = 1.4  # heartbeat periods without a new registration
 
 
@@ -101,13 +103,19 @@
             del self._states[instance]
 
     def with_latest_report(self, instance: FleetInstance) -> FleetInstance:
-        """Return an instance with its report applied if newer than its registration."""
+        """Return an instance with its report applied if newer than its registration.
+
+        A registration that arrives after a report may have been written before it.
+        """
         state = self._states.get(instance.id)
         if state is None or state.report is None:
             return instance
-        if state.reported_s < self._fleet.registered_s(instance.id):
+        report, age_s = state.report, self._clock.now() - state.reported_s
+        arrived_later = self._fleet.registered_s(instance.id) > state.reported_s
+        if arrived_later and (
+            age_s > REPORT_PRECEDENCE_S or _is_later(instance, report)
+        ):
             return instance
-        report = state.report
         return msgspec.structs.replace(
             instance,
             membership=report.membership,
@@ -142,3 +150,19 @@
             return False  # registrations cannot be read now
         now_s = self._clock.now()
         return now_s - self._fleet.registered_s(instance.id) > self._silent_s
+
+
+def _is_later(registered: FleetInstance, report: Report) -> bool:
+    """Return whether a registration certainly tells of a later state than a report.
+
+    Within a life, epochs rise, and the phases of an epoch follow each other, but for a
+    head that goes back to ready when it has closed.
+    """
+    if registered.born_ms != report.born_ms:
+        return registered.born_ms > report.born_ms
+    new, old = registered.membership, report.membership
+    if new is None or old is None:
+        return new is not None
+    if new.epoch != old.epoch:
+        return new.epoch > old.epoch
+    return PHASE_ORDER.index(new.phase) > PHASE_ORDER.index(old.phase)
--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -141,6 +141,37 @@
     assert not simulation.platform.violations
 
 
+@pytest.mark.parametrize("phase_s", [0.0, 0.15, 0.3, 0.45])
+@pytest.mark.parametrize("number", range(4))
+def test_a_registration_that_arrives_late_moves_no_member_of_an_open_group(
+    number, phase_s
+):
+    # Score 878cd122: a head joined another group while its own was open.
+    simulation = PlatformSimulation(per_domain=12, controllers=2)
+    simulation.advance(8.0)
+    simulation.begin_traffic()
+    simulation.advance(6.0)
+    heads = sorted(simulation.platform.open_heads(), key=lambda head: head.name)
+    members = [
+        simulation.platform.instances[name]
+        for name in heads[number % len(heads)].member.members
+    ]
+    for member in members:
+        member.kill()
+    simulation.advance(0.2)
+    written = []
+    for member in members:
+        member.restart()
+        written.append(member.registration())
+    simulation.advance(4.0 + phase_s)
+    for member, registration in zip(members, written):
+        member.registration_count += 1
+        late = registration | {"sequence": member.registration_count}
+        simulation.store.put("keyed.servers", member.name, json.dumps(late).encode())
+    simulation.advance(3.0)
+    assert not simulation.platform.violations
+
+
 def test_a_converted_group_finishes_its_requests_first(simulation):
     for instance in simulation.platform.instances.values():
         instance.busy_s = 1.5
