Facts shared between entries: suspicions and withdrawn groups

Cause: above 16 entries suspicions reach only the relays, so each entry finds an unreachable instance by itself, and requests go to heads that left their group. Change: entries send facts to the relays, which forward them to all; enabled by NodeSettings.share_facts, where the contracts of the settings contain pool.

--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from citronpin.basics.clocks import MS_PER_S, Clock
 from citronpin.basics.errors import CitronpinError, ConnectionFailed, TimedOut
+from citronpin.basics.ids import InstanceId
 from citronpin.gateway.forward_codecs import REFUSAL_HEADER
 from citronpin.gateway.ports import HeaderNames
 from citronpin.web.clients import Exchange, HttpClient, ResponseSink
@@ -192,6 +193,14 @@
         """Return whether the answer says that the instance leaves."""
         return self.headers.get(self._names.leaving, "").strip() == "1"
 
+    def is_misdirected_at(self, instance: InstanceId) -> bool:
+        """Return whether an instance says that it does not serve the request itself.
+
+        With another id or none, another instance may have its address.
+        """
+        names_itself = self.headers.get(self._names.instance_id) == instance
+        return self.status == MISDIRECTED_STATUS and names_itself
+
     @property
     def is_genuine(self) -> bool:
         """Return whether the answer carries the instance's digest and no encoding."""
--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -37,6 +37,7 @@
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
+from citronpin.gateway.withdrawals import NO_WITHDRAWALS, Withdrawals
 from citronpin.web.clients import HttpClient
 from citronpin.web.replies import HttpRequest
 
@@ -130,7 +131,9 @@
         log: RequestLog,
         rng: random.Random,
         make_budget: Callable[[], RetryBudget],
+        withdrawals: Withdrawals = NO_WITHDRAWALS,
     ) -> None:
+        self.withdrawals = withdrawals
         self.clock = clock
         self.client = client
         self.names = names
--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -41,6 +41,7 @@
 from citronpin.gateway.routings import EngineSpec
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.watches import MemberWatch
+from citronpin.gateway.withdrawals import NO_WITHDRAWALS, Withdrawals
 from citronpin.peers.messages import HeadStatus
 
 logger = logging.getLogger(__name__)
@@ -74,7 +75,9 @@
         clock: Clock,
         heartbeat_s: float,
         reach: Reachability,
+        withdrawals: Withdrawals = NO_WITHDRAWALS,
     ) -> None:
+        self._withdrawals = withdrawals
         self._suspects = suspects
         self._reach = reach
         self.service = service
@@ -294,12 +297,16 @@
                 self._form(action, views, now_s)
             case Open():
                 self._opens[action.group] = now_s
+                self._withdrawals.end(action.group, action.epoch)
                 order = Order(
                     kind=OrderKind.OPEN, group=action.group, epoch=action.epoch
                 )
                 self._send(action.head, order, views)
             case Close():
                 self._closes.setdefault(action.group, now_s)
+                self._withdrawals.withdraw(
+                    action.group, action.epoch, reason=action.reason
+                )
                 order = Order(
                     kind=OrderKind.CLOSE,
                     group=action.group,
@@ -361,6 +368,8 @@
         leave = Order(
             kind=OrderKind.LEAVE, group=old_membership.group, epoch=old_membership.epoch
         )
+        if old_membership.rank == 0:
+            self._withdrawals.withdraw(leave.group, leave.epoch, reason=reason)
 
         def done(result: OrderResult) -> None:
             logger.info(
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -16,6 +16,7 @@
 from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.routings import EngineSpec, ModelSpec, RoutingTable
 from citronpin.gateway.suspects import Suspects
+from citronpin.gateway.withdrawals import NO_WITHDRAWALS, Withdrawals
 from citronpin.peers.messages import HeadStatus
 
 logger = logging.getLogger(__name__)
@@ -65,7 +66,9 @@
         clock: Clock,
         heartbeat_s: float,
         reach: Reachability,
+        withdrawals: Withdrawals = NO_WITHDRAWALS,
     ) -> None:
+        self._withdrawals = withdrawals
         self._reach = reach
         self._suspects = suspects
         self._pressures = Pressures(loads=loads)
@@ -150,6 +153,7 @@
                 clock=self._clock,
                 heartbeat_s=self._heartbeat_s,
                 reach=self._reach,
+                withdrawals=self._withdrawals,
             )
         return self._controllers[key]
 
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -8,6 +8,7 @@
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, EntryId, InstanceId
 from citronpin.gateway.fabrics import Fabrics
+from citronpin.gateway.facts import SUSPECT, Facts
 from citronpin.gateway.fleets import Fleet, Membership, PeerGroupReport, Phase
 from citronpin.gateway.forward_peers import ForwardPeers
 from citronpin.gateway.limits import InstanceLimits
@@ -22,6 +23,7 @@
 from citronpin.peers.links import Links
 from citronpin.peers.messages import (
     NO_LOAD,
+    Fact,
     HeadStatus,
     Message,
     PermitReply,
@@ -38,6 +40,11 @@
 CRASH_REFRESH_S = 5.0  # repeats what an entry may have missed
 OWNER_EXPIRY_S = 1.5  # two updates of an entry
 LEASE_RETURN_S = 2.0  # from the end of a cut until leases are requested again
+# The path is proved and the next update sent within it; shorter than half of the time
+# to live, so that a suspicion is told once.
+SUSPECT_NEWS_S = 0.45
+SUSPECT_TTL_S = 1.0
+CATCH_UPS_PER_TICK = 4  # entries that get the current facts again; others wait
 PRESENCE_S = 7_200.0  # for which part of the limits is kept for a silent entry
 
 
@@ -47,7 +54,8 @@
     With up to ``MAX_MESH_ENTRIES`` entries, each sends its requests in progress to all
     others. With more, the relays, which also hold the leases, send all others the
     serving groups, the reports of their heads and the positions read from the store;
-    the other entries send only their suspicions, and only to the relays.
+    the other entries send only their suspicions and facts, and only to the relays,
+    which forward the facts.
     """
 
     def __init__(
@@ -68,7 +76,12 @@
         reach: Reachability,
         forward_peers: ForwardPeers,
         clock: Clock,
+        facts: Facts | None = None,
     ) -> None:
+        self._facts = facts or Facts(entry=role.name, clock=clock)
+        self._facts.subscribe(SUSPECT, self._apply_suspicion)
+        # Entries that were not heard for a while, which get the current facts.
+        self._catch_ups: dict[EntryId, None] = {}
         self.role = role
         self._reach = reach
         self._forward_peers = forward_peers
@@ -147,6 +160,13 @@
             cut_off=self._reach.cut_off_services(),
             leaving=self._fleet.leaving(),
         )
+        self._facts.set_relays(
+            self._owners, forwards=self.role.is_relay and not is_mesh
+        )
+        self._publish_suspicions(
+            self._suspects.recently_suspected(since_s=now_s - SUSPECT_NEWS_S)
+        )
+        self._send_catch_ups(update)
         if not self._is_due(update, is_mesh, now_s):
             return
         self._last_update = update
@@ -161,6 +181,8 @@
         if self._quarantine.has_news:
             reports = self._quarantine.take_reports(now_s=now_s)
             update = msgspec.structs.replace(update, crashes=reports)
+        if self._facts.has_news:
+            update = msgspec.structs.replace(update, facts=self._facts.take_news())
         if alive := self._owned_alive(now_s):
             update = msgspec.structs.replace(update, alive=alive)
         self._links.send_all(self._connected, update)
@@ -181,6 +203,36 @@
             return suspects
         return tuple(self._without(dict.fromkeys(suspects), uncertain))
 
+    def _publish_suspicions(self, instances: Iterable[InstanceId]) -> None:
+        """Tell that instances do not answer, unless the path to them is in doubt."""
+        uncertain = self._reach.uncertain_services()
+        for name in instances:
+            known = self._fleet.get(name)
+            if known is not None and known.service not in uncertain:
+                self._facts.put(SUSPECT, name, known.born_ms, ttl_s=SUSPECT_TTL_S)
+
+    def _apply_suspicion(self, fact: Fact) -> None:
+        """Avoid an instance that another entry suspects, in the same life."""
+        known = self._fleet.get(InstanceId(fact.subject))
+        if known is not None and known.born_ms == fact.value:
+            self._suspects.suspected_by_peer(known.id, now_s=self._clock.now())
+
+    def _send_catch_ups(self, update: StatusUpdate) -> None:
+        """Send the current facts to some of the entries that may have missed them.
+
+        Relays send those of all entries; each other entry sends its own.
+        """
+        if not self._catch_ups:
+            return
+        facts = self._facts.current(own_only=not self.role.is_relay)
+        if not facts:
+            self._catch_ups.clear()
+            return
+        update = msgspec.structs.replace(update, facts=facts)
+        for entry in list(self._catch_ups)[:CATCH_UPS_PER_TICK]:
+            del self._catch_ups[entry]
+            self._send(entry, update)
+
     def _without(
         self, values: dict[InstanceId, int], services: Collection[ApplicationName]
     ) -> dict[InstanceId, int]:
@@ -230,7 +282,7 @@
         since_s = now_s - self._last_sent_s
         if not is_mesh and self.role.is_relay:
             return since_s >= RELAY_UPDATE_INTERVAL_S - UPDATE_INTERVAL_S / 2
-        if self._quarantine.has_news or self._limits.has_news:
+        if self._quarantine.has_news or self._limits.has_news or self._facts.has_news:
             return True
         if update != self._last_update:
             return True
@@ -323,6 +375,9 @@
             self._fleet.set_leaving(InstanceId(instance), born_ms)
         for instance in message.suspects:
             self._suspects.suspected_by_peer(InstanceId(instance), now_s=now_s)
+        if self.role.is_relay and not message.relay:
+            # An older build sends no facts, and its suspicions only to relays.
+            self._publish_suspicions(map(InstanceId, message.suspects))
         if message.traffic:
             self._fabrics.traffic_began = True
         if message.relay:
@@ -355,7 +410,10 @@
                 self._forward_limit(instance)
             for key in self._quarantine.notable():
                 self._quarantine.add_news(key)
+            if self._facts.is_shared:
+                self._catch_ups[sender] = None
         self._heard_s[sender] = now_s
+        self._facts.apply(message.facts, source=sender)
         is_mesh = len(self._addresses()) < MAX_MESH_ENTRIES
         for report in message.limits:
             has_changed = self._limits.apply_report(report, source=sender)
--- a/citronpin/gateway/instance_gates.py
+++ b/citronpin/gateway/instance_gates.py
@@ -8,6 +8,7 @@
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.suspects import Suspects
+from citronpin.gateway.withdrawals import NO_WITHDRAWALS, Withdrawals
 
 logger = logging.getLogger(__name__)
 
@@ -17,6 +18,7 @@
 
     GONE = "gone"  # its registration is missing
     LEAVING = "leaving"
+    WITHDRAWN = "withdrawn"  # its group ends or has ended
     RESTING = "resting"
     LIMITED = "limited"  # no permit is expected now
     SUSPECTED = "suspected"  # only while others can take the request
@@ -37,7 +39,9 @@
         rests: InstanceRests,
         suspects: Suspects,
         clock: Clock,
+        withdrawals: Withdrawals = NO_WITHDRAWALS,
     ) -> None:
+        self._withdrawals = withdrawals
         self._fleet = fleet
         self._limits = limits
         self._rests = rests
@@ -56,6 +60,8 @@
             return Barrier.GONE
         if known.draining:
             return Barrier.LEAVING
+        if self._withdrawals.is_withdrawn(known):
+            return Barrier.WITHDRAWN
         if self._rests.wait_s(known) > 0.0:
             return Barrier.RESTING
         is_limited = self._limits.rate(known) is not None
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -18,6 +18,7 @@
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.fabrics import Fabrics
+from citronpin.gateway.facts import Facts
 from citronpin.gateway.fingerprints import Fingerprints, is_fingerprint
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.forward_codecs import ForwardCodec
@@ -44,6 +45,7 @@
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
 from citronpin.gateway.suspects import Suspects
+from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.peers.links import NngLinks
 from citronpin.web.clients import HttpClient
 from citronpin.web.http_conns import ServerLimits
@@ -79,6 +81,8 @@
     repeat_ratio: float  # retries per request, over all entries
     repeat_slack: float  # retries allowed beyond the ratio, over all entries
     repeat_window_s: float
+    # Whether entries tell each other of unreachable instances and withdrawn groups.
+    share_facts: bool = False
 
 
 class PlatformConnector(ABC):
@@ -138,12 +142,15 @@
         self.quarantine = CrashQuarantine(policy=ConsecutiveCrashes())
         self.limits = InstanceLimits(now=clock.now)
         self.rests = InstanceRests(now=clock.now)
+        self.facts = Facts(entry=cfg.name, clock=clock, is_shared=cfg.share_facts)
+        self.withdrawals = Withdrawals(facts=self.facts)
         self.gate = InstanceGate(
             fleet=self.fleet,
             limits=self.limits,
             rests=self.rests,
             suspects=self.suspects,
             clock=clock,
+            withdrawals=self.withdrawals,
         )
         self.permits = SharedPermits(entry=cfg.name, limits=self.limits, clock=clock)
         self.fingerprints = Fingerprints()
@@ -180,6 +187,21 @@
             "Instances that want no request from this entry now.",
             self.rests.count,
         )
+        self.metrics.gauges.add(
+            "shared_facts",
+            "Facts of all entries that are kept now.",
+            lambda: self.facts.count,
+        )
+        self.metrics.gauges.add(
+            "shared_facts_dropped",
+            "Facts that were malformed, or too many to keep, since the start.",
+            lambda: self.facts.dropped,
+        )
+        self.metrics.gauges.add(
+            "withdrawn_groups",
+            "Groups that get no more requests, whatever their registrations say.",
+            lambda: self.withdrawals.count,
+        )
         self._rng = rng or random.Random()
         self.reach = Reachability(
             fleet=self.fleet,
@@ -223,6 +245,7 @@
             clock=clock,
             heartbeat_s=cfg.heartbeat_s,
             reach=self.reach,
+            withdrawals=self.withdrawals,
         )
         self._add_servers()
         clock.call_later(0.0, self._start_components)
@@ -258,6 +281,7 @@
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
             make_budget=self._make_budget,
+            withdrawals=self.withdrawals,
         )
 
     def _count_quarantined(self, field: str) -> int:
@@ -399,6 +423,7 @@
             reach=self.reach,
             forward_peers=self.forward_peers,
             clock=self.clock,
+            facts=self.facts,
         )
         self.gossip.start()
 
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -24,6 +24,7 @@
     key: str  # of a customer, never forwarded
     customer: str  # set by the entry for the instance
     expect_instance: str  # makes any other instance refuse the request
+    instance_id: str  # in a refusal of a misdirected request: the instance that answers
     not_run: str  # in an answer: the request did not run
     digest: str  # in an answer: digest of the whole body
     model: str
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -136,6 +136,17 @@
                 self.instance, rate=attempt.named_limit, sent_s=attempt.sent_s
             )
             self._context.quarantine.record_answer(self.instance, sent_s=attempt.sent_s)
+        elif attempt.is_misdirected_at(self.instance.id):
+            self._withdraw_group()
+
+    def _withdraw_group(self) -> None:
+        """Withdraw the group that the instance led, since it no longer does."""
+        # The head was open before the request was sent, and phases follow each other.
+        if self.instance.is_serving_head:
+            membership = self.instance.membership
+            self._context.withdrawals.withdraw(
+                membership.group, membership.epoch, reason="its head refused a request"
+            )
 
     def record_progress(self):
         self._context.suspects.succeeded(self.instance.id, now_s=self._now_s)
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -231,6 +231,20 @@
     age_ms: int
 
 
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """What ``source`` found out about a subject, for a limited time.
+
+    Of two with the same kind and subject, that of the higher (version, source) holds.
+    """
+
+    kind: str
+    subject: str
+    value: float
+    version: int  # Unix time in ms, or one more than that of the fact it replaces
+    source: EntryId
+    ttl_ms: int  # left to live when it was sent
+
+
 class StatusUpdate(Message, tag=18):
     """Reports the sender's requests in progress, suspects and serving groups."""
 
@@ -249,6 +263,7 @@
     cut_off: tuple[ApplicationName, ...] = ()  # services that it does not reach
     # Start in Unix ms of the lives of instances that said in answers that they leave.
     leaving: dict[InstanceId, int] = {}
+    facts: tuple[Fact, ...] = ()  # that the others may not know yet
 
 
 class PermitRequest(Message, tag=19):
--- a/citronpin/platform/names.py
+++ b/citronpin/platform/names.py
@@ -8,6 +8,7 @@
     key="x-citronpin-key",
     customer="x-citronpin-tenant",
     expect_instance="x-citronpin-expect-instance",
+    instance_id="x-citronpin-instance-id",
     not_run="x-citronpin-not-executed",
     digest="x-citronpin-response-signature",
     model="x-citronpin-model",
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -4,6 +4,7 @@
 import logging
 import os
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -17,6 +18,7 @@
 
 PATH_VARIABLE = "CITRONPIN_SETTINGS"
 DEFAULT_PATH = "/etc/citronpin/settings.json"
+POOL_CONTRACT = "pool"  # many entries share a pool of instances
 
 
 class WireListen(msgspec.Struct, kw_only=True):
@@ -54,9 +56,14 @@
     listen: WireListen
     internal_ports: tuple[int, int]  # first and last
     platform: WireStore
+    contracts: Any = ()  # list of the rules in force, by name
     heartbeat_ms: int = 1_200  # interval at which instances renew registrations
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
 
+    def has_contract(self, name: str) -> bool:
+        """Return whether a rule is in force; in a list of another form none is."""
+        return isinstance(self.contracts, (list, tuple)) and name in self.contracts
+
 
 def settings_path() -> Path:
     """Return the path of the settings file."""
@@ -100,4 +107,5 @@
         repeat_ratio=settings.bounds.retry_budget_ratio,
         repeat_slack=settings.bounds.retry_budget_slack,
         repeat_window_s=settings.bounds.budget_window_s,
+        share_facts=settings.has_contract(POOL_CONTRACT),
     )
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -15,6 +15,7 @@
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.contexts import ExchangeContext
+from citronpin.gateway.facts import Facts
 from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.forward_codecs import ForwardCodec
@@ -31,6 +32,7 @@
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.suspects import Suspects
+from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import REPORT_PATH, HttpInstanceControl
 from citronpin.tests.platforms.clients import MemoryClient
@@ -131,6 +133,7 @@
         name="n0",
         client=None,
         failure_domain="a",
+        share_facts=False,
         **config,
     ):
         self.clock = clock
@@ -144,12 +147,15 @@
         self.name = EntryId(name)
         self.limits = InstanceLimits(now=clock.now)
         self.rests = InstanceRests(now=clock.now)
+        self.facts = Facts(entry=self.name, clock=clock, is_shared=share_facts)
+        self.withdrawals = Withdrawals(facts=self.facts)
         self.gate = InstanceGate(
             fleet=self.fleet,
             limits=self.limits,
             rests=self.rests,
             suspects=self.suspects,
             clock=clock,
+            withdrawals=self.withdrawals,
         )
         self.fingerprints = Fingerprints()
         self.fingerprints.set_key(b"shared")
@@ -201,6 +207,7 @@
             log=RequestLog(metrics=self.metrics),
             rng=rng,
             make_budget=lambda: RetryBudget(ratio=0.2, slack=100, window_s=10),
+            withdrawals=self.withdrawals,
         )
         self.context.table = make_routing_table(**({"routes": ROUTES} | config))
         self.front = FrontHandler(context=self.context)
--- a/citronpin/tests/test_platform.py
+++ b/citronpin/tests/test_platform.py
@@ -494,6 +494,11 @@
     assert (cfg.name, cfg.failure_domain, cfg.grace_s) == ("front-1", "a", 8)
     assert (cfg.peers, cfg.metrics) == ("10.1.0.4:7000", "10.1.0.4:9464")
     assert cfg.forward == "10.1.0.4:7010"
+    assert not cfg.share_facts
+    for contracts, expected in (["pool"], True), (["places"], False), ({}, False):
+        path.write_text(json.dumps(raw | {"contracts": contracts}))
+        cfg = node_settings(read_process_settings(path).unwrap(), 9464)
+        assert cfg.share_facts is expected
     path.write_text(json.dumps(raw | {"internal-ports": [7000, 7000]}))
     assert "two ports or more" in str(read_process_settings(path).unwrap_err())
 
