--- a/citronpin/gateway/instance_gates.py
+++ b/citronpin/gateway/instance_gates.py
@@ -71,6 +71,10 @@
             return Barrier.SUSPECTED
         return None
 
+    def is_withdrawn(self, instance: FleetInstance) -> bool:
+        """Return whether an instance serves only by a registration that is outdated."""
+        return self._withdrawals.is_withdrawn(instance)
+
     def wait_s(self, instance: FleetInstance) -> float:
         """Return the seconds for which the rest or limit of an instance lasts."""
         return max(self._rests.wait_s(instance), self._limits.wait_s(instance))
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -154,6 +154,7 @@
             and instance.id not in demand.excluded
             and not self._fleet.is_missing(instance.id)
             and serves(instance, demand.pending.model)
+            and not self._gate.is_withdrawn(instance)
         ]
 
     def _least_costly(self, instances: Sequence[FleetInstance]) -> FleetInstance:
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -8,6 +8,7 @@
 import pytest
 
 from citronpin.basics.ids import EntryId, GroupId, InstanceId, ModelName
+from citronpin.gateway.facts import Facts
 from citronpin.gateway.fleets import (
     PEER_REPORT_TTL_S,
     Fleet,
@@ -80,8 +81,9 @@
 
 
 class Node:
-    def __init__(self, name, network, clock):
+    def __init__(self, name, network, clock, share_facts=False):
         self.name = EntryId(name)
+        self.facts = Facts(entry=self.name, clock=clock, is_shared=share_facts)
         self.loads = LoadTracker()
         self.suspects = Suspects()
         self.quarantine = CrashQuarantine(policy=ConsecutiveCrashes())
@@ -120,6 +122,7 @@
             reach=self.reach,
             forward_peers=self.forward_peers,
             clock=clock,
+            facts=self.facts,
         )
 
 
