Nothing more is sent to the instances of evacuated failure domains

Cause: nothing read the key evacuate/DOMAIN of the operator's topic.

Change: ConfigFeed passes the key to Evacuations, and InstanceGate answers Barrier.EVACUATED, which every path to an instance passes. Groups of the domain stay formed and are repaired, are not counted in Pressures, are not converted, and no new group is formed there. Without a domain left, requests are refused at once. New bound evacuate-ms, metric, view and log lines.

Not run on real processes.

--- a/citronpin/commands/commands_entries.py
+++ b/citronpin/commands/commands_entries.py
@@ -28,6 +28,7 @@
     "leases",
     "peers",
     "limits",
+    "evacuations",
     "quarantines",
 )
 
--- a/citronpin/gateway/conversions.py
+++ b/citronpin/gateway/conversions.py
@@ -88,7 +88,7 @@
         )
 
     def _count_usable_for(self, group: GroupView, spec: ModelSpec) -> int:
-        if group.spec.name == spec.name:
+        if group.spec.name == spec.name or self._draft.is_evacuated(group):
             return 0
         members = (self._draft.find_instance(member) for member in group.members)
         return sum(
--- a/citronpin/gateway/drafts.py
+++ b/citronpin/gateway/drafts.py
@@ -94,6 +94,11 @@
             )
         ]
 
+    def is_evacuated(self, group: GroupView) -> bool:
+        """Return whether a member of a group is in an evacuated failure domain."""
+        members = (self.find_instance(member) for member in group.members)
+        return any(found is not None and found.evacuated for found in members)
+
     def used_share(self, spec: ModelSpec) -> float:
         """Return the share of a model's slots in use over all domains, 0 to 1."""
         pressure = self.view.pressures.get(spec.name)
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -435,15 +435,22 @@
     def _refuse_blocked(self, failure: PlacementFailure) -> None:
         """Refuse a request that no limit or rest admits, until one is expected to."""
         limits, now_s = self._context.limits, self._context.clock.now()
+        waiting = []
         for instance, barrier in zip(failure.blocked, failure.barriers):
             self._log_barrier(instance, barrier)
-        rate = sum(limits.rate(instance) or 0.0 for instance in failure.blocked)
+            if barrier is not Barrier.EVACUATED:
+                waiting.append(instance)
+        if not waiting:
+            # Nobody knows when an evacuation ends.
+            self._refuse(failure.reason)
+            return
+        rate = sum(limits.rate(instance) or 0.0 for instance in waiting)
         rests = Barrier.RESTING in failure.barriers
         wait_s = self._context.blocked_retry_delays.delay_s(
             service=self._task.service,
             rate=rate / self._context.entry_count,
             rests=rests,
-            first_s=min(map(self._context.gate.wait_s, failure.blocked)),
+            first_s=min(map(self._context.gate.wait_s, waiting)),
             left_s=self._task.deadline_s - now_s,
             draw=self._context.rng.random(),
             now_s=now_s,
--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -16,6 +16,7 @@
     ModelName,
 )
 from citronpin.gateway.budgets import SlidingCount
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.planners import GroupPlanner
 from citronpin.gateway.plans import (
@@ -74,7 +75,9 @@
         clock: Clock,
         heartbeat_s: float,
         reach: Reachability,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations(now=clock.now)
         self._suspects = suspects
         self._reach = reach
         self.service = service
@@ -203,6 +206,7 @@
             instance=latest,
             dead=replaced or self._watch.is_dead(instance, suspected=suspected),
             last_model=model if born_ms == latest.born_ms else None,
+            evacuated=self._evacuations.covers(instance),
         )
 
     def _suspected_groups(
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -7,6 +7,7 @@
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, DomainName, ModelName
 from citronpin.basics.loop_faults import call_each
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabric_controllers import TICK_INTERVAL_S, FabricController
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.load_trackers import LoadTracker
@@ -65,7 +66,9 @@
         clock: Clock,
         heartbeat_s: float,
         reach: Reachability,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations(now=clock.now)
         self._reach = reach
         self._suspects = suspects
         self._pressures = Pressures(loads=loads)
@@ -122,7 +125,10 @@
     def _tick_service(self, service: ApplicationName, engine: EngineSpec) -> None:
         instances = list(self._fleet.of_service(service))
         domains = {instance.domain for instance in instances}
-        pressures = self._pressures.update(models=engine.models, instances=instances)
+        pressures = self._pressures.update(
+            models=engine.models,
+            instances=[x for x in instances if not self._evacuations.covers(x)],
+        )
         call_each(
             partial(
                 self._tick_domain,
@@ -150,6 +156,7 @@
                 clock=self._clock,
                 heartbeat_s=self._heartbeat_s,
                 reach=self._reach,
+                evacuations=self._evacuations,
             )
         return self._controllers[key]
 
--- a/citronpin/gateway/instance_gates.py
+++ b/citronpin/gateway/instance_gates.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from citronpin.basics.clocks import Clock
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.rests import InstanceRests
@@ -17,13 +18,14 @@
 
     GONE = "gone"  # its registration is missing
     LEAVING = "leaving"
+    EVACUATED = "evacuated"  # its failure domain is
     RESTING = "resting"
     LIMITED = "limited"  # no permit is expected now
     SUSPECTED = "suspected"  # only while others can take the request
 
 
 class InstanceGate:
-    """Combines what the registrations, limits, rests and suspicions say.
+    """Combines what registrations, evacuations, limits, rests and suspicions say.
 
     Every path to an instance passes it: first tries, retries, resumed streams, requests
     of other entries, and requests that waited for a permit.
@@ -37,12 +39,14 @@
         rests: InstanceRests,
         suspects: Suspects,
         clock: Clock,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._fleet = fleet
         self._limits = limits
         self._rests = rests
         self._suspects = suspects
         self._clock = clock
+        self._evacuations = evacuations or Evacuations(now=clock.now)
 
     def barrier(
         self, instance: FleetInstance, *, accepts_limited: bool = True
@@ -56,6 +60,8 @@
             return Barrier.GONE
         if known.draining:
             return Barrier.LEAVING
+        if self._evacuations.covers(known):
+            return Barrier.EVACUATED
         if self._rests.wait_s(known) > 0.0:
             return Barrier.RESTING
         is_limited = self._limits.rate(known) is not None
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -17,6 +17,7 @@
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.contexts import ExchangeContext
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fingerprints import Fingerprints, is_fingerprint
 from citronpin.gateway.fleets import Fleet
@@ -138,12 +139,14 @@
         self.quarantine = CrashQuarantine(policy=ConsecutiveCrashes())
         self.limits = InstanceLimits(now=clock.now)
         self.rests = InstanceRests(now=clock.now)
+        self.evacuations = Evacuations(now=clock.now)
         self.gate = InstanceGate(
             fleet=self.fleet,
             limits=self.limits,
             rests=self.rests,
             suspects=self.suspects,
             clock=clock,
+            evacuations=self.evacuations,
         )
         self.permits = SharedPermits(entry=cfg.name, limits=self.limits, clock=clock)
         self.fingerprints = Fingerprints()
@@ -180,6 +183,11 @@
             "Instances that want no request from this entry now.",
             self.rests.count,
         )
+        self.metrics.gauges.add(
+            "evacuated_domains",
+            "Failure domains whose instances get no requests.",
+            lambda: len(self.evacuations.domains()),
+        )
         self._rng = rng or random.Random()
         self.reach = Reachability(
             fleet=self.fleet,
@@ -223,6 +231,7 @@
             clock=clock,
             heartbeat_s=cfg.heartbeat_s,
             reach=self.reach,
+            evacuations=self.evacuations,
         )
         self._add_servers()
         clock.call_later(0.0, self._start_components)
@@ -277,6 +286,7 @@
         routes.add("GET", METRICS_PATH, self._answer_metrics)
         routes.add("GET", "/admin", self._list_views)
         routes.add("GET", "/admin/limits", self._answer_limits)
+        routes.add("GET", "/admin/evacuations", self._answer_evacuations)
         routes.add("GET", "/admin/quarantines", self._answer_quarantines)
         routes.add("POST", "/admin/quarantines/{key}/release", self._release_key)
         self.server = self._serve(self.cfg.front, self.front, "front")
@@ -308,7 +318,7 @@
         reply.send_response(200, self.metrics.text(), METRICS_TYPE)
 
     def _list_views(self, req: HttpRequest, reply: Reply) -> None:
-        reply.json(200, ["quarantines", "limits"])
+        reply.json(200, ["quarantines", "limits", "evacuations"])
 
     def _answer_limits(self, req: HttpRequest, reply: Reply) -> None:
         rows = [
@@ -318,6 +328,9 @@
         ]
         reply.json(200, rows)
 
+    def _answer_evacuations(self, req: HttpRequest, reply: Reply) -> None:
+        reply.json(200, self.evacuations.rows())
+
     def _answer_quarantines(self, req: HttpRequest, reply: Reply) -> None:
         reply.json(200, self.quarantine.rows(now_s=self.clock.now()))
 
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -181,6 +181,8 @@
 
 
 def _blocked_reason(barriers: Collection[Barrier]) -> str:
+    if set(barriers) == {Barrier.EVACUATED}:
+        return "all instances are in evacuated failure domains"
     if Barrier.RESTING not in barriers:
         return "all instances are at their request limits"
     if Barrier.LIMITED not in barriers:
--- a/citronpin/gateway/planners.py
+++ b/citronpin/gateway/planners.py
@@ -50,6 +50,9 @@
     a second model that their hosts already hold. ``spare_share`` keeps a fraction of
     each domain idle instead.
 
+    In an evacuated failure domain, groups are repaired, but none is converted and no
+    new one is formed.
+
     During a burst for one model while another has free slots, domains take turns in
     giving up a group of the latter for one of the former.
     """
@@ -83,9 +86,11 @@
         )
         repairs.repair(broken, pool)
         repairs.replace_draining(pool)
-        Conversions(draft=draft).free_members(pool)
+        with pool.without_evacuated():
+            Conversions(draft=draft).free_members(pool)
         repairs.repair(broken, pool)
-        repairs.form_missing(pool)
+        with pool.without_evacuated():
+            repairs.form_missing(pool)
         repairs.open_ready()
         reserve = math.ceil(self._reserve_share * usable)
         Stagings(draft=draft).stage(pool, reserve)
--- a/citronpin/gateway/plans.py
+++ b/citronpin/gateway/plans.py
@@ -19,6 +19,7 @@
     instance: FleetInstance
     dead: bool = False
     last_model: ModelName | None = None  # of its latest group since the process start
+    evacuated: bool = False  # no requests are sent to it
 
     @property
     def is_usable(self) -> bool:
--- a/citronpin/gateway/pools.py
+++ b/citronpin/gateway/pools.py
@@ -1,7 +1,8 @@
 """Tracks the instances of a domain that are free to join a group."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 
 from citronpin.basics.ids import InstanceId, ModelName
 from citronpin.gateway.plans import InstanceView
@@ -26,6 +27,16 @@
         """Remove an instance if it is in the pool."""
         self._free.pop(member, None)
 
+    @contextmanager
+    def without_evacuated(self) -> Iterator[None]:
+        """Hold back the instances of evacuated failure domains in a `with` block."""
+        held = [observed for observed in self.values() if observed.evacuated]
+        for observed in held:
+            self.drop(observed.instance.id)
+        yield
+        for observed in held:
+            self.add(observed)
+
     def values(self) -> list[InstanceView]:
         """Return the instances sorted by id."""
         return sorted(self._free.values(), key=lambda observed: observed.instance.id)
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -9,8 +9,9 @@
 from result import Result
 
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
-from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
 from citronpin.basics.loop_faults import call_each
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import SharedFeeds
 from citronpin.gateway.registrations import (
@@ -36,6 +37,7 @@
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"  # of a key that ends with a failure domain
 INSTANCES_TOPIC = "keyed.servers"
 # Of the time until a change must be in force. An unanswered read is given up after it,
 # and the rest is left for the next read.
@@ -316,7 +318,7 @@
     """Passes each newer version of the configuration to ``apply``.
 
     A change is applied within ``apply_s`` seconds, also after the answer to one read
-    was lost.
+    was lost, and an evacuation within ``evacuate_s``.
     """
 
     def __init__(
@@ -326,8 +328,11 @@
         clock: Clock,
         apply: Callable[[GatewayConfig], None],
         apply_s: float,
+        evacuations: Evacuations | None = None,
+        evacuate_s: float = float("inf"),
     ) -> None:
-        long_poll_s = CONFIG_READ_FRACTION * apply_s - LONG_POLL_MARGIN_S
+        within_s = min(apply_s, evacuate_s)
+        long_poll_s = CONFIG_READ_FRACTION * within_s - LONG_POLL_MARGIN_S
         super().__init__(
             store=store,
             clock=clock,
@@ -337,6 +342,7 @@
         )
         self._apply = apply
         self._apply_s = apply_s
+        self._evacuations = evacuations or Evacuations(now=clock.now)
         self._version = -1
         self._has_failed = False  # whether the latest read did
         # Latest clock time at which certainly no newer version existed.
@@ -351,6 +357,10 @@
         """Return whether every version that must be in force by now was read."""
         return self.age_s() <= self._apply_s
 
+    def on_new_era(self) -> str:
+        self._evacuations.history_lost()
+        return super().on_new_era()
+
     def _needs_newest(self) -> bool:
         # Whole versions pile up while reads fail, of which only the newest one matters.
         return self._has_failed or super()._needs_newest()
@@ -377,9 +387,18 @@
         self._has_failed = False
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
-        call_each(partial(self._apply_record, record) for record in records)
+        # Evacuations first: no request is placed by a configuration without them.
+        found = {_evacuated_domain(rec) for rec in records if rec.value is not None}
+        self._evacuations.apply_snapshot(found - {None})
+        configs = (record for record in records if record.key == CONFIG_KEY)
+        call_each(partial(self._apply_record, record) for record in configs)
 
     def _apply_record(self, record: Record) -> None:
+        domain = _evacuated_domain(record)
+        if domain is not None and record.value is None:
+            self._evacuations.revoke(domain)
+        elif domain is not None:
+            self._evacuations.evacuate(domain)
         if record.key != CONFIG_KEY or record.value is None:
             return
         result = decode_config(record.value)
@@ -393,6 +412,13 @@
         self._apply(cfg)
 
 
+def _evacuated_domain(record: Record) -> FailureDomainName | None:
+    """Return the failure domain whose evacuation a record begins or ends."""
+    if not record.key.startswith(EVACUATION_PREFIX):
+        return None
+    return FailureDomainName(record.key.removeprefix(EVACUATION_PREFIX)) or None
+
+
 class FleetFeed(KeyedFeed):
     """Updates a fleet from the registrations of the instances.
 
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -79,6 +79,8 @@
             clock=self._clock,
             apply=node.apply_config,
             apply_s=self._settings.bounds.config_apply_ms / MS_PER_S,
+            evacuations=node.evacuations,
+            evacuate_s=self._settings.bounds.evacuate_ms / MS_PER_S,
         )
         node.context.is_table_current = lambda: config.is_current
         node.metrics.gauges.add(
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -32,6 +32,7 @@
     grace_s: float = 8.0  # from SIGTERM to SIGKILL
     drain_ms: float = 2_000.0  # until a draining instance gets no more requests
     config_apply_ms: float = 2_000.0  # until a confirmed configuration is in force
+    evacuate_ms: float = 5_000.0  # until a confirmed evacuation is in effect
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 100.0
     budget_window_s: float = 10.0
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -15,6 +15,7 @@
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.contexts import ExchangeContext
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.forward_codecs import ForwardCodec
@@ -144,12 +145,14 @@
         self.name = EntryId(name)
         self.limits = InstanceLimits(now=clock.now)
         self.rests = InstanceRests(now=clock.now)
+        self.evacuations = Evacuations(now=clock.now)
         self.gate = InstanceGate(
             fleet=self.fleet,
             limits=self.limits,
             rests=self.rests,
             suspects=self.suspects,
             clock=clock,
+            evacuations=self.evacuations,
         )
         self.fingerprints = Fingerprints()
         self.fingerprints.set_key(b"shared")
--- a/citronpin/tests/platforms/simulations.py
+++ b/citronpin/tests/platforms/simulations.py
@@ -4,6 +4,7 @@
 import random
 
 from citronpin.basics.clocks import Clock, PausedClock
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fleets import Fleet
 from citronpin.gateway.load_trackers import LoadTracker
@@ -99,6 +100,7 @@
             clock=self.clock,
             rng=random.Random(simulation.controller_count),
         )
+        self.evacuations = Evacuations(now=self.clock.now)
         self.fabrics = Fabrics(
             fleet=self.fleet,
             planner=simulation.planner,
@@ -109,6 +111,7 @@
             clock=self.clock,
             heartbeat_s=1.2,
             reach=self.reach,
+            evacuations=self.evacuations,
         )
         self.fabrics.table = make_routing_table()
         self.fabrics.traffic_began = not simulation.platform.is_before_traffic
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet
 from citronpin.platform.feeds import (
     CONFIRMATION_MAX_AGE_S,
@@ -24,6 +25,7 @@
 STORE_ADDRESS = "10.9.9.9:1"
 DRAIN_S = 2.0
 CONFIG_APPLY_S = 2.0
+EVACUATE_S = 5.0
 RELAY_UPDATE_INTERVAL_S = 0.3
 RELAY_READ_INTERVAL_S = 0.3
 
@@ -48,11 +50,13 @@
         fleet_feed = FleetFeed(
             store=store, clock=clock, fleet=self.fleet, drain_s=DRAIN_S
         )
+        self.evacuations = Evacuations(now=clock.now)
         config_feed = ConfigFeed(
             store=store,
             clock=clock,
             apply=lambda cfg: self.versions.append(cfg.version),
             apply_s=CONFIG_APPLY_S,
+            evacuations=self.evacuations,
         )
         if relay:
             fleet_feed.set_read_interval(RELAY_READ_INTERVAL_S)
@@ -192,6 +196,16 @@
     assert simulation.follower.versions == [3, 7]
 
 
+def test_follower_learns_in_time_of_evacuations(paused_clock, simulation):
+    simulation.store.put("keyed.op", "evacuate/z0", b"{}")
+    paused_clock.advance(EVACUATE_S)
+    assert simulation.follower.evacuations.domains() == ["z0"]
+    simulation.store.put("keyed.op", "evacuate/z0", b"")
+    paused_clock.advance(EVACUATE_S)
+    assert simulation.follower.evacuations.domains() == []
+    assert simulation.follower.versions == [3]
+
+
 @pytest.mark.parametrize("silent", [1, 2])
 def test_follower_reads_itself_with_fewer_than_two_relays(
     paused_clock, simulation, silent
