--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -16,6 +16,7 @@
     ModelName,
 )
 from citronpin.gateway.budgets import SlidingCount
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.planners import GroupPlanner
 from citronpin.gateway.plans import (
@@ -76,8 +77,10 @@
         heartbeat_s: float,
         reach: Reachability,
         withdrawals: Withdrawals = NO_WITHDRAWALS,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._withdrawals = withdrawals
+        self._evacuations = evacuations or Evacuations(now=clock.now)
         self._suspects = suspects
         self._reach = reach
         self.service = service
@@ -206,6 +209,7 @@
             instance=latest,
             dead=replaced or self._watch.is_dead(instance, suspected=suspected),
             last_model=model if born_ms == latest.born_ms else None,
+            evacuated=self._evacuations.covers(instance),
         )
 
     def _suspected_groups(
--- a/citronpin/gateway/instance_gates.py
+++ b/citronpin/gateway/instance_gates.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from citronpin.basics.clocks import Clock
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.rests import InstanceRests
@@ -19,13 +20,14 @@
     GONE = "gone"  # its registration is missing
     LEAVING = "leaving"
     WITHDRAWN = "withdrawn"  # its group ends or has ended
+    EVACUATED = "evacuated"  # its failure domain is
     RESTING = "resting"
     LIMITED = "limited"  # no permit is expected now
     SUSPECTED = "suspected"  # only while others can take the request
 
 
 class InstanceGate:
-    """Combines what the registrations, limits, rests and suspicions say.
+    """Combines what registrations, evacuations, limits, rests and suspicions say.
 
     Every path to an instance passes it: first tries, retries, resumed streams, requests
     of other entries, and requests that waited for a permit.
@@ -40,6 +42,7 @@
         suspects: Suspects,
         clock: Clock,
         withdrawals: Withdrawals = NO_WITHDRAWALS,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._withdrawals = withdrawals
         self._fleet = fleet
@@ -47,6 +50,7 @@
         self._rests = rests
         self._suspects = suspects
         self._clock = clock
+        self._evacuations = evacuations or Evacuations(now=clock.now)
 
     def barrier(
         self, instance: FleetInstance, *, accepts_limited: bool = True
@@ -62,6 +66,8 @@
             return Barrier.LEAVING
         if self._withdrawals.is_withdrawn(known):
             return Barrier.WITHDRAWN
+        if self._evacuations.covers(known):
+            return Barrier.EVACUATED
         if self._rests.wait_s(known) > 0.0:
             return Barrier.RESTING
         is_limited = self._limits.rate(known) is not None
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -15,6 +15,7 @@
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.contexts import ExchangeContext
+from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.facts import Facts
 from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
@@ -149,6 +150,7 @@
         self.rests = InstanceRests(now=clock.now)
         self.facts = Facts(entry=self.name, clock=clock, is_shared=share_facts)
         self.withdrawals = Withdrawals(facts=self.facts)
+        self.evacuations = Evacuations(now=clock.now)
         self.gate = InstanceGate(
             fleet=self.fleet,
             limits=self.limits,
@@ -156,6 +158,7 @@
             suspects=self.suspects,
             clock=clock,
             withdrawals=self.withdrawals,
+            evacuations=self.evacuations,
         )
         self.fingerprints = Fingerprints()
         self.fingerprints.set_key(b"shared")
