Tests: a calm crowd of gateway nodes on the paused clock

Real nodes with connectors, feeds, leases, controllers and frames, but links and HTTP in memory, so that calls to the store, probes, wakes, bytes and CPU time of each entry can be counted. The node makes its links in a method of its own, which the crowd replaces.

--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -44,7 +44,7 @@
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
 from citronpin.gateway.suspects import Suspects
-from citronpin.peers.links import NngLinks
+from citronpin.peers.links import Links, NngLinks
 from citronpin.web.clients import HttpClient
 from citronpin.web.http_conns import ServerLimits
 from citronpin.web.routes import Routes
@@ -377,14 +377,8 @@
         if self.gossip is not None:
             self.gossip.set_key(frame_key)
             return
-        links = NngLinks(
-            entry=self.cfg.name,
-            listen=f"tcp://{self.cfg.peers}",
-            key=frame_key,
-            clock=self.clock,
-        ).register(self)
         self.gossip = Gossip(
-            links=links,
+            links=self._make_links(frame_key),
             addresses=self.connector.peer_addresses,
             loads=self.loads,
             suspects=self.suspects,
@@ -402,6 +396,15 @@
         )
         self.gossip.start()
 
+    def _make_links(self, frame_key: bytes) -> Links:
+        """Return the links to the other entries."""
+        return NngLinks(
+            entry=self.cfg.name,
+            listen=f"tcp://{self.cfg.peers}",
+            key=frame_key,
+            clock=self.clock,
+        ).register(self)
+
     def _update_entry_count(self) -> None:
         known = len(self.connector.peer_addresses())
         self.context.entry_count = max(known, self.loads.peer_count()) + 1
--- /dev/null
+++ b/citronpin/tests/platforms/crowds.py
@@ -0,0 +1,316 @@
+"""A calm deployment of many gateway nodes in one process, with counted costs."""
+
+import json
+import random
+import time
+from collections import Counter
+from functools import partial
+from urllib.parse import parse_qsl, urlsplit
+
+from citronpin.basics.clocks import Clock
+from citronpin.basics.ids import EntryId
+from citronpin.gateway.nodes import GatewayNode
+from citronpin.gateway.relays import relay_rank
+from citronpin.platform.programs import StoreConnector
+from citronpin.platform.settings import (
+    WireListen,
+    WireSettings,
+    WireStore,
+    node_settings,
+)
+from citronpin.tests.meshes import MemoryLinks, Network
+from citronpin.tests.platforms.clients import MemoryClient, MemoryExchange
+from citronpin.tests.platforms.instances import HEARTBEAT_INTERVAL_S, PlatformFleet
+from citronpin.tests.platforms.simulations import STORE_ADDRESS, wire_config
+from citronpin.tests.platforms.stores import PlatformStore
+
+DOMAINS = 9
+INSTANCES_PER_DOMAIN = 18
+START_SPREAD_S = 1.5  # within which all processes start
+STORE_DELAY_S = 0.003
+EMPTY_READ_BYTES = 16  # of an answer without records
+INTERNAL_PORTS = (7_000, 7_009)
+UNUSED = "127.0.0.1:0"  # nothing listens
+
+
+class EntryClock(Clock):
+    """Clock of one entry, which adds up what its callbacks cost."""
+
+    def __init__(self, *, shared):
+        super().__init__()
+        self.shared = shared
+        self.is_stopped = False
+        self.used_s = 0.0  # processor time
+        self.wakes = 0  # times at which something ran
+        self._woken_s = None
+
+    def now(self):
+        return self.shared.now()
+
+    def now_with_suspend(self):
+        return self.shared.now()
+
+    def wall_ms(self):
+        return self.shared.wall_ms()
+
+    def call_later(self, delay_s, callback):
+        timer = self.shared.call_later(
+            delay_s, lambda: timer.cancelled or self.run(callback)
+        )
+        return timer
+
+    def run(self, callback):
+        """Run a callback of the entry and count its cost."""
+        if self.is_stopped:
+            return
+        if self._woken_s != self.shared.now():
+            self._woken_s = self.shared.now()
+            self.wakes += 1
+        started_s = time.process_time()
+        callback()
+        self.used_s += time.process_time() - started_s
+
+
+class CrowdLinks(MemoryLinks):
+    """Links whose frames arrive on the clock of their entry."""
+
+    def __init__(self, *, entry, listen, key, clock, network):
+        super().__init__(entry=entry, network=network, key=key)
+        network.links.pop(self.address)
+        self.address = f"tcp://{listen}" if "://" not in listen else listen
+        network.links[self.address] = self
+        self._entry_clock = clock
+
+    def register(self, parent):
+        return self
+
+    def set_key(self, key):
+        """Keep the key, which is the same at all."""
+
+    def arrive(self, frame):
+        arrive = super().arrive
+        self._entry_clock.run(lambda: arrive(frame))
+
+    def send_all(self, addresses, message):
+        frame = self.session.encode(message)
+        for address in sorted(addresses):
+            if frame is not None and address in self.connected:
+                self.network.carry(self.address, address, frame)
+                self.session.count_sent(frame, True)
+
+
+class WaitingStore(PlatformStore):
+    """A store whose reads wait for records, and which counts calls by entry."""
+
+    def __init__(self, *, clock):
+        super().__init__(clock=clock)
+        self.waiting = []  # (topic, function that answers)
+        self.counts = Counter()  # calls by entry, path and topic
+
+    def put_raw(self, topic, key, value):
+        super().put_raw(topic, key, value)
+        self._wake(topic)
+
+    def _append(self, query, body):
+        answer = super()._append(query, body)
+        self._wake(query["topic"])
+        return answer
+
+    def _wake(self, topic):
+        woken = [answer for name, answer in self.waiting if name == topic]
+        self.waiting = [row for row in self.waiting if row[0] != topic]
+        for answer in woken:
+            self.clock.call_later(0.0, answer)
+
+    def call(self, entry, exchange):
+        """Answer a call of an entry."""
+        parts = urlsplit(exchange.target)
+        query = dict(parse_qsl(parts.query))
+        self.counts[entry, parts.path, query.get("topic", "")] += 1
+        answer = self.handle(exchange.method, exchange.target, exchange.body)
+        if "wait-ms" not in query or len(answer[1]) != EMPTY_READ_BYTES:
+            exchange.answer(*answer)
+            return
+        row = (query["topic"], lambda: self._answer(exchange))
+        self.waiting.append(row)
+
+        def end():
+            if row in self.waiting:
+                self.waiting.remove(row)
+                self._answer(exchange)
+
+        self.clock.call_later(int(query["wait-ms"]) / 1_000, end)
+
+    def _answer(self, exchange):
+        exchange.answer(*self.handle(exchange.method, exchange.target, exchange.body))
+
+
+class CrowdEntry:
+    """One gateway node with its connector, on the clock of the crowd."""
+
+    def __init__(self, *, number, crowd):
+        self.name = EntryId(f"front-{number}")
+        self.crowd = crowd
+        self.clock = EntryClock(shared=crowd.clock)
+        self.client = MemoryClient(clock=self.clock)
+        self.client.register = lambda parent: self.client
+        self.probes = Counter()  # reports that this entry requested, by instance
+        self.client.handlers = {
+            address: self._outside(handler)
+            for address, handler in crowd.instances.network.handlers.items()
+        }
+        self.client.handlers[STORE_ADDRESS] = self._outside(
+            lambda exchange: crowd.store.call(self.name, exchange)
+        )
+        settings = WireSettings(
+            node=self.name,
+            ip=f"10.1.0.{number}",
+            zone="abc"[number % 3],
+            listen=WireListen(front=UNUSED, ready=UNUSED),
+            internal_ports=INTERNAL_PORTS,
+            platform=WireStore(address=STORE_ADDRESS),
+        )
+        connector = StoreConnector(
+            settings=settings,
+            path=crowd.settings_path,
+            client=self.client,
+            clock=self.clock,
+        )
+        cfg = node_settings(settings, 0)
+        self.node = CrowdNode(
+            cfg=cfg,
+            clock=self.clock,
+            client=self.client,
+            connector=connector,
+            rng=random.Random(number),
+            network=crowd.network,
+        )
+
+    def _outside(self, handler):
+        """Return a handler whose work does not count as that of the entry."""
+
+        def handle(exchange):
+            if exchange.target == "/v1/report":
+                self.probes[exchange.address] += 1
+            exchange.answer = lambda *answer, **more: self.clock.call_later(
+                0.0, lambda: MemoryExchange.answer(exchange, *answer, **more)
+            )
+            self.crowd.clock.call_later(STORE_DELAY_S, lambda: handler(exchange))
+
+        return handle
+
+    @property
+    def gossip(self):
+        return self.node.gossip
+
+    @property
+    def counters(self):
+        return self.gossip._links.counters
+
+    def counts(self):
+        """Return what the entry has cost since its start."""
+        counters = self.counters
+        return {
+            "processor_s": self.clock.used_s,
+            "wakes": self.clock.wakes,
+            "sent_bytes": counters.sent_bytes,
+            "messages": counters.sent_messages + counters.received_messages,
+            "probes": self.probes.total(),
+        }
+
+    def stop(self):
+        """End without notice, as a process that is killed."""
+        self.clock.is_stopped = True
+
+
+class NoServer:
+    """Stands for a server that nobody connects to."""
+
+    open_replies = 0
+
+    def __init__(self):
+        self.http = self
+
+    def set_limits(self, limits):
+        """Apply no limits."""
+
+
+class CrowdNode(GatewayNode):
+    """A node without servers, with links in memory."""
+
+    def __init__(self, *, network, **parts):
+        self._network = network
+        super().__init__(**parts)
+
+    def _serve(self, address, target, channel):
+        return NoServer()
+
+    def _make_links(self, frame_key):
+        return CrowdLinks(
+            entry=self.cfg.name,
+            listen=self.cfg.peers,
+            key=frame_key,
+            clock=self.clock,
+            network=self._network,
+        )
+
+
+class Crowd:
+    """Entries and instances of a deployment that start together and stay calm."""
+
+    def __init__(self, *, clock, entries, settings_path, spread_s=START_SPREAD_S):
+        self.clock = clock
+        self.settings_path = settings_path
+        settings_path.write_text("{}", encoding="utf-8")
+        self.store = WaitingStore(clock=clock)
+        self.network = Network(clock=clock)
+        outside = MemoryClient(clock=clock)
+        self.instances = PlatformFleet(clock=clock, network=outside, store=self.store)
+        for domain in range(DOMAINS):
+            for number in range(INSTANCES_PER_DOMAIN):
+                clock.advance(HEARTBEAT_INTERVAL_S / (DOMAINS * INSTANCES_PER_DOMAIN))
+                self.instances.add(f"i-{domain}-{number}", f"d{domain}")
+        self.put_config(1)
+        self.entries = []
+        rng = random.Random(entries)
+        for number in range(entries):
+            clock.call_later(spread_s * rng.random(), partial(self._start, number))
+
+    def _start(self, number):
+        self.entries.append(CrowdEntry(number=number, crowd=self))
+
+    def put_config(self, version):
+        data = json.dumps(wire_config(version=version)).encode()
+        self.store.put("keyed.op", "config", data)
+
+    def start_measuring(self):
+        """Count what `rates` returns from now on."""
+        self._measured_from_s = self.clock.now()
+        self._counts_before = {entry.name: entry.counts() for entry in self.entries}
+
+    def rates(self):
+        """Return the costs of each entry since `start_measuring`, per second."""
+        elapsed_s = self.clock.now() - self._measured_from_s
+        return [
+            {
+                name: (count - self._counts_before[entry.name][name]) / elapsed_s
+                for name, count in entry.counts().items()
+            }
+            for entry in self.entries
+        ]
+
+    def relays(self):
+        """Return the entries that read the store for the others, by rank."""
+        found = [entry for entry in self.entries if entry.gossip.role.is_relay]
+        return sorted(found, key=lambda entry: relay_rank(entry.name))
+
+    def calls(self):
+        """Return the number of calls to the store by path and topic."""
+        totals = Counter()
+        for (_, path, topic), count in self.store.counts.items():
+            totals[path.rpartition("/")[2], topic] += count
+        return totals
+
+    def probe_count(self):
+        """Return the number of reports that entries requested of instances."""
+        return sum(entry.probes.total() for entry in self.entries)
