Relays: four in place of eight, and no more than these at a start

Each relay makes 7 calls to the store a second (joins, instances, configuration), also when all is calm. Until they heard each other, all entries of a starting crowd were relays. An entry that learns of more than 16 entries now stays a relay only if its rank is among the lowest; the others step in when they hear too few, as before. Two of four relays may be lost before others read the store; with fewer, they do so for 1.5 s.

Relays did not forward suspicions, as they now do.

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -96,6 +96,9 @@
         self._last_sent_s = float("-inf")
         self._owners: frozenset[EntryId] = frozenset()  # of limits and crash keys
         self._refreshed_s = float("-inf")  # when notable crash keys were last sent
+        self._was_mesh = True  # at the latest tick
+        # Suspects of entries that are no relays, until this relay has told all others.
+        self._told_suspects: dict[InstanceId, None] = {}
         self._timer: TimerHandle | None = None
 
     def start(self) -> None:
@@ -121,6 +124,9 @@
         self._leases.set_extended(self._all_entries_lost_store(now_s))
         others = self._addresses()
         is_mesh = len(others) < MAX_MESH_ENTRIES
+        if self._was_mesh and not is_mesh:
+            self.role.begin(others=others, store_lost=self._leases.store_lost)
+        self._was_mesh = is_mesh
         self.role.update(
             others=others,
             store_lost=self._leases.store_lost,
@@ -139,7 +145,9 @@
         self._connect(self._recipients(is_mesh, now_s))
         update = StatusUpdate(
             loads=self._own_loads() if is_mesh else {},
-            suspects=self._own_suspects(now_s),
+            suspects=tuple(
+                dict.fromkeys((*self._own_suspects(now_s), *self._told_suspects))
+            ),
             traffic=self._fabrics.traffic_began,
             store_lost=self._leases.store_lost,
             heads=heads if not is_mesh else tuple(map(_without_load, heads)),
@@ -151,6 +159,7 @@
             return
         self._last_update = update
         self._last_sent_s = now_s
+        self._told_suspects.clear()
         if not is_mesh and self.role.is_relay and not update.store_lost:
             # Lease renewals detect a lost store sooner than a waiting read does.
             positions = self._feeds.own_positions(records=self.role.is_forwarding)
@@ -323,6 +332,8 @@
             self._fleet.set_leaving(InstanceId(instance), born_ms)
         for instance in message.suspects:
             self._suspects.suspected_by_peer(InstanceId(instance), now_s=now_s)
+        if not self._was_mesh and self.role.is_relay and not message.relay:
+            self._told_suspects |= dict.fromkeys(message.suspects)
         if message.traffic:
             self._fabrics.traffic_began = True
         if message.relay:
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -9,7 +9,9 @@
 logger = logging.getLogger(__name__)
 
 MAX_MESH_ENTRIES = 16  # a larger full mesh takes a tenth of a core for messages
-RELAY_COUNT = 8  # half remain after a failure domain is lost and two relays are killed
+# Each relay costs 7 calls to the store a second. Two remain after two are lost; with
+# fewer, others read the store until those of the next ranks are relays, after 1.5 s.
+RELAY_COUNT = 4
 FORWARDER_COUNT = 3  # with one lost and one late, updates still come from two
 RELAY_TIMEOUT_S = 1.2  # four update intervals of a relay
 TAKEOVER_STAGGER_S = 0.3  # later entries receive updates of the new relays first
@@ -50,6 +52,15 @@
         else:
             self._cut_off.discard(sender)
 
+    def begin(self, *, others: Collection[EntryId], store_lost: bool) -> None:
+        """Resign unless this entry is a relay if all others are alive.
+
+        Called when there are too many entries for a full mesh, so that not all of them
+        are relays until they hear each other.
+        """
+        is_low = self._lower_count(others) < RELAY_COUNT
+        self.is_relay = self.is_relay and (is_low or store_lost)
+
     def update(
         self,
         *,
@@ -101,6 +112,9 @@
             self._too_few_since_s = now_s
         return now_s - self._too_few_since_s >= self._takeover_delay_s(others)
 
+    def _lower_count(self, others: Collection[EntryId]) -> int:
+        return sum(relay_rank(entry) < relay_rank(self.name) for entry in others)
+
     def _takeover_delay_s(self, others: Collection[EntryId]) -> float:
-        lower_count = sum(relay_rank(entry) < relay_rank(self.name) for entry in others)
+        lower_count = self._lower_count(others)
         return TAKEOVER_STAGGER_S * (lower_count // RELAY_COUNT)
--- a/citronpin/tests/test_relays.py
+++ b/citronpin/tests/test_relays.py
@@ -79,3 +79,23 @@
     assert not role.is_relay
     update(role, position, silent_s + stagger_count * TAKEOVER_STAGGER_S + 0.05)
     assert role.is_relay
+
+
+def test_entries_that_start_in_a_crowd_are_no_relays_until_they_hear_too_few():
+    # All 90 entries of a deployment joined the reader group, and each read the store.
+    roles = [RelayRole(name=name) for name in NAMES_BY_RANK]
+    for role in roles:
+        others = [name for name in NAMES_BY_RANK if name != role.name]
+        role.begin(others=others, store_lost=False)
+        role.update(others=others, store_lost=False, now_s=0.0)
+    assert [role.is_relay for role in roles] == [True] * RELAY_COUNT + [False] * (
+        len(roles) - RELAY_COUNT
+    )
+    update(roles[RELAY_COUNT], RELAY_COUNT, TAKEOVER_STAGGER_S + 0.05)
+    assert roles[RELAY_COUNT].is_relay
+
+
+def test_a_relay_without_the_store_stays_one_when_a_crowd_begins():
+    role = RelayRole(name=NAMES_BY_RANK[-1])
+    role.begin(others=NAMES_BY_RANK[:-1], store_lost=True)
+    assert role.is_relay
