Entries of a crowd: periodic callbacks share their wakes

An idle entry of 90 woke 45 times a second for its own timers (stalls, lag of the loop, updates, controllers without a lease, feeds, settings) and 27 times for messages. A wake costs 0.11 to 0.17 ms in a process of its own, whatever runs in it. With more than 16 entries, these timers now run on beats of 0.15 s; stalls are checked each 0.05 s while a request is open. Smaller deployments keep their intervals.

--- a/citronpin/basics/clocks.py
+++ b/citronpin/basics/clocks.py
@@ -9,6 +9,7 @@
 from circuits import BaseComponent, handler
 
 MS_PER_S = 1_000
+BEAT_TOLERANCE = 1e-3  # of a beat, by which sums of floats may differ
 
 
 class TimerHandle:
@@ -35,6 +36,8 @@
     def __init__(self) -> None:
         self._timers: list[tuple[float, int, TimerHandle]] = []
         self._sequence = itertools.count()
+        self._beat_s: float | None = None
+        self._first_beat_s = 0.0
 
     @abstractmethod
     def now(self) -> float:
@@ -57,6 +60,26 @@
         heapq.heappush(self._timers, (timer.due_s, next(self._sequence), timer))
         return timer
 
+    def set_beat(self, beat_s: float | None) -> None:
+        """Let periodic callbacks run together, on beats that begin now; or end that."""
+        if beat_s != self._beat_s:
+            self._beat_s, self._first_beat_s = beat_s, self.now()
+
+    def call_next(self, interval_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Schedule the next run of a periodic callback, in ``interval_s`` seconds.
+
+        While there is a beat, it runs on the beat nearest to that time, so that the
+        periodic callbacks of a process share its wakes.
+        """
+        if self._beat_s is None:
+            return self.call_later(interval_s, callback)
+        count = max(round(interval_s / self._beat_s), 1)
+        passed = (self.now() - self._first_beat_s) / self._beat_s
+        due_s = (
+            self._first_beat_s + (int(passed + BEAT_TOLERANCE) + count) * self._beat_s
+        )
+        return self.call_later(due_s - self.now(), callback)
+
     def next_due_s(self) -> float | None:
         """Return the time of ``now()`` at which the next timer is due, or ``None``."""
         while self._timers and self._timers[0][2].cancelled:
--- a/citronpin/basics/loop_lags.py
+++ b/citronpin/basics/loop_lags.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from citronpin.basics.clocks import Clock
+from citronpin.basics.clocks import Clock, TimerHandle
 
 logger = logging.getLogger(__name__)
 
@@ -18,6 +18,7 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
+        self._timer: TimerHandle | None = None
         self.total_s = 0.0
 
     def start(self) -> None:
@@ -25,11 +26,10 @@
         self._schedule_check()
 
     def _schedule_check(self) -> None:
-        due_s = self._clock.now() + CHECK_INTERVAL_S
-        self._clock.call_later(CHECK_INTERVAL_S, lambda: self._check(due_s))
+        self._timer = self._clock.call_next(CHECK_INTERVAL_S, self._check)
 
-    def _check(self, due_s: float) -> None:
-        lag_s = self._clock.now() - due_s
+    def _check(self) -> None:
+        lag_s = self._clock.now() - self._timer.due_s
         if lag_s >= MIN_LOGGED_LAG_S:
             self.total_s += lag_s
             logger.warning("event loop blocked", extra={"lag_s": round(lag_s, 2)})
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -105,8 +105,10 @@
 
     def _tick(self) -> None:
         none_held = self._leases.none_held
-        interval_s = IDLE_TICK_INTERVAL_S if none_held else TICK_INTERVAL_S
-        self._timer = self._clock.call_later(interval_s, self._tick)
+        if none_held:
+            self._timer = self._clock.call_next(IDLE_TICK_INTERVAL_S, self._tick)
+        else:
+            self._timer = self._clock.call_later(TICK_INTERVAL_S, self._tick)
         if self.table is None or not self._fleet.is_loaded:
             return
         if none_held:
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -122,12 +122,13 @@
         self._links.close()
 
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(UPDATE_INTERVAL_S, self._tick)
+        others = self._addresses()
+        is_mesh = len(others) < MAX_MESH_ENTRIES
+        self._clock.set_beat(None if is_mesh else UPDATE_INTERVAL_S)
+        self._timer = self._clock.call_next(UPDATE_INTERVAL_S, self._tick)
         now_s = self._clock.now()
         self._loads.expire(now_s=now_s)
         self._leases.set_extended(self._all_entries_lost_store(now_s))
-        others = self._addresses()
-        is_mesh = len(others) < MAX_MESH_ENTRIES
         if self._was_mesh and not is_mesh:
             self.role.begin(others=others, store_lost=self._leases.store_lost)
         self._was_mesh = is_mesh
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -410,7 +410,11 @@
         self.context.entry_count = max(known, self.loads.peer_count()) + 1
 
     def _check_traffic_and_stalls(self) -> None:
-        self.clock.call_later(STALL_CHECK_INTERVAL_S, self._check_traffic_and_stalls)
+        if self.context.open_exchanges:
+            call = self.clock.call_later
+        else:
+            call = self.clock.call_next  # requests stall 0.3 s after their start
+        call(STALL_CHECK_INTERVAL_S, self._check_traffic_and_stalls)
         now_s = self.clock.now()
         if not self._is_fleet_checked and self.fleet.is_loaded:
             self._is_fleet_checked = True
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -569,7 +569,7 @@
 
     def _resume_feeds(self) -> None:
         """Resume the feeds that relays no longer confirm, with one timer for all."""
-        self._clock.call_later(FOLLOW_CHECK_INTERVAL_S, self._resume_feeds)
+        self._clock.call_next(FOLLOW_CHECK_INTERVAL_S, self._resume_feeds)
         for feed in self._feeds.values():
             feed.resume_if_unconfirmed()
 
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -100,7 +100,7 @@
 
     def _update_interval_and_settings(self) -> None:
         """Set the read interval of the fleet feed and reload changed settings."""
-        self._clock.call_later(
+        self._clock.call_next(
             SETTINGS_CHECK_INTERVAL_S, self._update_interval_and_settings
         )
         if self._node.fabrics.held_domain_count or self._node.is_forwarding:
--- a/citronpin/tests/platforms/crowds.py
+++ b/citronpin/tests/platforms/crowds.py
@@ -28,6 +28,7 @@
 INSTANCES_PER_DOMAIN = 18
 START_SPREAD_S = 1.5  # within which all processes start
 STORE_DELAY_S = 0.003
+SAME_WAKE_S = 1e-6  # by which the sums of floats of one time may differ
 EMPTY_READ_BYTES = 16  # of an answer without records
 INTERNAL_PORTS = (7_000, 7_009)
 UNUSED = "127.0.0.1:0"  # nothing listens
@@ -42,7 +43,7 @@
         self.is_stopped = False
         self.used_s = 0.0  # processor time
         self.wakes = 0  # times at which something ran
-        self._woken_s = None
+        self._woken_s = float("-inf")
 
     def now(self):
         return self.shared.now()
@@ -63,9 +64,9 @@
         """Run a callback of the entry and count its cost."""
         if self.is_stopped:
             return
-        if self._woken_s != self.shared.now():
-            self._woken_s = self.shared.now()
+        if self.shared.now() - self._woken_s > SAME_WAKE_S:
             self.wakes += 1
+        self._woken_s = self.shared.now()
         started_s = time.process_time()
         callback()
         self.used_s += time.process_time() - started_s
--- a/citronpin/tests/test_idle_crowds.py
+++ b/citronpin/tests/test_idle_crowds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from citronpin.basics.clocks import PausedClock
+from citronpin.gateway.relays import RELAY_COUNT
 from citronpin.tests.platforms.crowds import Crowd
 
 ENTRIES = 90
@@ -12,6 +13,12 @@
 MEASURED_S = 22.0
 # Half of the calls that ecff24b makes in the same 30 s, which are 5,220.
 MAX_STORE_CALLS = 2_610
+# What control may cost an entry, by the target in docs/design/hard-load.md.
+TARGET_CORE_SHARE = 0.024
+TARGET_BYTES_PER_S = 2_000
+# Measured in a process of its own, on a machine with other load: one turn of the event
+# loop for a timer took 0.11 to 0.17 ms, one message received 0.36 to 0.42 ms in all.
+WAKE_PROCESSOR_S = 0.0004
 
 
 @pytest.fixture(scope="module")
@@ -32,3 +39,28 @@
     # Each call is priced, and those of 90 entries were the largest cost of a calm run.
     print(sorted(crowd.calls().items()))
     assert crowd.calls().total() <= MAX_STORE_CALLS
+
+
+def test_an_idle_entry_of_a_crowd_takes_little_processor_time(crowd):
+    # Entries of 90 took 6 % of a core each for 1 to 4 requests a second. On ecff24b,
+    # 72 wakes a second alone take more than the target.
+    rates = crowd.rates()
+    shares = [rate["processor_s"] + rate["wakes"] * WAKE_PROCESSOR_S for rate in rates]
+    wakes = median(rate["wakes"] for rate in rates)
+    print(f"median {median(shares):.4f} of a core, {wakes:.0f} wakes/s")
+    assert median(shares) <= TARGET_CORE_SHARE
+
+
+def test_an_idle_entry_of_a_crowd_sends_little(crowd):
+    sent = [rate["sent_bytes"] for rate in crowd.rates()]
+    print(f"median {median(sent):.0f} bytes/s, most {max(sent):.0f}")
+    assert median(sent) <= TARGET_BYTES_PER_S
+
+
+def test_a_calm_crowd_has_groups_and_few_relays(crowd):
+    # The figures above count only while the deployment works.
+    assert crowd.instances.open_heads() and not crowd.instances.violations
+    heads = {head.name for head in crowd.instances.open_heads()}
+    for entry in crowd.entries:
+        assert heads <= {x.id for x in entry.node.fleet.all() if x.is_serving_head}
+    assert len(crowd.relays()) == RELAY_COUNT
