--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -47,7 +47,7 @@
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.withdrawals import Withdrawals
-from citronpin.peers.links import NngLinks
+from citronpin.peers.links import Links, NngLinks
 from citronpin.web.clients import HttpClient
 from citronpin.web.http_conns import ServerLimits
 from citronpin.web.routes import Routes
@@ -414,14 +414,8 @@
         if self.gossip is not None:
             self.gossip.set_key(frame_key)
             return
-        links = NngLinks(
-            entry=self.cfg.name,
-            listen=f"tcp://{self.cfg.peers}",
-            key=frame_key,
-            clock=self.clock,
-        ).register(self)
         self.gossip = Gossip(
-            links=links,
+            links=self._make_links(frame_key),
             addresses=self.connector.peer_addresses,
             loads=self.loads,
             suspects=self.suspects,
@@ -440,12 +434,25 @@
         )
         self.gossip.start()
 
+    def _make_links(self, frame_key: bytes) -> Links:
+        """Return the links to the other entries."""
+        return NngLinks(
+            entry=self.cfg.name,
+            listen=f"tcp://{self.cfg.peers}",
+            key=frame_key,
+            clock=self.clock,
+        ).register(self)
+
     def _update_entry_count(self) -> None:
         known = len(self.connector.peer_addresses())
         self.context.entry_count = max(known, self.loads.peer_count()) + 1
 
     def _check_traffic_and_stalls(self) -> None:
-        self.clock.call_later(STALL_CHECK_INTERVAL_S, self._check_traffic_and_stalls)
+        if self.context.open_exchanges:
+            call = self.clock.call_later
+        else:
+            call = self.clock.call_next  # requests stall 0.3 s after their start
+        call(STALL_CHECK_INTERVAL_S, self._check_traffic_and_stalls)
         now_s = self.clock.now()
         if not self._is_fleet_checked and self.fleet.is_loaded:
             self._is_fleet_checked = True
--- a/citronpin/platform/directories.py
+++ b/citronpin/platform/directories.py
@@ -15,7 +15,8 @@
 from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.ports import PeerDirectory
-from citronpin.platform.feeds import KeyedFeed
+from citronpin.peers.messages import FeedPosition
+from citronpin.platform.feeds import ForwardedChanges, KeyedFeed
 from citronpin.platform.stores import (
     LogStore,
     OffsetMismatch,
@@ -74,18 +75,25 @@
         )
         self._name = name
         self._record = record
-        self._on_changed = on_changed
+        self._notify_changed = on_changed
         self._entries: dict[EntryId, EntryRecord] = {}
         self._unconfirmed: dict[EntryId, EntryRecord] = {}  # known from an earlier era
         self._has_announced = False
         self._has_withdrawn = False
+        self._changes = ForwardedChanges()
+        # Of the others, until they change: it is read for each message.
+        self._addresses: dict[EntryId, str] | None = None
         self.frame_key: bytes | None = None
 
     def start(self) -> None:
         self._propose_frame_key()
 
     def addresses(self) -> dict[EntryId, str]:
-        return {name: record.address for name, record in self._others().items()}
+        if self._addresses is None:
+            self._addresses = {
+                name: record.address for name, record in self._others().items()
+            }
+        return self._addresses
 
     def forward_peers(self) -> tuple[ForwardPeer, ...]:
         return tuple(
@@ -98,10 +106,20 @@
             if record.forward
         )
 
+    def position(self, *, records: bool) -> FeedPosition | None:
+        """Return the position with the announcements since the last call."""
+        return self._changes.complete(
+            super().position(records=records), records=records
+        )
+
     def _others(self) -> dict[EntryId, EntryRecord]:
         known = self._unconfirmed | self._entries
         return {name: record for name, record in known.items() if name != self._name}
 
+    def _on_changed(self) -> None:
+        self._addresses = None
+        self._notify_changed()
+
     def withdraw(self) -> None:
         """Delete the announcement of this entry."""
         self._has_withdrawn = True
@@ -119,11 +137,14 @@
 
     def on_new_era(self) -> str:
         read = super().on_new_era()
+        self._changes.clear()
+        self._changes.restart()
         if not self._has_announced or self._has_withdrawn:
             return read
         era = self._store.era
         self._unconfirmed = self._unconfirmed | self._entries
         self._entries = {}
+        self._addresses = None
         self._clock.call_later(REANNOUNCEMENT_S, lambda: self._drop_unconfirmed(era))
         self._propose_frame_key()
         return f"{read}, write the frame key and the announcement of this entry"
@@ -173,13 +194,19 @@
 
     def _apply_snapshot(self, records: tuple[Record, ...]) -> None:
         self._entries.clear()
+        self._addresses = None
         call_each(partial(self._apply_record, record) for record in records)
+        self._changes.clear()
+        self._changes.restart()  # keys deleted meanwhile have no record
 
     def _apply_record(self, record: Record) -> None:
         if record.key == FRAME_KEY_RECORD and record.value is not None:
             # An entry that started in the new era may have proposed another one first.
             self.frame_key = record.value
+            # Frames are authenticated, not encrypted; others read the key themselves.
+            self._changes.restart()
         elif record.key.startswith(ENTRY_PREFIX):
+            self._changes.add(record)
             self._apply_entry(EntryId(record.key[len(ENTRY_PREFIX) :]), record.value)
         self._on_changed()
 
