Watches: in a crowd, heads are polled more often and other members less

Loads of heads decide placement and were up to 0.55 s old when relays sent them; other members were polled as often for deaths, which their registrations tell too. With more than 16 entries, a head is polled each 0.3 s (0.25 s and the next tick), and another member once between two registrations, or at once when its registration is late, when a poll was missed, or when its head is silent.

--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -123,11 +123,13 @@
         domain_count: int,
         before_traffic: bool,
         pressures: dict[ModelName, Pressure],
+        is_crowd: bool = False,
     ) -> None:
         """Poll the instances of the domain, plan its groups and send the orders.
 
         ``domain_count`` is the number of domains of the service, which share its rate
-        of model loads; ``before_traffic`` lifts that limit.
+        of model loads; ``before_traffic`` lifts that limit. ``is_crowd`` tells that
+        there are too many entries for a full mesh.
         """
         now_s = self._clock.now()
         if self._held_since_s is None:
@@ -152,7 +154,7 @@
             self._watch.forget_misses()
             self.heads = ()
             return
-        self._watch.poll(instances, busy=busy)
+        self._watch.poll(instances, busy=busy, is_crowd=is_crowd)
         self._watch.retain_only({instance.id for instance in instances})
         if self._reach.is_uncertain(self.service):
             return
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -80,6 +80,7 @@
         self._timer: TimerHandle | None = None
         self.table: RoutingTable | None = None
         self.traffic_began = False
+        self.is_crowd = False  # whether there are too many entries for a full mesh
 
     def start(self) -> None:
         """Start the periodic ticks."""
@@ -171,4 +172,5 @@
             domain_count=domain_count,
             before_traffic=not self.traffic_began,
             pressures=pressures,
+            is_crowd=self.is_crowd,
         )
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -132,6 +132,7 @@
         if self._was_mesh and not is_mesh:
             self.role.begin(others=others, store_lost=self._leases.store_lost)
         self._was_mesh = is_mesh
+        self._fabrics.is_crowd = not is_mesh
         self.role.update(
             others=others,
             store_lost=self._leases.store_lost,
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -6,7 +6,7 @@
 
 from citronpin.basics.clocks import Clock
 from citronpin.basics.errors import CitronpinError
-from citronpin.basics.ids import InstanceId
+from citronpin.basics.ids import GroupId, InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance, Phase
 from citronpin.gateway.ports import InstanceControl, Report
 from citronpin.gateway.reachabilities import Reachability
@@ -16,6 +16,11 @@
 
 IDLE_POLL_INTERVAL_S = 0.5
 BUSY_POLL_INTERVAL_S = 0.15  # after orders and while a group is under suspicion
+# With many entries, whose placement relies on the reported loads. Other members are
+# asked between two registrations, and fast once there is a reason to doubt them.
+HEAD_POLL_INTERVAL_S = 0.25
+MEMBER_POLL_HEARTBEATS = 0.75  # age of the registration
+LATE_HEARTBEATS = 1.1  # registrations are read up to 0.3 s late
 DEAD_MISSES = 2  # a single miss may be a lost packet
 CERTAIN_MISSES = 5  # enough without other evidence
 REPORT_EXPIRY_S = 1.0  # a request for a report has ended by then
@@ -55,17 +60,31 @@
         self._control = control
         self._fleet = fleet
         self._clock = clock
+        self._heartbeat_s = heartbeat_s
         self._silent_s = SILENT_HEARTBEATS * heartbeat_s
         self._states: dict[InstanceId, WatchState] = {}
 
-    def poll(self, instances: list[FleetInstance], *, busy: bool) -> None:
-        """Request a report from the instances that are due."""
+    def poll(
+        self, instances: list[FleetInstance], *, busy: bool, is_crowd: bool = False
+    ) -> None:
+        """Request a report from the instances that are due.
+
+        ``is_crowd`` tells that there are many entries: heads, whose loads decide
+        placement, are asked more often then, and the other members less often.
+        """
         now_s = self._clock.now()
-        interval_s = BUSY_POLL_INTERVAL_S if busy else IDLE_POLL_INTERVAL_S
+        doubted = self._doubted_groups(instances) if is_crowd else frozenset()
         for instance in instances:
             state = self._states.setdefault(instance.id, WatchState())
-            idle_s = now_s - state.asked_s
-            if idle_s < (REPORT_EXPIRY_S if state.asking else interval_s):
+            if state.asking:
+                interval_s = REPORT_EXPIRY_S
+            elif busy:
+                interval_s = BUSY_POLL_INTERVAL_S
+            elif is_crowd:
+                interval_s = self._crowd_interval_s(instance, state, doubted, now_s)
+            else:
+                interval_s = IDLE_POLL_INTERVAL_S
+            if now_s - state.asked_s < interval_s:
                 continue
             state.asking = True
             state.asked_s = now_s
@@ -73,6 +92,46 @@
                 of=instance, done=self._report_handler(instance, state)
             )
 
+    def _doubted_groups(self, instances: list[FleetInstance]) -> frozenset[GroupId]:
+        """Return the groups whose heads left their latest poll unanswered."""
+        return frozenset(
+            instance.membership.group
+            for instance in instances
+            if instance.is_serving_head
+            and (state := self._states.get(instance.id)) is not None
+            and state.misses
+        )
+
+    def _crowd_interval_s(
+        self,
+        instance: FleetInstance,
+        state: WatchState,
+        doubted: frozenset[GroupId],
+        now_s: float,
+    ) -> float:
+        """Return the time between two polls of an instance, in seconds.
+
+        A member is asked once between two registrations, so late that two misses come
+        before its silence counts, and fast once there is a reason to doubt it.
+        """
+        if state.misses:
+            is_undecided = state.misses < DEAD_MISSES
+            return BUSY_POLL_INTERVAL_S if is_undecided else IDLE_POLL_INTERVAL_S
+        if instance.is_serving_head:
+            return HEAD_POLL_INTERVAL_S
+        if instance.membership is not None and instance.membership.group in doubted:
+            return BUSY_POLL_INTERVAL_S
+        if self._fleet.in_outage:
+            return IDLE_POLL_INTERVAL_S  # the ages of registrations say nothing
+        registered_s = self._fleet.registered_s(instance.id)
+        heartbeats = (now_s - registered_s) / self._heartbeat_s
+        for asked_at in (LATE_HEARTBEATS, MEMBER_POLL_HEARTBEATS):
+            if heartbeats >= asked_at:
+                due_s = registered_s + asked_at * self._heartbeat_s
+                has_asked = state.asked_s >= due_s
+                return IDLE_POLL_INTERVAL_S if has_asked else BUSY_POLL_INTERVAL_S
+        return self._heartbeat_s
+
     def _report_handler(self, instance: FleetInstance, state: WatchState):
         def handle(report: Report | None, error: CitronpinError | None) -> None:
             state.asking = False
