Permits also enforce the limit of cold instances

Cause: nothing read cold-start-s, cold-per-s and cold-remaining-ms.

Change: ColdStarts is a second source of the limits that SharedPermits issues; the lower one holds. A phase is kept as remaining time from its receipt and ends by that time alone. A new owner of such a limit issues none for 1 s, and takes at most half of it for its own requests.

--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -80,6 +80,18 @@
         """Handle a failure, after which no other event follows."""
 
 
+def parse_cold_s(text: str) -> float:
+    """Return the seconds in a header that tells how much longer an instance is cold.
+
+    A value that is no positive number of milliseconds counts as 0.
+    """
+    try:
+        cold_s = float(text) / MS_PER_S
+    except ValueError:
+        return 0.0
+    return cold_s if 0.0 < cold_s < float("inf") else 0.0
+
+
 class Attempt(ResponseSink):
     """Sends a request to a recipient and checks that the answer belongs to it."""
 
@@ -172,6 +184,14 @@
             return None
         return limit if 0.0 <= limit < float("inf") else None
 
+    @property
+    def named_cold_s(self) -> float:
+        """Return for how long the answer says the instance is cold, 0 if it does not.
+
+        A value that is no such number is ignored.
+        """
+        return parse_cold_s(self.headers.get(self._names.cold_ms, ""))
+
     @property
     def named_rest_s(self) -> float:
         """Return for how many seconds the instance wants no request, 0 for none.
@@ -263,6 +283,8 @@
             fields["status"] = self.status
         if self.named_limit is not None:
             fields["limit"] = self.named_limit
+        if self.named_cold_s:
+            fields["cold_ms"] = round(self.named_cold_s * MS_PER_S)
         if self.named_rest_s:
             fields["rest_ms"] = round(self.named_rest_s * MS_PER_S)
         if self.names_leaving:
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -54,6 +54,8 @@
 SILENCE_S = 0.5  # until the path to the instances is doubted
 MOVE_AFTER_S = 0.25  # without progress, when no instance is reached any more
 MAX_REFUSED_PERMITS = 2  # of one request; asking for another delays it further
+# Many instances are cold at once, so that another one is likely to have permits left.
+COLD_PERMIT_COST = 0.5
 MAX_LOGGED_LIMITS = 4
 MIN_SERVER_ERROR_STATUS = 500
 # What the refusals of another entry mean here; all others are passed on.
@@ -83,7 +85,7 @@
         self._done = False
         self._reason = ""  # why the request was refused, for the log
         self._limit_rows: list[dict[str, object]] = []  # that decided, for the log
-        self._refused_permits = 0
+        self._refused_permits = 0.0
         self._is_counted = task.is_counted
         self._outgoing = OutgoingRequest(
             method=task.req.method,
@@ -225,7 +227,8 @@
             self._send_to_instance(placement)
             return
         if not granted:
-            self._refused_permits += 1
+            is_cold = self._context.limits.is_cold(placement.instance)
+            self._refused_permits += COLD_PERMIT_COST if is_cold else 1
             self._log_limit(placement.instance)
         self._send_next()
 
--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -16,6 +16,7 @@
     ModelName,
 )
 from citronpin.gateway.budgets import SlidingCount
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.planners import GroupPlanner
@@ -76,6 +77,7 @@
         heartbeat_s: float,
         reach: Reachability,
         evacuations: Evacuations | None = None,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         self._evacuations = evacuations or Evacuations(now=clock.now)
         self._suspects = suspects
@@ -93,6 +95,7 @@
             clock=clock,
             heartbeat_s=heartbeat_s,
             reach=reach,
+            cold_starts=cold_starts,
         )
         self._formations: dict[GroupId, Formation] = {}
         self._closes: dict[GroupId, float] = {}
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -7,6 +7,7 @@
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, DomainName, ModelName
 from citronpin.basics.loop_faults import call_each
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabric_controllers import TICK_INTERVAL_S, FabricController
 from citronpin.gateway.fleets import Fleet, FleetInstance
@@ -67,7 +68,9 @@
         heartbeat_s: float,
         reach: Reachability,
         evacuations: Evacuations | None = None,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
+        self._cold_starts = cold_starts
         self._evacuations = evacuations or Evacuations(now=clock.now)
         self._reach = reach
         self._suspects = suspects
@@ -157,6 +160,7 @@
                 heartbeat_s=self._heartbeat_s,
                 reach=self._reach,
                 evacuations=self._evacuations,
+                cold_starts=self._cold_starts,
             )
         return self._controllers[key]
 
--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -93,6 +93,7 @@
         self, *, on_rejoined: Callable[[InstanceId], None] | None = None
     ) -> None:
         self._on_rejoined = on_rejoined  # called when the epoch of an instance changes
+        self._listeners: list[Callable[[FleetInstance], None]] = []
         self._instances: dict[InstanceId, FleetInstance] = {}
         self._by_service: dict[ApplicationName, dict[InstanceId, FleetInstance]] = {}
         self._by_address: dict[str, InstanceId] = {}
@@ -108,6 +109,10 @@
         self.is_loaded = False  # until a complete read was applied
         self.version = 0
 
+    def add_listener(self, listener: Callable[[FleetInstance], None]) -> None:
+        """Call ``listener`` with each instance that is new or has changed."""
+        self._listeners.append(listener)
+
     def get(self, instance: InstanceId) -> FleetInstance | None:
         """Return an instance by its id, or ``None`` if it is unknown."""
         return self._instances.get(instance)
@@ -244,6 +249,8 @@
         self._by_address[instance.address] = instance.id
         self._instances[instance.id] = instance
         self._by_service.setdefault(instance.service, {})[instance.id] = instance
+        for listener in self._listeners:
+            listener(instance)
 
     def deregister(self, instance: InstanceId, *, now_s: float) -> None:
         """Remove an instance, or keep it as missing around an outage."""
--- a/citronpin/gateway/limits.py
+++ b/citronpin/gateway/limits.py
@@ -7,7 +7,8 @@
 
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.ids import InstanceId
-from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.cold_starts import ColdStarts
+from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.peers.messages import LimitReport
 
 logger = logging.getLogger(__name__)
@@ -22,6 +23,7 @@
 MESSAGE_DELAY_S = 0.25
 FORGET_AFTER_S = 60.0  # of an instance that is gone
 MAX_KNOWN_LIMITS = 4_096
+UNKNOWN_AGE_MS = 2**31  # older than each answer that named a limit
 
 
 class KnownLimit(msgspec.Struct, kw_only=True):
@@ -42,10 +44,15 @@
     if its request was sent after the limit was last named: only then was it produced
     later. A limit does not expire, since an instance that gets no requests cannot
     confirm it, but the next request shows whether it still holds.
+
+    A cold phase (`ColdStarts`) is a second source: of both limits the lower one holds.
     """
 
-    def __init__(self, *, now: Callable[[], float]) -> None:
+    def __init__(
+        self, *, now: Callable[[], float], cold_starts: ColdStarts | None = None
+    ) -> None:
         self._now = now
+        self.cold_starts = cold_starts or ColdStarts(now=now, fleet=Fleet())
         self._known: dict[InstanceId, KnownLimit] = {}
         self._news: dict[InstanceId, None] = {}  # limits that began or ended
 
@@ -60,6 +67,13 @@
         if self._apply(instance.id, instance.born_ms, rate, as_of_s, OWN_ANSWER):
             self._news[instance.id] = None
 
+    def record_cold(self, instance: FleetInstance, *, remaining_s: float) -> None:
+        """Record for how many seconds an answer says that an instance is cold."""
+        if remaining_s > 0.0:
+            self.cold_starts.record(
+                instance, remaining_s=remaining_s, source=OWN_ANSWER
+            )
+
     def apply_report(self, report: LimitReport, *, source: str) -> bool:
         """Apply what another entry knows; return whether a limit began or ended."""
         as_of_s = self._now() - report.age_ms / MS_PER_S
@@ -127,7 +141,24 @@
     def rate(self, instance: FleetInstance) -> float | None:
         """Return the limit of an instance in requests per second, if it has one."""
         known = self._find(instance)
-        return None if known is None else known.rate
+        named = None if known is None else known.rate
+        return _lower(named, self.cold_starts.rate(instance))
+
+    def is_cold(self, instance: FleetInstance) -> bool:
+        """Return whether an instance has a limit since it is cold."""
+        return self.cold_starts.rate(instance) is not None
+
+    def shared_rate(self, report: LimitReport, *, cold_per_s: float) -> float | None:
+        """Return the limit for permits of another entry, which knows both values."""
+        cold = self.cold_starts.rate_of(report.instance, asked=cold_per_s)
+        return _lower(report.rate, cold)
+
+    def request_report(self, instance: FleetInstance) -> LimitReport:
+        """Return what a request for a permit says of the limit of an instance."""
+        report = self.report(instance.id, instance.born_ms)
+        if report is not None:
+            return report
+        return LimitReport(instance.id, instance.born_ms, None, UNKNOWN_AGE_MS)
 
     def report(self, instance: InstanceId, born_ms: int) -> LimitReport | None:
         """Return what is known of one life of an instance for other entries."""
@@ -143,25 +174,30 @@
     def began_s(self, instance: InstanceId) -> float:
         """Return when this entry learned of the limit of an instance, or now."""
         known = self._known.get(instance)
-        return self._now() if known is None else known.changed_s
+        if known is None or known.rate is None:
+            return self.cold_starts.began_s(instance)
+        return known.changed_s
 
     def set_exhausted(self, instance: InstanceId, *, wait_s: float) -> None:
         """Expect no permit for an instance before ``wait_s`` seconds."""
         if instance in self._known:
             self._known[instance].exhausted_until_s = self._now() + wait_s
+        self.cold_starts.set_exhausted(instance, wait_s=wait_s)
 
     def wait_s(self, instance: FleetInstance) -> float:
         """Return in how many seconds a permit for an instance can be expected."""
         known = self._find(instance)
+        cold_s = self.cold_starts.wait_s(instance)
         if known is None or known.rate is None:
-            return 0.0
-        return max(known.exhausted_until_s - self._now(), 0.0)
+            return cold_s
+        return max(known.exhausted_until_s - self._now(), cold_s)
 
     def load_cost(self, instance: FleetInstance) -> float:
         """Return the requests to add to the load of an instance to compare it."""
         known = self._find(instance)
-        if known is None:
-            return 0.0
+        cold_cost = self.cold_starts.load_cost(instance)
+        if known is None or cold_cost:
+            return cold_cost
         if known.rate is not None:
             is_confirmed = self._now() - known.as_of_s < CONFIRMATION_S
             return LIMITED_COST_REQUESTS if is_confirmed else 0.0
@@ -192,6 +228,7 @@
 
     def expire(self, *, present: Callable[[InstanceId], object]) -> None:
         """Forget instances that are gone; ``present`` returns ``None`` for them."""
+        self.cold_starts.expire()
         for name, known in list(self._known.items()):
             if self._now() - known.as_of_s > FORGET_AFTER_S and present(name) is None:
                 del self._known[name]
@@ -200,7 +237,7 @@
         """Return the limit of an instance with its age and source, or an empty row."""
         known = self._find(instance)
         if known is None or known.rate is None:
-            return {}
+            return self.cold_starts.row(instance)
         return {
             "instance": instance.id,
             "rate": known.rate,
@@ -208,3 +245,10 @@
             "source": known.source,
             "wait_ms": round(self.wait_s(instance) * MS_PER_S),
         }
+
+
+def _lower(one: float | None, other: float | None) -> float | None:
+    """Return the lower of two limits, each ``None`` where there is none."""
+    if one is None or other is None:
+        return other if one is None else one
+    return min(one, other)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -16,6 +16,7 @@
 from citronpin.basics.loop_lags import LoopLag
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabrics import Fabrics
@@ -137,7 +138,9 @@
         self.fleet = Fleet(on_rejoined=self.suspects.discard)
         self.loads = LoadTracker()
         self.quarantine = CrashQuarantine(policy=ConsecutiveCrashes())
-        self.limits = InstanceLimits(now=clock.now)
+        self.cold_starts = ColdStarts(now=clock.now, fleet=self.fleet)
+        self.cold_starts.traffic_began = lambda: self.fabrics.traffic_began
+        self.limits = InstanceLimits(now=clock.now, cold_starts=self.cold_starts)
         self.rests = InstanceRests(now=clock.now)
         self.evacuations = Evacuations(now=clock.now)
         self.gate = InstanceGate(
@@ -183,6 +186,11 @@
             "Instances that want no request from this entry now.",
             self.rests.count,
         )
+        self.metrics.gauges.add(
+            "cold_instances",
+            "Instances that take only some requests per second since they are cold.",
+            lambda: len(self.cold_starts.current()),
+        )
         self.metrics.gauges.add(
             "evacuated_domains",
             "Failure domains whose instances get no requests.",
@@ -232,6 +240,7 @@
             heartbeat_s=cfg.heartbeat_s,
             reach=self.reach,
             evacuations=self.evacuations,
+            cold_starts=self.cold_starts,
         )
         self._add_servers()
         clock.call_later(0.0, self._start_components)
@@ -323,7 +332,7 @@
     def _answer_limits(self, req: HttpRequest, reply: Reply) -> None:
         rows = [
             self.limits.row(instance) | {"owner": self.permits.owner(name)}
-            for name in self.limits.current()
+            for name in {*self.limits.current(), *self.cold_starts.current()}
             if (instance := self.fleet.get(name)) is not None
         ]
         reply.json(200, rows)
@@ -362,6 +371,7 @@
         table = RoutingTable(cfg=cfg)
         self.context.table = table
         self.fabrics.table = table
+        self.cold_starts.set_services(cfg.services)
         limits = ServerLimits(
             body_bytes=cfg.limits.body_bytes,
             header_bytes=cfg.limits.header_bytes,
--- a/citronpin/gateway/permits.py
+++ b/citronpin/gateway/permits.py
@@ -24,6 +24,13 @@
 MAX_WAIT_S = 5.0
 ASKED_PER_PERMIT = 2.0  # entries that are told to ask again, for each expected permit
 MAX_BUCKETS = 4_096
+# At 18 requests per second, an entry that is cut off and issues the whole limit until
+# it knows that exceeds the allowed 1.5 times the limit in a second. A new owner of the
+# limit of a cold instance issues none until it has counted the entries that it hears.
+COLD_TAKEOVER_S = 1.0
+# Of the limit of a cold instance, what its owner may take for its own requests. An
+# entry that alone does not hear the owner takes itself for it; no other entry asks it.
+OWN_COLD_SHARE = 0.5
 
 PermitCallback = Callable[[bool], None]
 
@@ -59,6 +66,7 @@
     """The permits of one life of an instance whose limit this entry owns."""
 
     bucket: Bucket
+    own_bucket: Bucket  # of the requests of this entry to a cold instance
     next_ask_s: float = float("-inf")  # the latest time at which an entry may ask again
 
 
@@ -69,6 +77,9 @@
     for each entry would be far below one request. Each limit has one owner instead,
     whose token bucket all entries take from. An owner that hears only part of the other
     entries issues that part of the limit, unless it is more than half.
+
+    The limits of cold instances are issued in the same way. They last for seconds and
+    allow more requests, so that changes of the owner matter more.
     """
 
     def __init__(self, *, entry: EntryId, limits: InstanceLimits, clock: Clock) -> None:
@@ -106,17 +117,22 @@
         return owner_of(instance, self._owners) if self._owners else None
 
     def acquire(self, instance, done):
-        report = self._limits.report(instance.id, instance.born_ms)
-        if report is None or report.rate is None:
+        rate = self._limits.rate(instance)
+        if rate is None:
             done(True)
             return
+        report = self._limits.request_report(instance)
+        cold_starts = self._limits.cold_starts
+        cold_per_s = cold_starts.rate(instance) or 0.0
         owner = self.owner(instance.id)
         if owner == self._entry:
-            wait_s = self._take(report)
+            is_cold = cold_per_s > 0.0
+            wait_s = self._take(report, rate, is_cold=is_cold, is_own=True)
             self._finish(instance.id, done, wait_s == 0.0, wait_s)
             return
         self._number += 1
-        request = PermitRequest(self._number, report)
+        cold_ms = round(cold_starts.remaining_s(instance) * MS_PER_S)
+        request = PermitRequest(self._number, report, cold_per_s, cold_ms)
         if owner is None or not self._send(owner, request):
             self._finish(instance.id, done, False, RETRY_AFTER_SILENCE_S)
             return
@@ -142,35 +158,50 @@
         if pending is not None:
             self._finish(pending.instance, pending.done, False, RETRY_AFTER_SILENCE_S)
 
-    def _take(self, report: LimitReport) -> float:
+    def _take(
+        self, report: LimitReport, rate: float, *, is_cold: bool, is_own: bool
+    ) -> float:
         """Take one permit; return 0, or the seconds after which to ask again."""
         now_s = self._clock.now()
-        rate = max(report.rate, MIN_RATE) * self._share
+        rate = max(rate, MIN_RATE) * self._share
         key = (report.instance, report.born_ms)
         owned = self._owned.get(key)
         if owned is None:
-            owned = self._add_owned(key, rate)
+            owned = self._add_owned(key, rate, is_cold)
         owned.bucket.set_rate(rate=rate, now_s=now_s)
-        if owned.bucket.take(units=1.0, now_s=now_s):
+        buckets = [owned.bucket]
+        if is_cold and is_own and len(self._owners) > 1:
+            owned.own_bucket.set_rate(rate=OWN_COLD_SHARE * rate, now_s=now_s)
+            buckets.append(owned.own_bucket)
+        bucket_wait_s = max(b.wait_s(units=1.0, now_s=now_s) for b in buckets)
+        if bucket_wait_s == 0.0:
+            for bucket in buckets:
+                bucket.take(units=1.0, now_s=now_s)
             return 0.0
-        ready_s = now_s + owned.bucket.wait_s(units=1.0, now_s=now_s)
+        ready_s = now_s + bucket_wait_s
         interval_s = 1.0 / max(rate * ASKED_PER_PERMIT, 1.0 / MAX_WAIT_S)
         owned.next_ask_s = min(
             max(owned.next_ask_s + interval_s, ready_s), now_s + MAX_WAIT_S
         )
         return max(owned.next_ask_s - now_s, MIN_WAIT_S)
 
-    def _add_owned(self, key: tuple[InstanceId, int], rate: float) -> OwnedLimit:
+    def _add_owned(
+        self, key: tuple[InstanceId, int], rate: float, is_cold: bool
+    ) -> OwnedLimit:
         """Begin to issue the permits of a limit, from its begin or when it is owned."""
-        since_s = max(self._limits.began_s(key[0]), self._owners_since_s)
-        bucket = Bucket(
-            rate=rate,
-            burst_s=0.0,
-            now_s=since_s,
-            min_capacity=BURST_REQUESTS,
-            is_empty=True,
+        takeover_s = COLD_TAKEOVER_S if is_cold else 0.0
+        since_s = max(self._limits.began_s(key[0]), self._owners_since_s + takeover_s)
+        bucket, own_bucket = (
+            Bucket(
+                rate=rate,
+                burst_s=0.0,
+                now_s=since_s,
+                min_capacity=BURST_REQUESTS,
+                is_empty=True,
+            )
+            for _ in range(2)
         )
-        self._owned[key] = OwnedLimit(bucket=bucket)
+        self._owned[key] = OwnedLimit(bucket=bucket, own_bucket=own_bucket)
         if len(self._owned) > MAX_BUCKETS:
             del self._owned[next(iter(self._owned))]
         return self._owned[key]
@@ -184,14 +215,26 @@
 
     def _on_request(self, sender: EntryId, request: PermitRequest) -> None:
         limit = self._merge(sender, request.limit)
-        if limit.rate is None:
+        cold_starts = self._limits.cold_starts
+        if request.cold_ms > 0:
+            remaining_s = request.cold_ms / MS_PER_S
+            cold_starts.apply_fact(
+                limit.instance, remaining_s=remaining_s, source=sender
+            )
+        cold = cold_starts.rate_of(limit.instance, asked=request.cold_per_s)
+        rate = self._limits.shared_rate(limit, cold_per_s=request.cold_per_s)
+        if rate is None:
             wait_s = 0.0
         elif self.owner(limit.instance) != self._entry:
             wait_s = RETRY_AFTER_SILENCE_S  # one of both has not heard of an entry yet
         else:
-            wait_s = self._take(limit)
+            wait_s = self._take(limit, rate, is_cold=cold is not None, is_own=False)
         wait_ms = round(wait_s * MS_PER_S)
-        self._send(sender, PermitReply(request.number, wait_s == 0.0, wait_ms, limit))
+        cold_ms = round(cold_starts.remaining_s_of(limit.instance) * MS_PER_S)
+        granted = wait_s == 0.0
+        self._send(
+            sender, PermitReply(request.number, granted, wait_ms, limit, cold_ms)
+        )
 
     def _merge(self, sender: EntryId, report: LimitReport) -> LimitReport:
         """Return the newer of what the sender and this entry know of a limit."""
@@ -208,6 +251,12 @@
         self._limits.apply_report(reply.limit, source=sender)
         # A reply that lay in the socket while this entry was frozen is outdated.
         is_late = self._clock.now() - pending.asked_s > PERMIT_TIMEOUT_S
+        if reply.cold_ms > 0 and not is_late:
+            self._limits.cold_starts.apply_fact(
+                pending.instance,
+                remaining_s=reply.cold_ms / MS_PER_S,
+                source=sender,
+            )
         self._finish(
             pending.instance,
             pending.done,
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -35,6 +35,7 @@
     leaving: str  # in an answer: the instance leaves
     weight_versions: str  # in an answer, and as the first line of an event
     request_limit: str  # in an answer: requests per second that the instance takes
+    cold_ms: str  # in an answer: how much longer the instance is cold
 
 
 class OrderKind(Enum):
@@ -79,6 +80,7 @@
     running: int = 0
     waiting: int = 0
     pace: float = 1.0  # factor on its usual times, above 1 when slow
+    cold_s: float = 0.0  # how much longer it is cold
 
 
 class ProbeResult(Enum):
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -135,6 +135,9 @@
             self._context.limits.record_answer(
                 self.instance, rate=attempt.named_limit, sent_s=attempt.sent_s
             )
+            self._context.limits.record_cold(
+                self.instance, remaining_s=attempt.named_cold_s
+            )
             self._context.quarantine.record_answer(self.instance, sent_s=attempt.sent_s)
 
     def record_progress(self):
--- a/citronpin/gateway/registrations.py
+++ b/citronpin/gateway/registrations.py
@@ -17,6 +17,7 @@
 
     instance: FleetInstance
     sequence: int
+    cold_s: float = 0.0  # how much longer it was cold when it was written
 
     @property
     def order(self) -> tuple[int, int]:
--- a/citronpin/gateway/routings.py
+++ b/citronpin/gateway/routings.py
@@ -91,6 +91,9 @@
     name: ApplicationName
     max_connections: int = 0
     engine: EngineSpec | None = None
+    cold_start_s: float = 0.0  # for which an instance is cold after a start
+    # Requests per second that a cold instance takes from all entries; 0 means no limit.
+    cold_per_s: float = 0.0
 
 
 class Tenant(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -7,6 +7,7 @@
 from citronpin.basics.clocks import Clock
 from citronpin.basics.errors import CitronpinError
 from citronpin.basics.ids import InstanceId
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.fleets import Fleet, FleetInstance, Phase
 from citronpin.gateway.ports import InstanceControl, Report
 from citronpin.gateway.reachabilities import Reachability
@@ -50,7 +51,9 @@
         clock: Clock,
         heartbeat_s: float,
         reach: Reachability,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
+        self._cold_starts = cold_starts
         self._reach = reach
         self._control = control
         self._fleet = fleet
@@ -86,6 +89,10 @@
                     )
                 return
             self._reach.record_reply(instance.service)
+            if self._cold_starts is not None:
+                self._cold_starts.record(
+                    instance, remaining_s=report.cold_s, source="report"
+                )
             state.misses = 0
             state.report = report
             state.reported_s = self._clock.now()
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -256,6 +256,8 @@
 
     number: int  # of the request for a permit, unique at its sender
     limit: LimitReport  # as the sender knows it
+    cold_per_s: float = 0.0  # requests per second that the instance takes while cold
+    cold_ms: int = 0  # how much longer it is cold, as far as the sender knows
 
 
 class PermitReply(Message, tag=20):
@@ -265,6 +267,7 @@
     granted: bool
     wait_ms: int  # until the sender may ask again
     limit: LimitReport  # as the owner of the instance's limit knows it
+    cold_ms: int = 0  # how much longer the instance is cold, as the owner knows
 
 
 class ForwardedRequest(Message, tag=21):
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -136,6 +136,8 @@
     name: str
     max_connections: int = 0
     engine: WireEngine | None = None
+    cold_start_s: Duration = 0.0  # for which an instance is cold after a start
+    cold_per_s: Duration = 0.0  # requests per second that it takes meanwhile; 0: all
 
 
 class WireTenant(_WireStruct, kw_only=True):
@@ -274,6 +276,8 @@
         name=ApplicationName(wire.name),
         max_connections=wire.max_connections,
         engine=None if engine is None else _convert_engine(engine),
+        cold_start_s=wire.cold_start_s,
+        cold_per_s=wire.cold_per_s,
     )
 
 
@@ -336,7 +340,9 @@
             membership=_convert_membership(wire.group),
             born_ms=wire.born,
         )
-        return Ok(Registration(instance, wire.sequence))
+        return Ok(
+            Registration(instance, wire.sequence, wire.cold_remaining_ms / MS_PER_S)
+        )
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(
             UnreadableRecord(f"The registration of {name!r} cannot be decoded: {exc}.")
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -11,6 +11,7 @@
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
 from citronpin.basics.loop_faults import call_each
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import SharedFeeds
@@ -427,8 +428,15 @@
     """
 
     def __init__(
-        self, *, store: LogStore, clock: Clock, fleet: Fleet, drain_s: float
+        self,
+        *,
+        store: LogStore,
+        clock: Clock,
+        fleet: Fleet,
+        drain_s: float,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
+        self._cold_starts = cold_starts or ColdStarts(now=clock.now, fleet=fleet)
         self._default_interval_s = READ_INTERVAL_FRACTION * drain_s
         super().__init__(
             store=store,
@@ -459,14 +467,20 @@
         rows = tuple((change.offset, change.key, change.value) for change in changes)
         return msgspec.structs.replace(found, since=since, records=rows)
 
-    def _record_change(self, record: Record, instance: FleetInstance | None) -> None:
+    def _record_change(
+        self,
+        record: Record,
+        instance: FleetInstance | None,
+        *,
+        is_forwarded: bool = False,
+    ) -> None:
         """Keep a record that changes the routing of others until it is forwarded."""
         known = self._routing_views.get(record.key)
         needed = None if instance is None else _routing_view(instance)
-        if needed == known:
+        if needed == known and not is_forwarded:
             return
         if needed is None:
-            del self._routing_views[record.key]
+            self._routing_views.pop(record.key, None)
         else:
             self._routing_views[record.key] = needed
         if len(self._unforwarded_changes) <= MAX_FORWARDED_RECORDS:
@@ -532,7 +546,13 @@
     def _apply_registration(self, record: Record, registration: Registration) -> None:
         is_new = self._history.is_later(registration)
         self._history.record(registration)
-        self._record_change(record, registration.instance)
+        # Without a change of the registration, an instance may be cold again.
+        is_cold = is_new and self._cold_starts.record(
+            registration.instance,
+            remaining_s=registration.cold_s,
+            source="registration",
+        )
+        self._record_change(record, registration.instance, is_forwarded=is_cold)
         self._fleet.register(
             registration.instance,
             now_s=self._clock.now(),
--- a/citronpin/platform/orders.py
+++ b/citronpin/platform/orders.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronpin.basics.errors import CitronpinError, ConnectionFailed
+from citronpin.gateway.attempts import parse_cold_s
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.ports import (
     InstanceControl,
@@ -78,7 +79,9 @@
             if result.is_err():
                 done(None, result.err_value)
             else:
-                done(result.ok_value, None)
+                cold_s = parse_cold_s(answer[1].get(HEADERS.cold_ms, ""))
+                report = msgspec.structs.replace(result.ok_value, cold_s=cold_s)
+                done(report, None)
 
         self._client.request(
             address=of.address,
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -62,6 +62,7 @@
             clock=self._clock,
             fleet=node.fleet,
             drain_s=self._settings.bounds.drain_ms / MS_PER_S,
+            cold_starts=node.cold_starts,
         )
         self._directory = StoreDirectory(
             store=self.store,
--- a/citronpin/tests/test_permit_machine.py
+++ b/citronpin/tests/test_permit_machine.py
@@ -91,7 +91,7 @@
         self.fleet = Fleet()
         for instance in machine.instances:
             self.fleet.register(instance.registration(), now_s=0.0)
-        self.limits = InstanceLimits(now=self.clock.now)
+        self.limits = machine.make_limits(self)
         self.permits = machine.make_permits(self)
         self.peers = {other: other for other in machine.names if other != name}
         rng = random.Random(1)
@@ -150,6 +150,9 @@
     def make_permits(self, entry):
         return SharedPermits(entry=entry.name, limits=entry.limits, clock=entry.clock)
 
+    def make_limits(self, entry):
+        return InstanceLimits(now=entry.clock.now)
+
     def __init__(self):
         super().__init__()
         self.clock = PausedClock()
