--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -78,6 +78,7 @@
         self.limit = None  # requests per second that its answers name
         self.rest = None  # value of Retry-After with which it refuses requests
         self.rested = []  # (clock time in s, entry, value) of these answers
+        self.cold_ms = None  # how much longer it is cold, as its answers say
         self.is_leaving = False  # whether its answers say that it leaves
         self.left_s = {}  # entry -> clock time of the first answer that said so
         self.arrivals = []  # (clock time in s, entry)
@@ -140,6 +141,8 @@
         if self.limit is not None:
             headers[HEADERS.request_limit] = str(self.limit)
             self.named_s.setdefault(exchange.client, self.world.clock.now())
+        if self.cold_ms is not None:
+            headers[HEADERS.cold_ms] = str(self.cold_ms)
         if self.is_leaving:
             headers["server-leaving"] = "1"
             self.left_s.setdefault(exchange.client, self.world.clock.now())
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -14,6 +14,7 @@
 )
 from citronpin.basics.metrics import Metrics
 from citronpin.gateway.budgets import RetryBudget
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fingerprints import Fingerprints
@@ -143,7 +144,8 @@
         self.loads = LoadTracker()
         self.quarantine = CrashQuarantine(policy=policy or ConsecutiveCrashes())
         self.name = EntryId(name)
-        self.limits = InstanceLimits(now=clock.now)
+        self.cold_starts = ColdStarts(now=clock.now, fleet=self.fleet)
+        self.limits = InstanceLimits(now=clock.now, cold_starts=self.cold_starts)
         self.rests = InstanceRests(now=clock.now)
         self.evacuations = Evacuations(now=clock.now)
         self.gate = InstanceGate(
@@ -206,6 +208,7 @@
             make_budget=lambda: RetryBudget(ratio=0.2, slack=100, window_s=10),
         )
         self.context.table = make_routing_table(**({"routes": ROUTES} | config))
+        self.cold_starts.set_services(self.context.table.cfg.services)
         self.front = FrontHandler(context=self.context)
         self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.request_count = 0
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -5,8 +5,10 @@
 import pytest
 
 from citronpin.basics.ids import EntryId, InstanceId
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet
+from citronpin.gateway.routings import ServiceSpec
 from citronpin.platform.feeds import (
     CONFIRMATION_MAX_AGE_S,
     FOLLOW_CHECK_INTERVAL_S,
@@ -26,6 +28,7 @@
 DRAIN_S = 2.0
 CONFIG_APPLY_S = 2.0
 EVACUATE_S = 5.0
+ENGINES = ServiceSpec(name="engines", cold_start_s=5.0, cold_per_s=18.0)
 RELAY_UPDATE_INTERVAL_S = 0.3
 RELAY_READ_INTERVAL_S = 0.3
 
@@ -47,8 +50,14 @@
         client.handlers[STORE_ADDRESS] = self._call_store
         store = LogStore(client=client, address=STORE_ADDRESS)
         self.fleet = Fleet()
+        self.cold_starts = ColdStarts(now=clock.now, fleet=self.fleet)
+        self.cold_starts.set_services([ENGINES])
         fleet_feed = FleetFeed(
-            store=store, clock=clock, fleet=self.fleet, drain_s=DRAIN_S
+            store=store,
+            clock=clock,
+            fleet=self.fleet,
+            drain_s=DRAIN_S,
+            cold_starts=self.cold_starts,
         )
         self.evacuations = Evacuations(now=clock.now)
         config_feed = ConfigFeed(
@@ -196,6 +205,22 @@
     assert simulation.follower.versions == [3, 7]
 
 
+def test_follower_learns_from_relays_that_an_instance_is_cold_again(
+    paused_clock, simulation
+):
+    # Guards against relays that forward only what changes the place of an instance.
+    before = len(simulation.follower.calls)
+    simulation.put_instance("i-1", **{"cold-remaining-ms": 4000, "sequence": 1})
+    paused_clock.advance(RELAY_READ_INTERVAL_S + RELAY_UPDATE_INTERVAL_S + 0.05)
+    assert simulation.follower.cold_starts.current() == ["i-1"]
+    assert not [c for c in simulation.follower.calls[before:] if "keyed.servers" in c]
+    simulation.put_instance("i-1", **{"cold-remaining-ms": 0, "sequence": 2})
+    paused_clock.advance(3.0)
+    assert simulation.follower.cold_starts.current() == ["i-1"]
+    paused_clock.advance(2.0)
+    assert simulation.follower.cold_starts.current() == []
+
+
 def test_follower_learns_in_time_of_evacuations(paused_clock, simulation):
     simulation.store.put("keyed.op", "evacuate/z0", b"{}")
     paused_clock.advance(EVACUATE_S)
