--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -16,6 +16,7 @@
     ModelName,
 )
 from citronpin.gateway.budgets import SlidingCount
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.planners import GroupPlanner
@@ -78,6 +79,7 @@
         reach: Reachability,
         withdrawals: Withdrawals = NO_WITHDRAWALS,
         evacuations: Evacuations | None = None,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         self._withdrawals = withdrawals
         self._evacuations = evacuations or Evacuations(now=clock.now)
@@ -96,6 +98,7 @@
             clock=clock,
             heartbeat_s=heartbeat_s,
             reach=reach,
+            cold_starts=cold_starts,
         )
         self._formations: dict[GroupId, Formation] = {}
         self._closes: dict[GroupId, float] = {}
--- a/citronpin/gateway/fabrics.py
+++ b/citronpin/gateway/fabrics.py
@@ -7,6 +7,7 @@
 from citronpin.basics.clocks import Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, DomainName, ModelName
 from citronpin.basics.loop_faults import call_each
+from citronpin.gateway.cold_starts import ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabric_controllers import TICK_INTERVAL_S, FabricController
 from citronpin.gateway.fleets import Fleet, FleetInstance
@@ -69,8 +70,10 @@
         reach: Reachability,
         withdrawals: Withdrawals = NO_WITHDRAWALS,
         evacuations: Evacuations | None = None,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         self._withdrawals = withdrawals
+        self._cold_starts = cold_starts
         self._evacuations = evacuations or Evacuations(now=clock.now)
         self._reach = reach
         self._suspects = suspects
@@ -164,6 +167,7 @@
                 reach=self._reach,
                 withdrawals=self._withdrawals,
                 evacuations=self._evacuations,
+                cold_starts=self._cold_starts,
             )
         return self._controllers[key]
 
