Placement by remaining work: replay of 90 entries, tests and bench

Change: benches/crowds.py replays many entries with reports that are 0.2 to 1 s old, slow and lost groups and plain services; citronpin bench overload compares random, least loaded and by work with it. Refusals lower the weight of an instance for 0.5 s. Durations are kept as samples, from which the share of answers that still run follows. Rests and limits return their cost without reading the clock where they know nothing of an instance; the values are the same.

--- a/citronpin/benches/bench_overload.py
+++ b/citronpin/benches/bench_overload.py
@@ -22,6 +22,7 @@
     ModelName,
 )
 from citronpin.benches.benches import Bench, Figure, register
+from citronpin.benches.crowds import CrowdCase, CrowdRun, Policy
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
 from citronpin.gateway.instance_gates import InstanceGate
 from citronpin.gateway.limits import InstanceLimits
@@ -68,6 +69,7 @@
 MAX_PROMPT_TOKENS = 2_340
 MAX_ANSWER_TOKENS = 435
 LATE_ANSWER_VALUE = 0.25  # of an answer after its objective, by the users' weighting
+CROWD_SHARES = (0.5, 0.9)  # of the capacity, with 90 entries
 MAX_CALLER_RETRIES = 1  # after a refusal
 
 
@@ -403,9 +405,34 @@
                 run.run()
                 runs.append(run)
             figures.extend(_figures(limit_policy, runs))
+        for share in CROWD_SHARES[:1] if quick else CROWD_SHARES:
+            figures.extend(_crowd_figures(share, seed, quick))
         return figures
 
 
+def _crowd_figures(share: float, seed: int, quick: bool) -> list[Figure]:
+    """Return the figures of 90 entries with stale reports, by placement."""
+    case = CrowdCase(share=share, length_s=4.0 if quick else 10.0)
+    figures = []
+    for policy in Policy:
+        run = CrowdRun(case=case, policy=policy, seed=seed).run()
+        for name, value, unit in (
+            ("crowd refusals", run.refusals, "an arrival"),
+            ("crowd late", run.late, "share"),
+            ("crowd busiest", run.busiest, "of the mean"),
+        ):
+            figures.append(
+                Figure(
+                    name=name,
+                    series=policy.value,
+                    at=str(share),
+                    value=value,
+                    unit=unit,
+                )
+            )
+    return figures
+
+
 def _figures(limit_policy: str, runs: list[OverloadRun]) -> list[Figure]:
     callers = [caller for run in runs for caller in run.callers]
     value = sum(caller.value() for caller in callers) / len(callers)
--- a/citronpin/gateway/group_works.py
+++ b/citronpin/gateway/group_works.py
@@ -16,7 +16,7 @@
 from citronpin.gateway.budgets import SlidingCount
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.load_trackers import LoadTracker
-from citronpin.gateway.overloads import MAX_QUEUED_REQUESTS, mean_slot_wait_s
+from citronpin.gateway.overloads import mean_slot_wait_s
 from citronpin.gateway.request_costs import RequestCost, RequestCosts
 from citronpin.gateway.routings import EngineSpec, ModelSpec
 
@@ -24,13 +24,14 @@
 
 HISTORY_S = 3.0  # of own starts and ends; reports are at most this old
 PEER_LOAD_AGE_S = 0.2  # of loads that entries send each other: half of 0.15 s, and way
-DURATION_WEIGHT = 0.05  # of the newest answer in the mean duration
 DEFAULT_DURATION_S = 0.3  # of a plain request, until one was measured
 OVERHEAD_WEIGHT = 0.1  # of the newest first event
 DEFAULT_OVERHEAD_S = 0.08  # of a first event, beyond reading and the first pass
 RATE_WINDOW_S = 10.0  # of the own requests that stand for those of other entries
 MIN_WEIGHT, MAX_WEIGHT = 0.25, 3.0  # of an own request, in mean requests
 EVENTS_PER_WEIGHT = 16  # events after which the weight of a request is estimated again
+REFUSAL_S = 0.5  # for which a refusal lowers the weight of an instance
+REFUSAL_COST_SHARE = 1.0  # of the slots, at first
 MAX_GROUPS = 4_096  # with own history or refusals
 
 ServiceKey = tuple[ApplicationName, ModelName | None]
@@ -43,20 +44,91 @@
     gap_s: float  # between two events, at the mean
 
 
-class GroupLoad(msgspec.Struct):
-    """What this entry knows of the requests in progress at an instance."""
+# What this entry knows of the requests in progress at an instance: the own ones, their
+# work in mean requests, those of other entries as of the report or ``None`` when
+# unknown, and the age of the report in seconds.
+GroupLoad = tuple[int, float, float | None, float]
 
-    own: int
-    own_work: float  # of the own requests, in mean requests
-    others: float | None  # of other entries at the time of the report; None: unknown
-    age_s: float  # of the report
 
+class StepModel:
+    """The time of a decoding step by the number of writers, as the engine states it.
 
-class Refusal(msgspec.Struct, frozen=True):
-    """A refusal, which shows that an instance was full at clock time ``as_of_s``."""
+    Answers take longer in a group with more writers, in proportion to the step.
+    """
 
-    as_of_s: float
-    load: int
+    def __init__(self, engine: EngineSpec | None) -> None:
+        self.base_s, self.per_writer_s = 1.0, 0.0  # a plain service has no steps
+        slots = 0
+        if engine is not None:
+            context = engine.mean_prompt_tokens + engine.mean_answer_tokens / 2
+            self.base_s, slots = engine.step_s, engine.slots
+            self.per_writer_s = (
+                engine.step_per_writer_s + context * engine.step_per_context_token_s
+            )
+        self._reference_s = self.step_s(slots)
+
+    def step_s(self, writers: float) -> float:
+        """Return the time of a step in seconds at normal pace."""
+        return self.base_s + writers * self.per_writer_s
+
+    def slowness(self, writers: float) -> float:
+        """Return the step as a multiple of that of a full group of usual size."""
+        if self._reference_s <= 0.0:
+            return 1.0  # an engine without stated times
+        return (self.base_s + writers * self.per_writer_s) / self._reference_s
+
+
+class Durations:
+    """The latest durations of answers in seconds, at normal pace and full groups."""
+
+    MAX_SAMPLES = 128
+    MIN_SAMPLES = 8  # until then, an exponential distribution is assumed
+    STEP_S = 0.05  # of the table of shares
+    STEPS = 60
+
+    def __init__(self, *, default_s: float) -> None:
+        self._default_s = default_s
+        self._samples: deque[float] = deque(maxlen=self.MAX_SAMPLES)
+        self._added = 0  # samples since the table was made
+        self._shares: list[float] = []
+        self.mean_s = default_s
+
+    def add(self, duration_s: float) -> None:
+        """Record how long an answer occupied its instance."""
+        self._samples.append(duration_s)
+        self._added += 1
+        if self._added >= self.MIN_SAMPLES:
+            self._added = 0
+            self._make_table()
+
+    def _make_table(self) -> None:
+        ordered = sorted(self._samples)
+        left, left_s = len(ordered), sum(ordered)
+        self.mean_s = left_s / left
+        position, total_s, shares = 0, left_s, []
+        for step in range(self.STEPS + 1):
+            age_s = step * self.STEP_S
+            while position < len(ordered) and ordered[position] <= age_s:
+                left_s -= ordered[position]
+                left -= 1
+                position += 1
+            shares.append(max(left_s - left * age_s, 0.0) / total_s)
+        self._shares = shares
+
+    def left_share(self, age_s: float) -> float:
+        """Return which share of the answers in progress goes on ``age_s`` later.
+
+        Of answers observed at any time, that is the mean of what exceeds ``age_s`` over
+        the mean duration.
+        """
+        if not self._shares:
+            return math.exp(-age_s / self.mean_s)
+        position = age_s / self.STEP_S
+        step = int(position)
+        if step >= self.STEPS:
+            return 0.0
+        first, second = self._shares[step], self._shares[step + 1]
+        return first + (position - step) * (second - first)
 
 
 class OwnRequest:
@@ -71,6 +143,7 @@
         cost: RequestCost | None,
         expected: ExpectedTimes | None,
         pace: float,
+        slowness: float,
         is_unqueued: bool,
     ) -> None:
         self._works = works
@@ -79,6 +152,7 @@
         self.cost = cost
         self.expected = expected
         self.pace = pace
+        self.slowness = slowness  # pace and length of steps, see `StepModel`
         self.is_unqueued = is_unqueued  # a slot is expected to be free
         self.weight = 1.0  # remaining work in mean requests
         self.events = 0
@@ -131,8 +205,10 @@
         self._ratios = ratios
         self._own: dict[InstanceId, dict[OwnRequest, None]] = {}
         self._changes: dict[InstanceId, deque[tuple[float, int]]] = {}
-        self._refusals: dict[InstanceId, Refusal] = {}
-        self._durations_s: dict[ServiceKey, float] = {}
+        self._refusals: dict[InstanceId, float] = {}  # clock time
+        self._durations: dict[ServiceKey, Durations] = {}
+        self._step_models: dict[ApplicationName, StepModel] = {}
+        self._engines: dict[ApplicationName, EngineSpec | None] = {}
         self._overheads_s: dict[ServiceKey, float] = {}
         self._starts: dict[ServiceKey, SlidingCount] = {}
         self._began_s: dict[ServiceKey, float] = {}
@@ -161,14 +237,14 @@
         self._add_change(name, -1, now_s)
         if not has_run:
             return
-        duration_s = max(now_s - request.started_s, 1e-3) / request.pace
-        known_s = self._durations_s.get(request.key, duration_s)
-        self._durations_s[request.key] = known_s + DURATION_WEIGHT * (
-            duration_s - known_s
-        )
-        if request.expected is not None and request.events > 1:
+        duration_s = max(now_s - request.started_s, 1e-3) / request.slowness
+        durations = self._durations.get(request.key)
+        if durations is not None:
+            durations.add(duration_s)
+        expected = request.expected
+        if expected is not None and expected.gap_s > 0.0 and request.events > 1:
             gap_s = (request.last_s - request.first_s) / (request.events - 1)
-            self._ratios.record("event_gap", gap_s / request.expected.gap_s)
+            self._ratios.record("event_gap", gap_s / expected.gap_s)
 
     def _add_change(self, name: InstanceId, change: int, now_s: float) -> None:
         changes = self._changes.get(name)
@@ -206,48 +282,90 @@
         """Record that an instance refused a request, since it was full."""
         if len(self._refusals) >= MAX_GROUPS:
             del self._refusals[next(iter(self._refusals))]
-        load = instance.slots + MAX_QUEUED_REQUESTS
-        self._refusals[instance.id] = Refusal(now_s, load)
-
-    def load_of(self, name: InstanceId, *, now_s: float) -> GroupLoad:
-        """Return the requests in progress at an instance, as far as known."""
-        requests = self._own.get(name)
-        own = own_work = 0
-        if requests:
-            own, own_work = len(requests), sum(one.weight for one in requests)
-        report = self._loads.report(name)
-        refusal = self._refusals.get(name)
-        if refusal is not None:
-            if now_s - refusal.as_of_s > HISTORY_S:
-                del self._refusals[name]
-            elif report is None or refusal.as_of_s > report.as_of_s:
-                report = refusal
-        if report is None:
-            peer_load = self._loads.peer_load(name)
-            if not peer_load and not self._loads.peer_count():
-                return GroupLoad(own, own_work, None, 0.0)
-            return GroupLoad(own, own_work, float(peer_load), PEER_LOAD_AGE_S)
-        others = report.load - self._own_at(name, report.as_of_s, own)
-        age_s = max(now_s - report.as_of_s, 0.0)
-        return GroupLoad(own, own_work, float(max(others, 0)), age_s)
+        self._refusals[instance.id] = now_s
+
+    def loads_of(self, names: list[InstanceId], *, now_s: float) -> list[GroupLoad]:
+        """Return the requests in progress at instances, as far as known."""
+        has_peers = self._loads.peer_count() > 0
+        reports, own_requests = self._loads.reports, self._own
+        changes = self._changes
+        found: list[GroupLoad] = []
+        for name in names:
+            own, own_work = 0, 0.0
+            if name in own_requests:
+                requests = own_requests[name]
+                own, own_work = len(requests), sum(one.weight for one in requests)
+            report = reports.get(name)
+            if report is not None:
+                others = report.load - own
+                if name in changes:
+                    others = report.load - self._own_at(name, report.as_of_s, own)
+                age_s = now_s - report.as_of_s
+                found.append(
+                    (
+                        own,
+                        own_work,
+                        float(others) if others > 0 else 0.0,
+                        age_s if age_s > 0.0 else 0.0,
+                    )
+                )
+            elif has_peers:
+                peer_load = float(self._loads.peer_load(name))
+                found.append((own, own_work, peer_load, PEER_LOAD_AGE_S))
+            else:
+                found.append((own, own_work, None, 0.0))
+        return found
+
+    @property
+    def has_refusals(self) -> bool:
+        """Return whether any instance refused a request lately."""
+        return bool(self._refusals)
+
+    def refusal_cost(self, instance: FleetInstance, *, now_s: float) -> float:
+        """Return the requests to add to a load after a refusal, until a newer report.
+
+        Without reports, no entry sees that an instance is full but by a refusal, so it
+        stays full for several answers.
+        """
+        refused_s = self._refusals.get(instance.id)
+        if refused_s is None:
+            return 0.0
+        left_share = 1.0 - max(now_s - refused_s, 0.0) / REFUSAL_S
+        report = self._loads.reports.get(instance.id)
+        if left_share <= 0.0 or (report is not None and report.as_of_s > refused_s):
+            del self._refusals[instance.id]
+            return 0.0
+        return REFUSAL_COST_SHARE * left_share * instance.slots
 
     def _own_at(self, name: InstanceId, at_s: float, own: int) -> int:
         """Return how many of the own requests an instance had at a clock time."""
-        for changed_s, change in reversed(self._changes.get(name, ())):
+        for changed_s, change in reversed(self._changes[name]):
             if changed_s <= at_s:
                 break
             own -= change
         return own
 
-    def mean_duration_s(self, key: ServiceKey, engine: EngineSpec | None) -> float:
-        """Return the mean duration of an answer at a group of normal pace."""
-        measured_s = self._durations_s.get(key)
-        if measured_s is not None:
-            return measured_s
+    def durations(self, key: ServiceKey, engine: EngineSpec | None) -> Durations:
+        """Return the durations of answers at groups of normal pace."""
+        known = self._durations.get(key)
+        if known is not None:
+            return known
         spec = engine.model(key[1]) if engine is not None and key[1] else None
-        if spec is None:
-            return DEFAULT_DURATION_S
-        return mean_slot_wait_s(engine, spec) * engine.slots
+        default_s = DEFAULT_DURATION_S
+        if spec is not None:
+            default_s = max(mean_slot_wait_s(engine, spec) * engine.slots, 1e-3)
+        self._durations[key] = Durations(default_s=default_s)
+        return self._durations[key]
+
+    def step_model(
+        self, service: ApplicationName, engine: EngineSpec | None
+    ) -> StepModel:
+        """Return the model of the steps of a service."""
+        known = self._step_models.get(service)
+        if known is None or self._engines[service] is not engine:
+            known = self._step_models[service] = StepModel(engine)
+            self._engines[service] = engine
+        return known
 
     def other_rate(self, key: ServiceKey, *, now_s: float) -> float:
         """Return the requests per second of all other entries, by the own ones.
@@ -277,10 +395,7 @@
         ``load`` counts the requests in progress without this one.
         """
         writers = min(load + 1.0, slots)
-        context = engine.mean_prompt_tokens + engine.mean_answer_tokens / 2
-        step_s = engine.step_s + writers * (
-            engine.step_per_writer_s + context * engine.step_per_context_token_s
-        )
+        step_s = self.step_model(key[0], engine).step_s(writers)
         prompt = cost.prompt_tokens
         read_s = prompt / max(engine.read_tokens_per_s, 1.0)
         read_s += engine.pair_s * prompt * prompt / 2
--- a/citronpin/gateway/limits.py
+++ b/citronpin/gateway/limits.py
@@ -159,8 +159,8 @@
 
     def load_cost(self, instance: FleetInstance) -> float:
         """Return the requests to add to the load of an instance to compare it."""
-        known = self._find(instance)
-        if known is None:
+        known = self._known.get(instance.id)
+        if known is None or known.born_ms != instance.born_ms:
             return 0.0
         if known.rate is not None:
             is_confirmed = self._now() - known.as_of_s < CONFIRMATION_S
--- a/citronpin/gateway/load_trackers.py
+++ b/citronpin/gateway/load_trackers.py
@@ -45,7 +45,7 @@
 
     def __init__(self) -> None:
         self._reports: dict[InstanceId, ReportedLoad] = {}
-        self._load_reports: dict[InstanceId, LoadReport] = {}
+        self.reports: dict[InstanceId, LoadReport] = {}  # read by `GroupWorks`
         self._paces: dict[InstanceId, tuple[float, float]] = {}  # clock time, factor
         self._own: Counter[InstanceId] = Counter()
         self._peers: dict[EntryId, PeerLoad] = {}
@@ -88,22 +88,14 @@
         An older state does not replace a newer one.
         """
         as_of_s = now_s - max(age_s, 0.0)
-        known = self._load_reports.get(instance)
+        known = self.reports.get(instance)
         if known is None or known.as_of_s <= as_of_s or known.as_of_s > now_s:
-            self._load_reports[instance] = LoadReport(load, as_of_s, now_s)
-
-    def report(self, instance: InstanceId) -> LoadReport | None:
-        """Return the latest load report of an instance, ``None`` when unknown."""
-        return self._load_reports.get(instance)
+            self.reports[instance] = LoadReport(load, as_of_s, now_s)
 
     def peer_load(self, instance: InstanceId) -> int:
         """Return the requests in progress that other entries reported themselves."""
         return self._peer_totals[instance]
 
-    def own_load(self, instance: InstanceId) -> int:
-        """Return the own requests in progress at an instance."""
-        return self._own[instance]
-
     def record_pace(self, instance: InstanceId, *, pace: float, now_s: float) -> None:
         """Store the slowdown factor of an instance's group; 1 is normal."""
         self._paces[instance] = (now_s, pace)
@@ -125,9 +117,9 @@
         for instance, report in list(self._reports.items()):
             if now_s - report.heard_s > PEER_REPORT_MAX_AGE_S:
                 del self._reports[instance]
-        for instance, load_report in list(self._load_reports.items()):
+        for instance, load_report in list(self.reports.items()):
             if now_s - load_report.heard_s > PEER_REPORT_MAX_AGE_S:
-                del self._load_reports[instance]
+                del self.reports[instance]
         for instance, (heard_s, _) in list(self._paces.items()):
             if now_s - heard_s > PEER_REPORT_MAX_AGE_S:
                 del self._paces[instance]
--- a/citronpin/gateway/request_costs.py
+++ b/citronpin/gateway/request_costs.py
@@ -10,8 +10,8 @@
 
 logger = logging.getLogger(__name__)
 
-BUCKETS_PER_DOUBLING = 2
-BUCKET_COUNT = 32  # the last one begins at 2 ** 15.5 tokens
+BUCKETS_PER_DOUBLING = 4  # a bucket is 9 % off at most
+BUCKET_COUNT = 64  # the last one begins at 2 ** 15.75 tokens
 DECAY_PER_SAMPLE = 0.98  # about the last 50 answers of a kind count
 PRIOR_SAMPLES = 4.0  # weight of the less specific kind against samples of a kind
 MAX_KINDS = 1_024
@@ -34,7 +34,7 @@
 
 
 def bucket_of(tokens: float) -> int:
-    """Return the bucket of an answer length; each spans half a doubling."""
+    """Return the bucket of an answer length; each spans a quarter of a doubling."""
     bucket = int(math.log2(max(tokens, 1.0)) * BUCKETS_PER_DOUBLING)
     return min(bucket, BUCKET_COUNT - 1)
 
@@ -128,13 +128,14 @@
         )
 
     def _expected_tokens(self, kinds: tuple[Kind, ...], default: float) -> float:
-        expected = default
+        expected = max(default, 1.0)
         for kind in reversed(kinds):
             histogram = self._histograms.get(kind)
             mean = None if histogram is None else histogram.mean()
             if mean is not None:
                 weight = histogram.total / (histogram.total + PRIOR_SAMPLES)
-                expected += weight * (mean - expected)
+                # Lengths differ by factors, so their logarithms are averaged.
+                expected *= (mean / expected) ** weight
         return expected
 
     def remaining_tokens(self, cost: RequestCost, *, written: int) -> float:
--- a/citronpin/gateway/rests.py
+++ b/citronpin/gateway/rests.py
@@ -64,6 +64,8 @@
 
         After its rest an instance gets its load back by and by.
         """
+        if instance.id not in self._rests:
+            return 0.0
         since_s = self._now() - self._end_s(instance)
         return RAMP_COST_REQUESTS * min(max(1.0 - since_s / RAMP_S, 0.0), 1.0)
 
--- a/citronpin/gateway/work_placers.py
+++ b/citronpin/gateway/work_placers.py
@@ -1,14 +1,13 @@
 """Selects instances by remaining work, with the arrivals that stale reports lack."""
 
 import logging
-import math
 import random
 
 import msgspec
 
 from citronpin.basics.ids import ApplicationName, FailureDomainName, ModelName
 from citronpin.gateway.fleets import Fleet, FleetInstance
-from citronpin.gateway.group_works import GroupLoad, GroupWorks, OwnRequest
+from citronpin.gateway.group_works import GroupWorks, OwnRequest
 from citronpin.gateway.instance_gates import Barrier, InstanceGate
 from citronpin.gateway.load_trackers import LoadTracker
 from citronpin.gateway.overloads import UNQUEUED_LOAD_SHARE, LoadLimitPolicy
@@ -25,7 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
-MIN_AGE_S = 0.1  # of a report; what is seen acts on a load only after a way
+MIN_UNSEEN_S = 0.05  # of arrivals that a report lacks: requests are on their way
 # Requests per second that are assumed at least, so that groups of nearly equal level
 # share the requests of a single entry.
 MIN_RATE = 0.5
@@ -42,30 +41,27 @@
     weights: list[float]
     loads: list[float]  # requests in progress, the smaller of seen and expected
     paces: list[float]
+    slowness: list[float]  # factors on the duration of answers
 
 
-def fill_levels(
-    levels: list[float], slopes: list[float], rate: float
-) -> tuple[list[float], float]:
-    """Spread a rate so that levels rise to a common one; return the parts and it.
+def fill_levels(levels: list[float], slopes: list[float], rate: float) -> list[float]:
+    """Return the parts of a rate that raise the lowest levels to a common one.
 
     A part of ``x`` raises a level by ``x / slope``. Levels above the common one get
     nothing.
     """
-    order = sorted(range(len(levels)), key=levels.__getitem__)
-    slope = filled = 0.0
-    common = levels[order[0]]
-    for position, index in enumerate(order):
-        slope += slopes[index]
-        filled += slopes[index] * levels[index]
-        common = (rate + filled) / slope
-        if position + 1 < len(order) and common <= levels[order[position + 1]]:
+    order = sorted(zip(levels, slopes))
+    slope_sum = filled = common = 0.0
+    for level, slope in order:
+        if slope_sum and common <= level:
             break
-    parts = [
+        slope_sum += slope
+        filled += slope * level
+        common = (rate + filled) / slope_sum
+    return [
         slope * (common - level) if common > level else 0.0
         for level, slope in zip(levels, slopes)
     ]
-    return parts, common
 
 
 class WorkPlacer(Placer):
@@ -135,64 +131,63 @@
         """Return the levels of instances and the share of arrivals of each."""
         pending = demand.pending
         key = (pending.service, pending.model)
-        mean_s = self._works.mean_duration_s(key, demand.engine)
-        seen = [self._works.load_of(one.id, now_s=now_s) for one in instances]
+        durations = self._works.durations(key, demand.engine)
+        steps = self._works.step_model(pending.service, demand.engine)
+        mean_s = durations.mean_s
+        seen = self._works.loads_of([one.id for one in instances], now_s=now_s)
         paces = [self._loads.pace(one.id) for one in instances]
-        rate = self._other_rate(instances, seen, paces, mean_s)
-        if rate is None:
+        slowness = []
+        known_rate = known_slots = all_slots = 0.0
+        for instance, (own, _, others, _), pace in zip(instances, seen, paces):
+            slots = instance.slots
+            total = own if others is None else own + others
+            slow = pace * steps.slowness(total if total < slots else slots)
+            slowness.append(slow)
+            all_slots += slots
+            if others is not None:
+                # By Little's law, the rate is the requests in progress over the time
+                # that one takes.
+                known_slots += slots
+                known_rate += others / slow
+        if known_slots:
+            # Instances without a report are assumed to get as much per slot.
+            rate = known_rate / mean_s * all_slots / known_slots
+        else:
             rate = self._works.other_rate(key, now_s=now_s)
         levels, slopes, remaining, unseen_s = [], [], [], []
-        for instance, load, pace in zip(instances, seen, paces):
-            slots = max(instance.slots, 1)
-            duration_s = mean_s * pace
+        left_share, load_cost = durations.left_share, self._gate.load_cost
+        failure_domain = self._failure_domain
+        has_refusals = self._works.has_refusals
+        for instance, load, pace, slow in zip(instances, seen, paces, slowness):
+            own, own_work, others, age_s = load
+            slots = instance.slots or 1
+            unseen = mean_s * slow
             left = 0.0
-            unseen = duration_s
-            if load.others is not None:
-                left_share = math.exp(-load.age_s / duration_s)
-                left = load.others * left_share
-                unseen = max(
-                    duration_s * (1.0 - left_share), min(MIN_AGE_S, duration_s)
-                )
-            cost = SLOW_GROUP_COST_REQUESTS * (pace - 1.0)
-            cost += self._gate.load_cost(instance)
-            if instance.failure_domain != self._failure_domain:
+            if others is not None:
+                share = left_share(age_s / slow)
+                left = others * share
+                unseen *= 1.0 - share
+                if unseen < MIN_UNSEEN_S:
+                    unseen = MIN_UNSEEN_S
+            cost = load_cost(instance)
+            if has_refusals:
+                cost += self._works.refusal_cost(instance, now_s=now_s)
+            if pace != 1.0:
+                cost += SLOW_GROUP_COST_REQUESTS * (pace - 1.0)
+            if instance.failure_domain != failure_domain:
                 cost += REMOTE_COST_REQUESTS
-            levels.append(((left + load.own_work) * pace + cost) / slots)
+            levels.append(((left + own_work) * pace + cost) / slots)
             slopes.append(slots / (pace * unseen))
-            remaining.append(left + load.own)
+            remaining.append(left + own)
             unseen_s.append(unseen)
-        weights, _ = fill_levels(levels, slopes, max(rate, MIN_RATE))
-        # What is seen and what is expected both err; a group is full only by both.
-        loads = [
-            min(
-                remaining_load + min(weight, rate) * unseen,
-                load.own + (load.others or 0.0),
-            )
-            for remaining_load, weight, unseen, load in zip(
-                remaining, weights, unseen_s, seen
-            )
-        ]
-        return Levels(instances, levels, weights, loads, paces)
-
-    def _other_rate(
-        self,
-        instances: list[FleetInstance],
-        seen: list[GroupLoad],
-        paces: list[float],
-        mean_s: float,
-    ) -> float | None:
-        """Return the requests per second of other entries, ``None`` without reports.
-
-        By Little's law, it is their requests in progress over the duration of answers.
-        Instances without a report are assumed to get as much per slot.
-        """
-        rate = known_slots = slots = 0.0
-        for instance, load, pace in zip(instances, seen, paces):
-            slots += instance.slots
-            if load.others is not None:
-                known_slots += instance.slots
-                rate += load.others / (mean_s * pace)
-        return rate * slots / known_slots if known_slots else None
+        weights = fill_levels(levels, slopes, max(rate, MIN_RATE))
+        loads = []
+        for part, unseen, left, load in zip(weights, unseen_s, remaining, seen):
+            expected = left + (part if part < rate else rate) * unseen
+            shown = load[0] + (load[2] or 0.0)
+            # Both err, so a group counts as full only by both.
+            loads.append(expected if expected < shown else shown)
+        return Levels(instances, levels, weights, loads, paces, slowness)
 
     def _select(
         self, found: Levels, demand: Demand, now_s: float
@@ -291,6 +286,7 @@
                 cost=demand.cost,
                 expected=expected,
                 pace=found.paces[index],
+                slowness=found.slowness[index],
                 is_unqueued=load < UNQUEUED_LOAD_SHARE * instance.slots,
             ),
         )
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -255,6 +255,37 @@
     assert relayed_nodes[3].loads.load(HEAD) == 8
 
 
+def test_reported_loads_come_with_their_age_also_to_their_sender(
+    paused_clock, relayed_nodes
+):
+    # A lease holder that ignored its own reports took its groups for empty.
+    relayed_nodes[0].fabrics.serving_heads = (
+        HeadStatus(HEAD, GroupId("g"), 4, ModelName("small"), 5, age_ms=400),
+    )
+    paused_clock.advance(1.0)
+    for node in relayed_nodes:
+        report = node.loads.reports[HEAD]
+        assert report.load == 5
+        assert report.heard_s - report.as_of_s == pytest.approx(0.4)
+    relayed_nodes[0].fabrics.serving_heads = ()
+    paused_clock.advance(PEER_REPORT_MAX_AGE_S + 0.5)
+    assert not any(node.loads.reports for node in relayed_nodes)
+
+
+def test_without_relays_an_age_causes_no_updates(paused_clock, nodes):
+    # Ages change all the time; sent without relays, they would end the saving of
+    # unchanged updates.
+    sent = nodes[0].links.counters
+    before = sent.sent_messages
+    for step in range(20):
+        nodes[0].fabrics.serving_heads = (
+            HeadStatus(HEAD, GroupId("g"), 4, ModelName("small"), 5, age_ms=step),
+        )
+        paused_clock.advance(0.15)
+    assert sent.sent_messages - before <= 6 * (len(nodes) - 1)
+    assert not any(node.loads.reports for node in nodes)
+
+
 def test_suspicions_reach_all_entries_through_relays(paused_clock, relayed_nodes):
     before = [node.links.counters.sent_messages for node in relayed_nodes]
     relayed_nodes[-1].suspects.stalled(HEAD, now_s=paused_clock.now())
--- /dev/null
+++ b/citronpin/tests/test_work_wiring.py
@@ -0,0 +1,166 @@
+"""The tracker of work gets what exchanges, reports and settings tell."""
+
+import msgspec
+import pytest
+
+from citronpin.basics.ids import GroupId, InstanceId, ModelName
+from citronpin.gateway.fleets import FleetInstance
+from citronpin.gateway.group_works import GroupWorks
+from citronpin.gateway.overloads import FirstEventTimes, ObjectiveLoadLimit
+from citronpin.gateway.placers import PlacementPolicy
+from citronpin.gateway.ports import Report
+from citronpin.gateway.request_costs import RequestCosts
+from citronpin.gateway.watches import REPORT_LAG_S, MemberWatch
+from citronpin.gateway.work_placers import WorkPlacer
+from citronpin.peers.messages import HeadStatus
+from citronpin.platform.names import HEADERS
+from citronpin.platform.settings import WireSettings, node_settings
+from citronpin.tests.platforms.requests import (
+    FrontHarness,
+    ScriptedStream,
+    instance_headers,
+)
+
+SETTINGS = {
+    "node": "n1",
+    "ip": "10.0.0.1",
+    "zone": "a",
+    "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "internal-ports": [7000, 7010],
+    "platform": {"address": "10.0.0.9:9"},
+}
+
+
+@pytest.fixture
+def gateway(paused_clock):
+    """Return a front whose requests are placed by remaining work."""
+    harness = FrontHarness(clock=paused_clock)
+    costs = RequestCosts()
+    works = GroupWorks(
+        loads=harness.loads,
+        costs=costs,
+        entry_count=lambda: 1,
+        ratios=harness.metrics.ratios,
+    )
+    context = harness.context
+    context.costs, context.works = costs, works
+    context.placer = WorkPlacer(
+        fleet=harness.fleet,
+        loads=harness.loads,
+        works=works,
+        gate=harness.gate,
+        failure_domain=harness.failure_domain,
+        rng=context.rng,
+        limit_policy=ObjectiveLoadLimit(first_event_times=FirstEventTimes()),
+    )
+    return harness
+
+
+def own_counts(gateway):
+    names = [one.id for one in gateway.fleet.all()]
+    loads = gateway.context.works.loads_of(names, now_s=gateway.clock.now())
+    return {name: load[0] for name, load in zip(names, loads) if load[0]}
+
+
+def test_a_stream_is_tracked_from_its_start_to_its_end(gateway):
+    gateway.scripts["*"] = ScriptedStream(clock=gateway.clock, last=10)
+    usage = {HEADERS.token_usage: "700,400", HEADERS.length_hint: "12"}
+    reply = gateway.send("/draft/1", **usage)
+    gateway.clock.advance(0.2)
+    assert list(own_counts(gateway).values()) == [1]
+    gateway.clock.advance(1.0)
+    assert reply.status == 200 and not own_counts(gateway)
+    costs = gateway.context.costs
+    (histogram,) = [h for kind, h in costs._histograms.items() if kind[3] >= 0][:1]
+    assert histogram.mean() == pytest.approx(11, rel=0.1)
+    text = gateway.metrics.text().decode()
+    for estimate in ("answer_tokens", "first_event"):
+        assert f'estimate="{estimate}"' in text
+
+
+def test_an_answer_that_its_caller_leaves_counts_as_cut_off(gateway):
+    gateway.scripts["*"] = ScriptedStream(clock=gateway.clock, last=100)
+    reply = gateway.send("/draft/1")
+    gateway.clock.advance(1.0)
+    reply.leave()
+    assert not own_counts(gateway)
+    (histogram, *_) = gateway.context.costs._histograms.values()
+    assert histogram.total == 1.0 and histogram.mean() > 20
+
+
+def test_a_refusal_of_a_plain_instance_moves_requests_to_others(gateway):
+    refusing = []
+
+    def refuse_first(exchange):
+        refusing.append(exchange.headers[HEADERS.expect_instance])
+        if len(refusing) == 1:
+            echo = {HEADERS.attempt: exchange.headers[HEADERS.attempt]}
+            exchange.answer(503, b"", echo | {HEADERS.not_run: "1"})
+        else:
+            exchange.answer(200, b"page", instance_headers(exchange))
+
+    gateway.scripts["*"] = refuse_first
+    for _ in range(5):
+        gateway.send("/look-up/1")
+        gateway.clock.advance(0.02)
+    first, *others = refusing
+    assert first not in others and not own_counts(gateway)
+
+
+@pytest.mark.parametrize(
+    "contracts, placement",
+    [
+        (["pool", "places"], PlacementPolicy.REMAINING_WORK),
+        (["places"], PlacementPolicy.LEAST_LOADED),
+        ([], PlacementPolicy.LEAST_LOADED),
+    ],
+)
+def test_the_contract_of_a_pool_selects_placement_by_work(contracts, placement):
+    settings = msgspec.convert(SETTINGS | {"contracts": contracts}, WireSettings)
+    assert node_settings(settings, 9464).placement is placement
+
+
+def test_settings_without_contracts_place_as_before():
+    settings = msgspec.convert(SETTINGS, WireSettings)
+    assert node_settings(settings, 9464).placement is PlacementPolicy.LEAST_LOADED
+
+
+class AnsweringControl:
+    """Answers each request for a report at once."""
+
+    def report(self, *, of, done):
+        done(Report(membership=None, born_ms=0, running=3, waiting=1), None)
+
+
+class SilentReach:
+    """Ignores that an instance answered."""
+
+    def record_reply(self, service):
+        """Record nothing."""
+
+
+def test_the_age_of_a_load_contains_the_lag_of_the_report(paused_clock):
+    instance = FleetInstance(
+        id=InstanceId("i"), service="s", address="", failure_domain="a", slots=1
+    )
+    watch = MemberWatch(
+        control=AnsweringControl(),
+        fleet=None,
+        clock=paused_clock,
+        heartbeat_s=1.0,
+        reach=SilentReach(),
+    )
+    assert watch.load_age_s(instance.id) == 0.0
+    watch.poll([instance], busy=False)
+    paused_clock.advance(0.3)
+    assert watch.load(instance.id) == 4
+    assert watch.load_age_s(instance.id) == pytest.approx(0.3 + REPORT_LAG_S)
+
+
+def test_a_head_status_of_an_older_build_has_no_age():
+    old = msgspec.json.encode(["i", "g", 4, "small", 7, 1.0])
+    status = msgspec.json.decode(old, type=HeadStatus)
+    new = HeadStatus(InstanceId("i"), GroupId("g"), 4, ModelName("small"), 7, 1.0, 400)
+    assert (
+        status.age_ms == 0 and msgspec.json.decode(msgspec.json.encode(new))[6] == 400
+    )
