--- a/citronpin/gateway/instance_gates.py
+++ b/citronpin/gateway/instance_gates.py
@@ -77,6 +77,10 @@
             return Barrier.SUSPECTED
         return None
 
+    def is_evacuated(self, instance: FleetInstance) -> bool:
+        """Return whether the failure domain of an instance is evacuated."""
+        return self._evacuations.covers(instance)
+
     def is_withdrawn(self, instance: FleetInstance) -> bool:
         """Return whether an instance serves only by a registration that is outdated."""
         return self._withdrawals.is_withdrawn(instance)
--- a/citronpin/gateway/limits.py
+++ b/citronpin/gateway/limits.py
@@ -194,9 +194,9 @@
 
     def load_cost(self, instance: FleetInstance) -> float:
         """Return the requests to add to the load of an instance to compare it."""
-        known = self._find(instance)
+        known = self._known.get(instance.id)
         cold_cost = self.cold_starts.load_cost(instance)
-        if known is None or cold_cost:
+        if known is None or known.born_ms != instance.born_ms or cold_cost:
             return cold_cost
         if known.rate is not None:
             is_confirmed = self._now() - known.as_of_s < CONFIRMATION_S
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -37,6 +37,7 @@
     weight_versions: str  # in an answer, and as the first line of an event
     request_limit: str  # in an answer: requests per second that the instance takes
     cold_ms: str  # in an answer: how much longer the instance is cold
+    length_hint: str = "-"  # caller's estimate of the answer tokens
 
 
 class OrderKind(Enum):
--- a/citronpin/platform/names.py
+++ b/citronpin/platform/names.py
@@ -21,4 +21,5 @@
     weight_versions="x-citronpin-weight-versions",
     request_limit="server-limit",
     cold_ms="x-citronpin-cold-ms",
+    length_hint="x-citronpin-length-hint",
 )
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -13,6 +13,7 @@
 from citronpin.basics.errors import SettingsError
 from citronpin.basics.ids import EntryId, FailureDomainName
 from citronpin.gateway.nodes import NodeSettings
+from citronpin.gateway.placers import PlacementPolicy
 
 logger = logging.getLogger(__name__)
 
@@ -95,6 +96,9 @@
     they pass on.
     """
     first, last = settings.internal_ports
+    placement = PlacementPolicy.LEAST_LOADED
+    if settings.has_contract(POOL_CONTRACT):
+        placement = PlacementPolicy.REMAINING_WORK
     return NodeSettings(
         name=EntryId(settings.node),
         failure_domain=FailureDomainName(settings.zone),
@@ -109,4 +113,5 @@
         repeat_slack=settings.bounds.retry_budget_slack,
         repeat_window_s=settings.bounds.budget_window_s,
         share_facts=settings.has_contract(POOL_CONTRACT),
+        placement=placement,
     )
