Admission by priority: policies, call before the first placement, settings

Cause: the priority of a route or customer was carried in Task but no decision read it, so under too few slots urgent requests were refused like all others. Change: LevelAdmission and the baseline OpenAdmission, urgency numbers by priority, a reservation of slots in ObjectiveLoadLimit, selected by the settings where the contracts contain pool. OPEN admits all requests, with the urgencies and limits as before.

--- a/citronpin/basics/metrics.py
+++ b/citronpin/basics/metrics.py
@@ -182,6 +182,33 @@
         yield family
 
 
+class ReadCounter(Collector):
+    """A counter by label set whose values are read by a callback."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        doc: str,
+        labels: Sequence[str],
+        read: Callable[[], Iterable[tuple[Sequence[str], int]]],
+    ) -> None:
+        self._name = name
+        self._doc = doc
+        self._labels = labels
+        self._read = read
+
+    def collect(self) -> Iterable["Metric"]:
+        from prometheus_client.metrics_core import CounterMetricFamily
+
+        family = CounterMetricFamily(
+            f"citronpin_{self._name}", self._doc, labels=self._labels
+        )
+        for labels, amount in self._read():
+            family.add_metric(labels, amount)
+        yield family
+
+
 class Metrics:
     """Counters, gauges and latencies of one process."""
 
@@ -203,6 +230,11 @@
             doc="Attempts through other entries, by the first of what came of them.",
             labels=["target", "result"],
         )
+        self._added: list[Collector] = []
+
+    def add(self, collector: Collector) -> None:
+        """Show the values of one more collector."""
+        self._added.append(collector)
 
     def count_request(
         self, customer: str, target: str, outcome: str, kind: str
@@ -229,6 +261,7 @@
             self._requests,
             self._tokens,
             self._forwards,
+            *self._added,
         ):
             registry.register(collector)
         return generate_latest(registry)
--- a/citronpin/benches/bench_overload.py
+++ b/citronpin/benches/bench_overload.py
@@ -33,7 +33,7 @@
     ObjectiveLoadLimit,
     Pending,
     RetryDelays,
-    urgency,
+    urgency_number,
 )
 from citronpin.gateway.placers import Demand, LeastLoaded, Placement
 from citronpin.gateway.rests import InstanceRests
@@ -102,7 +102,7 @@
 
     def submit(self, caller: "Caller") -> None:
         """Queue a request by urgency, then by arrival."""
-        caller.urgency = urgency(caller.pending()).value
+        caller.urgency = urgency_number(caller.pending())
         self.waiting.append(caller)
         self.waiting.sort(key=lambda waiting: waiting.urgency)
         self._fill_slots()
--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -15,6 +15,7 @@
     ModelName,
     PromptPartId,
 )
+from citronpin.gateway.admission_levels import AdmissionPolicy, OpenAdmission
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet
@@ -130,6 +131,7 @@
         log: RequestLog,
         rng: random.Random,
         make_budget: Callable[[], RetryBudget],
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self.clock = clock
         self.client = client
@@ -154,6 +156,7 @@
         # Returns whether `table` has every change that must be in force by now.
         self.is_table_current: Callable[[], bool] = lambda: True
         self.first_event_times = first_event_times
+        self.admission = admission or OpenAdmission()
         self.retry_delays = RetryDelays()
         self.blocked_retry_delays = BlockedRetryDelays()
         self.entry_count = 1  # entries that share the retry budgets
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -12,6 +12,7 @@
     InstanceId,
     RequestFingerprint,
 )
+from citronpin.gateway.admission_levels import DEFAULT_COST, Admitted
 from citronpin.gateway.answers import (
     Refusal,
     RefusalKind,
@@ -84,6 +85,8 @@
         self._reason = ""  # why the request was refused, for the log
         self._limit_rows: list[dict[str, object]] = []  # that decided, for the log
         self._refused_permits = 0
+        self._admitted = Admitted()
+        self._level: float | None = None  # at the decision, for the log
         self._is_counted = task.is_counted
         self._outgoing = OutgoingRequest(
             method=task.req.method,
@@ -103,6 +106,8 @@
         self._context.open_exchanges.add(self)
         self._reply.on_disconnect = self._on_caller_left
         self._context.retry_delays.count_request(now_s=now_s)
+        if not self._admit(now_s):
+            return
         if not self._should_forward:
             self._count()
         self._timer = self._context.clock.call_later(
@@ -110,6 +115,40 @@
         )
         self._send_next()
 
+    def _admit(self, now_s: float) -> bool:
+        """Refuse a request that yields to more urgent ones; return whether it may go.
+
+        The entry that received a forwarded request has decided on it, and a stream that
+        resumes was admitted with its beginning.
+        """
+        if self.is_forwarded or self._is_resumed:
+            return True
+        task = self._task
+        decision = self._context.admission.decide(
+            pending=self._pending(),
+            priority=task.priority,
+            customer=task.customer,
+            cost=DEFAULT_COST,
+            left_s=task.deadline_s - now_s,
+            now_s=now_s,
+        )
+        self._level = decision.level
+        if isinstance(decision, Admitted):
+            self._admitted = decision
+            return True
+        self._reason = f"admission: {decision.reason.label}"
+        self._answer(
+            no_place_refusal(
+                reason=decision.reason.value, wait_s=decision.retry_after_s
+            )
+        )
+        return False
+
+    @property
+    def _is_resumed(self) -> bool:
+        """Return whether the caller asks for the rest of an answer that has begun."""
+        return False
+
     @property
     def is_forwarded(self) -> bool:
         return self._task.forwarded_by is not None
@@ -191,6 +230,8 @@
             objective_s=task.route.objective_s,
             spent_s=task.spent_s + waited_s,
             midway=self._midway,
+            rank=self._context.admission.rank(task.service, task.priority),
+            reserved_share=self._admitted.reserved_share,
         )
 
     @property
@@ -477,6 +518,9 @@
 
     def _refuse(self, reason: str) -> None:
         """Answer that the request did not run, with the delay before a retry."""
+        self._context.admission.record_full(
+            self._task.service, self._task.model, now_s=self._context.clock.now()
+        )
         wait_s = self._retry_delay_s()
         self._answer(no_place_refusal(reason=reason, wait_s=wait_s))
 
@@ -580,6 +624,7 @@
             status=status,
             attempts=self._attempts,
             reason=self._reason,
+            level=self._level,
             limits=self._limit_rows,
             fingerprint="" if status in OK_STATUSES else self._fingerprint,
             now_s=self._context.clock.now(),
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -4,6 +4,7 @@
 import random
 import signal
 from abc import ABC, abstractmethod
+from enum import Enum
 from functools import partial
 
 import msgspec
@@ -14,8 +15,14 @@
 from citronpin.basics.ids import EntryId, FailureDomainName
 from citronpin.basics.loop_faults import LoopFaults, call_each
 from citronpin.basics.loop_lags import LoopLag
-from citronpin.basics.metrics import Metrics
+from citronpin.basics.metrics import Metrics, ReadCounter
+from citronpin.gateway.admission_levels import (
+    AdmissionPolicy,
+    LevelAdmission,
+    OpenAdmission,
+)
 from citronpin.gateway.budgets import RetryBudget
+from citronpin.gateway.capacities import FleetCapacity
 from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.fabrics import Fabrics
 from citronpin.gateway.fingerprints import Fingerprints, is_fingerprint
@@ -64,6 +71,13 @@
 KILL_MARGIN_S = 0.8  # the interpreter takes up to 0.3 s to end
 
 
+class AdmissionKind(Enum):
+    """Which requests are refused when a model has too few slots."""
+
+    OPEN = "open"  # those that find no slot
+    LEVELS = "levels"  # the least urgent
+
+
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of a node that are fixed at its start; addresses are ``IP:PORT``."""
 
@@ -79,6 +93,7 @@
     repeat_ratio: float  # retries per request, over all entries
     repeat_slack: float  # retries allowed beyond the ratio, over all entries
     repeat_window_s: float
+    admission: AdmissionKind = AdmissionKind.OPEN
 
 
 class PlatformConnector(ABC):
@@ -211,6 +226,7 @@
         client.register(self)
         self.client = client
         self.context = self._make_context()
+        self._add_admission_metrics()
         self.front = FrontHandler(context=self.context)
         self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.fabrics = Fabrics(
@@ -258,6 +274,31 @@
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
             make_budget=self._make_budget,
+            admission=self._make_admission(),
+        )
+
+    def _make_admission(self) -> AdmissionPolicy:
+        if self.cfg.admission is AdmissionKind.OPEN:
+            return OpenAdmission()
+        capacities = FleetCapacity(fleet=self.fleet, loads=self.loads, gate=self.gate)
+        return LevelAdmission(capacities=capacities, rng=self._rng)
+
+    def _add_admission_metrics(self) -> None:
+        if self.cfg.admission is AdmissionKind.OPEN:
+            return
+        admission = self.context.admission
+        self.metrics.gauges.add(
+            "admission_level",
+            "Share of requests refused by priority, of the model where it is largest.",
+            admission.level,
+        )
+        self.metrics.add(
+            ReadCounter(
+                name="admissions",
+                doc="Requests for models by priority and result of their admission.",
+                labels=["target", "priority", "result"],
+                read=admission.counts,
+            )
         )
 
     def _count_quarantined(self, field: str) -> int:
@@ -348,6 +389,7 @@
         """Apply a newer configuration version."""
         table = RoutingTable(cfg=cfg)
         self.context.table = table
+        self.context.admission.apply_table(table)
         self.fabrics.table = table
         limits = ServerLimits(
             body_bytes=cfg.limits.body_bytes,
@@ -417,6 +459,7 @@
         if self.context.open_exchanges:
             self.fabrics.traffic_began = True
         self.rests.expire()
+        self.context.admission.update(now_s=now_s)
         exchanges = list(self.context.open_exchanges)
         call_each(partial(exchange.check_stall, now_s) for exchange in exchanges)
         call_each(exchange.check_quarantine for exchange in exchanges)
--- a/citronpin/gateway/overloads.py
+++ b/citronpin/gateway/overloads.py
@@ -29,6 +29,13 @@
 MAX_RETRY_DELAY_SHARE = 1 / 3
 
 
+class Rank(msgspec.Struct, frozen=True, kw_only=True):
+    """Place of a priority among those of its service; index 0 is the most urgent."""
+
+    index: int
+    count: int
+
+
 class Pending(msgspec.Struct, frozen=True, kw_only=True):
     """A request to be placed, as load limit policies see it; times in seconds."""
 
@@ -37,6 +44,8 @@
     objective_s: float  # to the first event, from the caller's first attempt
     spent_s: float  # since the first attempt, estimated
     midway: bool = False  # the caller has received part of the answer
+    rank: Rank | None = None  # set where priorities have an effect
+    reserved_share: float = 0.0  # of the slots, left to more urgent requests
 
 
 class Urgency(Enum):
@@ -55,6 +64,23 @@
     return Urgency.LATE if late else Urgency.IN_TIME
 
 
+MAX_URGENCY_NUMBER = 9  # the least urgent that instances tell apart
+
+
+def urgency_number(pending: Pending) -> int:
+    """Return the urgency of a request as instances get it, 0 to 9; 0 is first.
+
+    With a rank, 1 to 8 order the requests by priority and, within one, those that can
+    be in time before late ones. Late requests of the last rank get 9.
+    """
+    kind = urgency(pending)
+    if pending.rank is None or kind is Urgency.MIDWAY:
+        return kind.value
+    position = 2 * pending.rank.index + (kind is Urgency.LATE)
+    last = 2 * pending.rank.count - 1
+    return 1 + position * (MAX_URGENCY_NUMBER - 1) // last
+
+
 class FirstEventTimes:
     """Averages the time to the first event on instances without a queue."""
 
@@ -134,6 +160,16 @@
         self._first_event_times = first_event_times
 
     def load_limit(self, *, pending, slots, engine):
+        limit = self._objective_limit(pending, slots, engine)
+        if pending.reserved_share and not pending.midway:
+            # A request that leaves slots to others does not queue before them.
+            reserved = max(int(pending.reserved_share * slots), 1)
+            limit = min(limit, slots - reserved)
+        return limit
+
+    def _objective_limit(
+        self, pending: Pending, slots: int, engine: EngineSpec | None
+    ) -> float:
         spec = engine.model(pending.model) if engine and pending.model else None
         if spec is None:
             return slots + MAX_QUEUED_REQUESTS
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -21,7 +21,7 @@
 )
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.forwards import describe
-from citronpin.gateway.overloads import Pending, urgency
+from citronpin.gateway.overloads import Pending, urgency_number
 from citronpin.gateway.placers import Placement
 from citronpin.gateway.quarantines import CrashKey
 
@@ -123,7 +123,7 @@
             # The characters of a header value stand for its bytes.
             headers.append((names.customer, task.customer.encode().decode("latin-1")))
         if task.engine is not None:
-            headers.append((names.urgency, str(urgency(pending).value)))
+            headers.append((names.urgency, str(urgency_number(pending))))
         return (*headers, *overrides.items())
 
     def record_head(self, attempt):
--- a/citronpin/gateway/request_logs.py
+++ b/citronpin/gateway/request_logs.py
@@ -27,12 +27,14 @@
         status: int,
         attempts: Sequence[Attempt],
         reason: str,
+        level: float | None = None,
         limits: Sequence[dict[str, object]],
         fingerprint: str,
         now_s: float,
     ) -> None:
         """Log a request that got its final answer, and record its metrics.
 
+        ``level`` is the refused share of the requests for its model, if it was judged;
         ``limits`` are those of instances for which it got no permit; ``now_s`` is the
         clock time in seconds.
         """
@@ -46,6 +48,7 @@
         if first is not None:
             first_s = first - task.received_s
             self._metrics.latencies.record("first_token", "", task.route.name, first_s)
+        level_field = {} if level is None else {"level": round(level, 2)}
         logger.info(
             "request",
             extra={
@@ -58,6 +61,7 @@
                 "outcome": outcome,
                 "status": status,
                 "reason": reason,
+                **level_field,
                 "ms": round(duration_s * MS_PER_S),
                 "left_ms": round((task.deadline_s - now_s) * MS_PER_S),
                 "parts": list(task.shared_parts) if status not in OK_STATUSES else [],
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -58,6 +58,10 @@
             return {}
         return {names.last_event: str(self._last_event_number)}
 
+    @property
+    def _is_resumed(self) -> bool:
+        return self._requested_event_number() is not None
+
     @property
     def _midway(self) -> bool:
         return self._started
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -11,12 +11,13 @@
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.errors import SettingsError
 from citronpin.basics.ids import EntryId, FailureDomainName
-from citronpin.gateway.nodes import NodeSettings
+from citronpin.gateway.nodes import AdmissionKind, NodeSettings
 
 logger = logging.getLogger(__name__)
 
 PATH_VARIABLE = "CITRONPIN_SETTINGS"
 DEFAULT_PATH = "/etc/citronpin/settings.json"
+POOL_CONTRACT = "pool"  # a pool of instances that many entries share
 
 
 class WireListen(msgspec.Struct, kw_only=True):
@@ -56,6 +57,7 @@
     platform: WireStore
     heartbeat_ms: int = 1_200  # interval at which instances renew registrations
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    contracts: tuple[str, ...] = ()  # rules in force
 
 
 def settings_path() -> Path:
@@ -100,4 +102,9 @@
         repeat_ratio=settings.bounds.retry_budget_ratio,
         repeat_slack=settings.bounds.retry_budget_slack,
         repeat_window_s=settings.bounds.budget_window_s,
+        admission=(
+            AdmissionKind.LEVELS
+            if POOL_CONTRACT in settings.contracts
+            else AdmissionKind.OPEN
+        ),
     )
