--- a/citronpin/gateway/admission_levels.py
+++ b/citronpin/gateway/admission_levels.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import math
 import random
 from abc import ABC, abstractmethod
 from bisect import bisect_left
@@ -33,25 +34,32 @@
 DEFAULT_COST = 1.0
 TICK_S = 0.1  # between two steps of a level
 MAX_STEP = 0.1  # of the admitted share in one tick; from 1 to 0.3 within 0.7 s
+MAX_OPENING_STEP = 0.05  # likewise; with 0.1 levels opened at times amid a burst
 MAX_CATCH_UP_TICKS = 20  # after a pause of the process
-TARGET_USE = 0.95  # of the slots; the rest absorbs the variation between groups
-# Requests in the queues of full groups stand for more that were refused there, so the
-# use above 1 counts several times. Without this the level takes over 3 s to fall.
-QUEUED_USE_FACTOR = 3.0
-REPORT_AGE_S = 0.6  # reports are 0.3 to 1 s old
+TARGET_USE = 1.0  # of the slots; the groups differ, so some still have free slots
+SETTLE_S = 1.0  # in which the load is brought to its target
+MIN_STEADY_SHARE = 0.5  # of the steady share; admitted also while queues shorten
+REPORT_AGE_S = 0.65  # reports are 0.3 to 1 s old
 MIN_ADMITTED_SHARE = 0.05
 FLOOR_SHARE = 0.3  # of the admitted share; every class is served at least a quarter
 DEMAND_AVERAGE_S = 1.0
 PRIOR_DEMAND = 0.5  # cost per rank; an entry sees only 1 to 4 requests a second
 FULL_WINDOW_S = 1.0
-FULL_PRIOR = 10.0  # requests; so that one refusal of an instance moves little
+FULL_PRIOR = 3.0  # requests; so that one refusal of an instance moves little
 YIELD_FACTOR = 1.5  # on the refused share, for late requests and large shares
 SHARE_WINDOW_S = 5.0
 MAX_FAIR_SHARE = 1.25  # of the mean cost per customer
 SHARE_SLACK_COST = 2.0  # with few requests per customer the shares are noise
 REPEAT_WINDOW_S = 2.0
-MIN_REPEATS = 6  # refused tries of a customer at one entry within the window
-REPEAT_FACTOR = 3.0  # on the mean of the other customers
+MAX_ARRIVAL_JITTER_S = 0.02  # by which the times left of first tries differ
+MIN_EARLY_TRIES = 2.0  # of a customer at one entry, before its share is bounded
+# Early tries per refused first try if callers returned every 2 s, the usual wait, at
+# random: 0.28 s of 2 s. Deadlines that differ at random within 6 s look like 0.05.
+EARLY_TRY_SHARE = 0.14
+# Of the weight of returns while first tries alone would fit: a return that is admitted
+# does not come again, and refusing it would keep a level up after its cause.
+RETURN_WEIGHT = 0.5
+FITTING_USE = (0.9, 1.2)  # of first tries, between which returns get their full weight
 RESERVED_SLOT_SHARE = 0.12  # kept from the least urgent rank; at least one slot
 IDLE_STATE_S = 30.0  # after which the state of a model without requests is dropped
 CALM_S = 2.0  # without a refusal, until the end of a level is logged
@@ -141,67 +149,109 @@
         return Admitted()
 
 
+class Try(Enum):
+    """When a try comes, seen from the first one of its caller."""
+
+    FIRST = "first"
+    EARLY = "early"  # before any ``Retry-After`` that it can have got
+    LATER = "later"
+
+    @classmethod
+    def of(cls, *, spent_s: float, left_s: float) -> "Try":
+        """Return the kind of a try.
+
+        ``spent_s`` and ``left_s`` are the seconds since the first try and until the
+        deadline of the caller.
+        """
+        if spent_s <= MAX_ARRIVAL_JITTER_S:
+            return cls.FIRST
+        least_s = min(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_SHARE * (spent_s + left_s))
+        least_s *= 1.0 - RETRY_JITTER_SHARE
+        return cls.EARLY if spent_s < least_s else cls.LATER
+
+
 class CustomerUse:
-    """Sums the admitted cost and the refused tries of each customer of a model."""
+    """Sums the admitted cost and the tries of each customer of a model."""
 
     def __init__(self) -> None:
         self._costs: dict[CustomerName | None, SlidingCount] = {}
-        self._refused: dict[CustomerName | None, SlidingCount] = {}
+        self._tries = {kind: {} for kind in Try}
+        self._refused: dict[CustomerName | None, SlidingCount] = {}  # first tries
+
+    def count(self, customer: CustomerName | None, kind: Try, *, now_s: float) -> None:
+        """Count a try."""
+        _add(self._tries[kind], customer, 1.0, SHARE_WINDOW_S, now_s)
+
+    def refuse(self, customer: CustomerName | None, kind: Try, *, now_s: float) -> None:
+        """Count a refused try."""
+        if kind is Try.FIRST:
+            _add(self._refused, customer, 1.0, SHARE_WINDOW_S, now_s)
 
     def admit(
         self, customer: CustomerName | None, cost: float, *, now_s: float
     ) -> None:
         """Add the cost of an admitted request."""
-        if customer not in self._costs:
-            self._costs[customer] = SlidingCount(window_s=SHARE_WINDOW_S)
-        self._costs[customer].add(cost, now_s=now_s)
-
-    def refuse(self, customer: CustomerName | None, *, now_s: float) -> None:
-        """Count a refused try."""
-        if customer not in self._refused:
-            self._refused[customer] = SlidingCount(window_s=REPEAT_WINDOW_S)
-        self._refused[customer].add(1.0, now_s=now_s)
+        _add(self._costs, customer, cost, SHARE_WINDOW_S, now_s)
 
     def is_over_share(
         self, customer: CustomerName | None, cost: float, *, now_s: float
     ) -> bool:
         """Return whether a request would take a customer over its fair share."""
-        self._expire(now_s)
-        others = [
-            count.total(now_s=now_s)
-            for name, count in self._costs.items()
-            if name != customer
-        ]
-        if not others:
-            return False
-        own = self._costs.get(customer)
-        total = cost + (0.0 if own is None else own.total(now_s=now_s))
-        fair = sum(others) / len(others)
-        return total > MAX_FAIR_SHARE * fair + SHARE_SLACK_COST
-
-    def is_repeating(self, customer: CustomerName | None, *, now_s: float) -> bool:
-        """Return whether a customer returns far more often than the others."""
-        self._expire(now_s)
-        own = self._refused.get(customer)
-        if own is None or own.total(now_s=now_s) < MIN_REPEATS:
-            return False
-        names = {*self._costs, *self._refused} - {customer}
+        names = {*self._tries[Try.FIRST], *self._tries[Try.LATER]} - {customer}
         if not names:
             return False
-        others = sum(
-            self._refused[name].total(now_s=now_s)
-            for name in names
-            if name in self._refused
-        )
-        return own.total(now_s=now_s) > REPEAT_FACTOR * max(others / len(names), 1.0)
+        others = sum(_total(self._costs, name, now_s) for name in names)
+        own = _total(self._costs, customer, now_s)
+        return own + cost > MAX_FAIR_SHARE * others / len(names) + SHARE_SLACK_COST
 
-    def _expire(self, now_s: float) -> None:
-        for counts in (self._costs, self._refused):
+    def kept_share(
+        self, customer: CustomerName | None, kind: Try, *, now_s: float
+    ) -> float:
+        """Return the share of the returns of a customer that are judged at all.
+
+        Of a customer whose callers return early, only as many are as would come if
+        they waited, so that more tries do not bring more slots.
+        """
+        if kind is Try.FIRST:
+            return 1.0
+        early = _total(self._tries[Try.EARLY], customer, now_s)
+        first = _total(self._tries[Try.FIRST], customer, now_s)
+        if early < max(MIN_EARLY_TRIES, EARLY_TRY_SHARE * first):
+            return 1.0
+        if kind is Try.EARLY:
+            return 0.0
+        refused = _total(self._refused, customer, now_s)
+        return min(EARLY_TRY_SHARE * refused / early, 1.0)
+
+    def expire(self, *, now_s: float) -> None:
+        """Forget customers without recent tries."""
+        for counts in (self._costs, self._refused, *self._tries.values()):
             for name, count in list(counts.items()):
                 if count.total(now_s=now_s) <= 1e-9:
                     del counts[name]
 
 
+def _add(
+    counts: dict[CustomerName | None, SlidingCount],
+    customer: CustomerName | None,
+    amount: float,
+    window_s: float,
+    now_s: float,
+) -> None:
+    if customer not in counts:
+        counts[customer] = SlidingCount(window_s=window_s)
+    counts[customer].add(amount, now_s=now_s)
+
+
+def _total(
+    counts: dict[CustomerName | None, SlidingCount],
+    customer: CustomerName | None,
+    now_s: float,
+) -> float:
+    count = counts.get(customer)
+    return 0.0 if count is None else count.total(now_s=now_s)
+
+
 class ModelLevel:
     """The share of the requests for one model that are admitted, and its evidence.
 
@@ -225,19 +275,20 @@
         self._in_slots = 1.0
         self._history: deque[tuple[float, float]] = deque()
         self._demand: dict[int, float] = {}  # cost per second by rank
+        self._first_cost = 0.0  # part of the demand by first tries
         self._demand_s = now_s
         self._tries = SlidingCount(window_s=FULL_WINDOW_S)
         self._full = SlidingCount(window_s=FULL_WINDOW_S)
         self._passed = SlidingCount(window_s=REPEAT_WINDOW_S)
         self._waiting: dict[int, SlidingCount] = {}
 
-    def count(self, rank: Rank, cost: float, *, now_s: float) -> None:
+    def count(self, rank: Rank, cost: float, kind: Try, *, now_s: float) -> None:
         """Count the demand of a request before it is decided."""
         self.asked_s = now_s
-        passed_s = max(now_s - self._demand_s, 0.0)
-        kept = max(1.0 - passed_s / DEMAND_AVERAGE_S, 0.0) if passed_s else 1.0
+        kept = math.exp(-max(now_s - self._demand_s, 0.0) / DEMAND_AVERAGE_S)
         for index in self._demand:
             self._demand[index] *= kept
+        self._first_cost = kept * self._first_cost + cost * (kind is Try.FIRST)
         self._demand_s = now_s
         self._demand[rank.index] = self._demand.get(rank.index, 0.0) + cost
 
@@ -258,23 +309,24 @@
 
     def tick(self, *, load: int, slots: int, now_s: float) -> None:
         """Let the level follow the load and the slots that are known now."""
+        self._follow_slots(load, slots)
+        self.use = load / slots if slots else 0.0
         steps = int((now_s - self._ticked_s) / TICK_S + 1e-6)
         if steps < 0:
             self._ticked_s = now_s  # the clock went back
         if steps <= 0:
             return
         self._ticked_s += steps * TICK_S
-        self._follow_slots(load, slots)
-        self.use = load / slots if slots else 0.0
         for _ in range(min(steps, MAX_CATCH_UP_TICKS)):
             gain = min(TICK_S / self.hold_s, 1.0)
             self._in_slots += gain * (self._effective(now_s) - self._in_slots)
         self._history.append((now_s, self._in_slots))
         while len(self._history) > 1 and self._history[1][0] <= now_s - REPORT_AGE_S:
             self._history.popleft()
-        step = MAX_STEP * min(steps, MAX_CATCH_UP_TICKS)
+        steps = min(steps, MAX_CATCH_UP_TICKS)
         wanted = self._wanted()
-        change = min(max(wanted - self.admitted, -step), step)
+        change = wanted - self.admitted
+        change = min(max(change, -MAX_STEP * steps), MAX_OPENING_STEP * steps)
         self.admitted = min(max(self.admitted + change, MIN_ADMITTED_SHARE), 1.0)
 
     def _follow_slots(self, load: int, slots: int) -> None:
@@ -299,11 +351,22 @@
         return share * (1.0 - full / tries)
 
     def _wanted(self) -> float:
-        use = self.use
-        if use > 1.0:
-            use = 1.0 + QUEUED_USE_FACTOR * (use - 1.0)
-        offered = use / max(self._history[0][1], MIN_ADMITTED_SHARE)
-        return TARGET_USE / max(offered, 1e-6)
+        offered = self.use / max(self._history[0][1], MIN_ADMITTED_SHARE)
+        offered *= self._return_factor(offered)
+        steady = TARGET_USE / max(offered, 1e-6)
+        # The requests admitted lately are in the slots, or will be in the reports.
+        excess = self._in_slots - min(steady, 1.0)
+        wanted = steady - excess * self.hold_s / SETTLE_S
+        return max(wanted, MIN_STEADY_SHARE * steady)
+
+    def _return_factor(self, offered: float) -> float:
+        """Return the factor on the offered load that gives returns their weight."""
+        demand = sum(self._demand.values())
+        first = (self._first_cost + PRIOR_DEMAND) / (demand + PRIOR_DEMAND)
+        least, most = FITTING_USE
+        excess = min(max((offered * first - least) / (most - least), 0.0), 1.0)
+        weight = RETURN_WEIGHT + (1.0 - RETURN_WEIGHT) * excess
+        return first + (1.0 - first) * weight
 
     @property
     def is_open(self) -> bool:
@@ -393,15 +456,19 @@
             return Admitted()
         level = self._level(pending, now_s)
         rank = self.rank(pending.service, priority)
-        level.count(rank, cost, now_s=now_s)
-        reason, reserved = self._judge(level, rank, pending, customer, cost, now_s)
+        kind = Try.of(spent_s=pending.spent_s, left_s=left_s)
+        level.count(rank, cost, kind, now_s=now_s)
+        level.customers.count(customer, kind, now_s=now_s)
+        reason, reserved = self._judge(
+            level, rank, pending, kind, customer, cost, now_s
+        )
         level.record(rank, admitted=reason is None, now_s=now_s)
         result = "admitted" if reason is None else reason.label
         self._counts[str(pending.service), str(priority), result] += 1
         if reason is None:
             level.customers.admit(customer, cost, now_s=now_s)
             return Admitted(level=level.level, reserved_share=reserved)
-        level.customers.refuse(customer, now_s=now_s)
+        level.customers.refuse(customer, kind, now_s=now_s)
         self._log_change(level, pending, now_s)
         wait_s = min(
             level.wait_s(rank, now_s=now_s), MAX_RETRY_DELAY_SHARE * max(left_s, 0.0)
@@ -417,6 +484,7 @@
         level: ModelLevel,
         rank: Rank,
         pending: Pending,
+        kind: Try,
         customer: CustomerName | None,
         cost: float,
         now_s: float,
@@ -424,19 +492,18 @@
         """Return why a request is refused, or the share of slots that it leaves."""
         if level.is_open:
             return None, 0.0
+        kept = level.customers.kept_share(customer, kind, now_s=now_s)
+        if level.admitted < 1.0 and self._rng.random() >= kept:
+            return RefusalReason.REPEATS, 0.0
         share = level.admitted_share(rank)
         draw = self._rng.random()
         # Admitted whatever else is known of it, so that nothing is starved.
-        if draw < FLOOR_SHARE * level.admitted and not level.customers.is_repeating(
-            customer, now_s=now_s
-        ):
+        if draw < FLOOR_SHARE * level.admitted:
             return None, 0.0
         reserved = RESERVED_SLOT_SHARE * rank.index / max(rank.count - 1, 1)
         if level.admitted >= 1.0:
             return None, reserved
         is_over = level.customers.is_over_share(customer, cost, now_s=now_s)
-        if is_over and level.customers.is_repeating(customer, now_s=now_s):
-            return RefusalReason.REPEATS, 0.0
         if draw >= share:
             return RefusalReason.PRIORITY, 0.0
         yielding = max(1.0 - YIELD_FACTOR * (1.0 - share), 0.0)
@@ -472,7 +539,7 @@
             level.record_full(now_s=now_s)
 
     def update(self, *, now_s):
-        if 0.0 <= now_s - self._updated_s < TICK_S:
+        if 0.0 <= now_s - self._updated_s < TICK_S - 1e-6:
             return
         self._updated_s = now_s
         for key, level in list(self._levels.items()):
@@ -480,6 +547,7 @@
                 del self._levels[key]
                 continue
             self._tick(key, level, now_s)
+            level.customers.expire(now_s=now_s)
             if level.is_logged and now_s - level.refused_s > CALM_S:
                 level.is_logged = False
                 logger.info("all requests admitted again", extra={"model": key[1]})
