--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -15,6 +15,7 @@
     ModelName,
     PromptPartId,
 )
+from citronpin.gateway.admission_levels import AdmissionPolicy, OpenAdmission
 from citronpin.gateway.budgets import RetryBudget
 from citronpin.gateway.fingerprints import Fingerprints
 from citronpin.gateway.fleets import Fleet
@@ -136,6 +137,7 @@
         withdrawals: Withdrawals = NO_WITHDRAWALS,
         costs: RequestCosts | None = None,
         works: GroupWorks | None = None,
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self.withdrawals = withdrawals
         self.clock = clock
@@ -163,6 +165,7 @@
         # Returns whether `table` has every change that must be in force by now.
         self.is_table_current: Callable[[], bool] = lambda: True
         self.first_event_times = first_event_times
+        self.admission = admission or OpenAdmission()
         self.retry_delays = RetryDelays()
         self.blocked_retry_delays = BlockedRetryDelays()
         self.entry_count = 1  # entries that share the retry budgets
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -12,7 +12,7 @@
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.errors import SettingsError
 from citronpin.basics.ids import EntryId, FailureDomainName
-from citronpin.gateway.nodes import NodeSettings
+from citronpin.gateway.nodes import AdmissionKind, NodeSettings
 from citronpin.gateway.placers import PlacementPolicy
 
 logger = logging.getLogger(__name__)
@@ -114,4 +114,9 @@
         repeat_window_s=settings.bounds.budget_window_s,
         share_facts=settings.has_contract(POOL_CONTRACT),
         placement=placement,
+        admission=(
+            AdmissionKind.LEVELS
+            if settings.has_contract(POOL_CONTRACT)
+            else AdmissionKind.OPEN
+        ),
     )
