A refusal that came in one piece with another answer is not believed

Cause: a faulty instance that ran a request and wrote a refusal and the true answer in one piece was taken at its first word. A request that must not be repeated then ran twice, or was reported as not run. On kept connections this could not happen: such requests take a new connection each, and answers without their id count as corrupt there.

Change: bytes beyond the end of an answer make a refusal unbelieved; the request may have run. Other answers are as before, and the connection is closed as before.

What remains: an answer that arrives after the refusal was read, on a new connection, cannot be told.

--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -157,7 +157,13 @@
 
     @property
     def not_run(self) -> bool:
-        """Return whether the answer states that the request did not run."""
+        """Return whether the answer states that the request did not run.
+
+        A refusal that came with more bytes is not believed: a faulty instance may have
+        written an earlier refusal before the answer of this request.
+        """
+        if self._exchange is not None and self._exchange.has_extra:
+            return False
         return self._names.not_run in self.headers or self.status == MISDIRECTED_STATUS
 
     @property
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -18,6 +18,7 @@
         self.timer = None
         self.connected = False
         self.is_reused = False
+        self.has_extra = False
         self.on_cancel = None  # called when the client closes the connection
         self.held = []  # calls that wait until the link to the address is back
 
--- a/citronpin/tests/test_garbled_answers.py
+++ b/citronpin/tests/test_garbled_answers.py
@@ -268,6 +268,35 @@
     assert (reply.status, reply.outcome) == (502, "unknown")
 
 
+class RefusalBeforeAnswer:
+    """Runs each request, and writes a refusal of it and its answer in one piece."""
+
+    def __init__(self, has_id):
+        self._has_id = has_id
+        self.runs = []  # attempt ids of the requests that ran
+
+    def __call__(self, conn, headers, number):
+        self.runs.append(headers[HEADERS.attempt])
+        echo = f"{HEADERS.attempt}: {headers[HEADERS.attempt]}\r\n"
+        refusal = (
+            f"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+            f"{HEADERS.not_run}: 1\r\n{echo if self._has_id else ''}\r\n"
+        ).encode()
+        conn.sendall(refusal + answer_head(headers, "Content-Length: 2") + b"ok")
+
+
+# Guards against a second run, and "not run" for what ran, after a refusal that was
+# written in one piece with the answer.
+@pytest.mark.parametrize("has_id", [True, False], ids=["id", "no-id"])
+@pytest.mark.parametrize("route", [UNSAFE_ROUTE, ONE_RUN_STREAM])
+def test_a_refusal_in_one_piece_with_an_answer_is_not_believed(live, route, has_id):
+    instances = [RefusalBeforeAnswer(has_id), RefusalBeforeAnswer(has_id)]
+    config = {"routes": [route]}
+    reply, _ = live(f"{route['path-prefix']}1", *instances, config=config)
+    assert len(instances[0].runs + instances[1].runs) == 1
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
 def error_answer(status, *rows, body=b"out of memory", digest=True):
     def answer(conn, headers, number):
         length = f"Content-Length: {len(body)}"
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -132,6 +132,7 @@
         self.is_reused = False  # whether its connection carried earlier exchanges
         self.head_bytes = 0  # received before the body
         self.body_bytes = 0
+        self.has_extra = False  # whether more bytes came with the end of the response
         self.ended = False
 
 
@@ -445,9 +446,11 @@
         self._finish(exchange)
         conn.exchange = None
         # Bytes after the response belong to no request, so the connection is closed.
-        has_extra = bool(conn.parser.trailing_data[0])
+        exchange.has_extra = bool(conn.parser.trailing_data[0])
         is_reusable = (
-            conn.parser.our_state is h11.DONE and not conn.unsent and not has_extra
+            conn.parser.our_state is h11.DONE
+            and not conn.unsent
+            and not exchange.has_extra
         )
         if is_reusable and conn.parser.their_state is h11.DONE:
             conn.parser.start_next_cycle()
