--- a/citronpin/gateway/group_works.py
+++ b/citronpin/gateway/group_works.py
@@ -29,6 +29,7 @@
 DEFAULT_OVERHEAD_S = 0.08  # of a first event, beyond reading and the first pass
 RATE_WINDOW_S = 10.0  # of the own requests that stand for those of other entries
 MIN_WEIGHT, MAX_WEIGHT = 0.25, 3.0  # of an own request, in mean requests
+MIN_SLOWNESS = 0.05  # keeps durations above 0 where an engine states no base time
 EVENTS_PER_WEIGHT = 16  # events after which the weight of a request is estimated again
 REFUSAL_S = 0.5  # for which a refusal lowers the weight of an instance
 REFUSAL_COST_SHARE = 1.0  # of the slots, at first
@@ -75,7 +76,8 @@
         """Return the step as a multiple of that of a full group of usual size."""
         if self._reference_s <= 0.0:
             return 1.0  # an engine without stated times
-        return (self.base_s + writers * self.per_writer_s) / self._reference_s
+        step_s = self.base_s + writers * self.per_writer_s
+        return max(step_s / self._reference_s, MIN_SLOWNESS)
 
 
 class Durations:
@@ -115,20 +117,25 @@
             shares.append(max(left_s - left * age_s, 0.0) / total_s)
         self._shares = shares
 
-    def left_share(self, age_s: float) -> float:
-        """Return which share of the answers in progress goes on ``age_s`` later.
+    def left_shares(self, ages_s: list[float]) -> list[float]:
+        """Return which share of the answers in progress goes on after each age.
 
-        Of answers observed at any time, that is the mean of what exceeds ``age_s`` over
+        Of answers observed at any time, that is the mean of what exceeds the age over
         the mean duration.
         """
-        if not self._shares:
-            return math.exp(-age_s / self.mean_s)
-        position = age_s / self.STEP_S
-        step = int(position)
-        if step >= self.STEPS:
-            return 0.0
-        first, second = self._shares[step], self._shares[step + 1]
-        return first + (position - step) * (second - first)
+        shares, step_s = self._shares, self.STEP_S
+        if not shares:
+            return [math.exp(-age_s / self.mean_s) for age_s in ages_s]
+        left = []
+        for age_s in ages_s:
+            position = age_s / step_s
+            step = int(position)
+            if step < self.STEPS:
+                share = shares[step]
+                left.append(share + (position - step) * (shares[step + 1] - share))
+            else:
+                left.append(0.0)
+        return left
 
 
 class OwnRequest:
--- a/citronpin/gateway/work_placers.py
+++ b/citronpin/gateway/work_placers.py
@@ -155,16 +155,20 @@
         else:
             rate = self._works.other_rate(key, now_s=now_s)
         levels, slopes, remaining, unseen_s = [], [], [], []
-        left_share, load_cost = durations.left_share, self._gate.load_cost
+        shares = durations.left_shares(
+            [load[3] / slow for load, slow in zip(seen, slowness)]
+        )
+        load_cost = self._gate.load_cost
         failure_domain = self._failure_domain
         has_refusals = self._works.has_refusals
-        for instance, load, pace, slow in zip(instances, seen, paces, slowness):
-            own, own_work, others, age_s = load
+        for instance, load, pace, slow, share in zip(
+            instances, seen, paces, slowness, shares
+        ):
+            own, own_work, others, _ = load
             slots = instance.slots or 1
             unseen = mean_s * slow
             left = 0.0
             if others is not None:
-                share = left_share(age_s / slow)
                 left = others * share
                 unseen *= 1.0 - share
                 if unseen < MIN_UNSEEN_S:
--- a/citronpin/tests/test_work_placers.py
+++ b/citronpin/tests/test_work_placers.py
@@ -127,13 +127,21 @@
                     name, load=load, age_s=age_s, now_s=self.clock.now()
                 )
 
-    def place(self, *, spent_s=0.0, objective_s=0.3, excluded=(), midway=False):
+    def place(
+        self,
+        *,
+        spent_s=0.0,
+        objective_s=0.3,
+        excluded=(),
+        midway=False,
+        engine=ENGINE,
+    ):
         cost = self.entry.costs.estimate(
             route=ROUTE,
             customer=None,
             token_usage="700,500",
             length_hint="",
-            engine=ENGINE,
+            engine=engine,
         )
         return self.entry.placer.place(
             demand=Demand(
@@ -144,7 +152,7 @@
                     spent_s=spent_s,
                     midway=midway,
                 ),
-                engine=ENGINE,
+                engine=engine,
                 excluded=excluded,
                 cost=cost,
             ),
@@ -274,6 +282,19 @@
     assert ratios.get_max_value() == pytest.approx(3_000, rel=0.02)
 
 
+@pytest.mark.parametrize("fields", [{}, {"step_s": 0.0, "step_per_writer_s": 0.001}])
+def test_an_engine_that_states_few_times_is_placed_on(fields):
+    # A step of no time led to a division by zero.
+    times = dict.fromkeys(
+        ("step_s", "step_per_writer_s", "step_per_context_token_s"), 0.0
+    )
+    engine = msgspec.structs.replace(ENGINE, **(times | fields))
+    world = World(groups=3)
+    assert isinstance(world.place(engine=engine), Placement)
+    world.report([0, 4, 0])
+    assert isinstance(world.place(engine=engine), Placement)
+
+
 def test_a_suspected_instance_is_used_only_while_no_other_is_left():
     world = World(groups=2)
     suspected, other = world.names
