--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -7,7 +7,9 @@
 from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
 from citronpin.gateway.fleets import FleetInstance
 from citronpin.gateway.nodes import GatewayNode, NodeSettings, PlatformConnector
+from citronpin.gateway.placers import LeastLoaded, PlacementPolicy
 from citronpin.gateway.ports import DomainLeases, InstanceControl
+from citronpin.gateway.work_placers import WorkPlacer
 from citronpin.platform.names import HEADERS
 from citronpin.web.clients import HttpClient
 
@@ -85,8 +87,8 @@
     return RecordingConnector(paused_clock)
 
 
-@pytest.fixture
-def node(paused_clock, connector):
+@pytest.fixture(params=PlacementPolicy, ids=lambda policy: policy.value)
+def node(request, paused_clock, connector):
     node = GatewayNode(
         cfg=NodeSettings(
             name=EntryId("entry-1"),
@@ -101,6 +103,7 @@
             repeat_ratio=0.2,
             repeat_slack=10,
             repeat_window_s=10.0,
+            placement=request.param,
         ),
         clock=paused_clock,
         client=HttpClient(clock=paused_clock),
@@ -230,3 +233,10 @@
     paused_clock.advance(GRACE_S)
     (stopped_s,) = connector.stopped_s
     assert GRACE_S - 1.0 <= stopped_s <= GRACE_S - 0.6
+
+
+def test_the_settings_select_the_placement(node):
+    is_by_work = node.cfg.placement is PlacementPolicy.REMAINING_WORK
+    assert isinstance(node.context.placer, WorkPlacer if is_by_work else LeastLoaded)
+    has_tracker = node.context.works is not None and node.context.costs is not None
+    assert has_tracker == is_by_work
