Placement by remaining work: the rest of a resumed answer is no sample of its length

Cause: a caller that resumed after event 95 taught that answers have five tokens. Found in reading; the new test was not run on the code before.

--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -241,7 +241,9 @@
 
     def _close(self, outcome: str, status: int) -> None:
         super()._close(outcome, status)
-        if self._context.works is not None and self._cost is not None:
+        # What a caller resumes is only the rest of an answer.
+        is_whole = self._requested_event_number() is None
+        if self._context.works is not None and self._cost is not None and is_whole:
             self._context.works.record_answer(
                 self._cost,
                 tokens=sum(attempt.events for attempt in self._attempts),
--- a/citronpin/tests/test_work_wiring.py
+++ b/citronpin/tests/test_work_wiring.py
@@ -88,6 +88,14 @@
     assert histogram.total == 1.0 and histogram.mean() > 20
 
 
+def test_the_rest_of_an_answer_is_no_sample_of_its_length(gateway):
+    # A caller that resumes after event 95 gets five tokens of an answer of a hundred.
+    gateway.scripts["*"] = ScriptedStream(clock=gateway.clock, last=100)
+    reply = gateway.send("/draft/1", **{HEADERS.last_event: "95"})
+    gateway.clock.advance(1.0)
+    assert reply.status == 200 and not gateway.context.costs._histograms
+
+
 def test_a_refusal_of_a_plain_instance_moves_requests_to_others(gateway):
     refusing = []
 
