--- a/citronpin/tests/platforms/instances.py
+++ b/citronpin/tests/platforms/instances.py
@@ -5,6 +5,8 @@
 
 import json
 
+from citronpin.platform.names import HEADERS
+
 ORDER_DELAY_S = 4.0
 HEARTBEAT_INTERVAL_S = 1.2
 REJOIN_TIME_S = 0.2
@@ -40,6 +42,7 @@
         self.delayed_order_count = 0  # next orders to leave unanswered and apply late
         self.staged = []
         self.busy_s = 0.0  # time until requests in progress end
+        self.cold_until_s = float("-inf")  # clock time
         self.born = 1_000
         self._reset_state()
         self._start_heartbeats()
@@ -89,6 +92,16 @@
             "sequence": self.sequence,
         }
 
+    @property
+    def cold_ms(self):
+        """Return how much longer the instance is cold, 0 if it is not."""
+        left_s = self.cold_until_s - self.fleet.clock.now()
+        return round(max(left_s, 0.0) * 1000)
+
+    @property
+    def cold_headers(self):
+        return {HEADERS.cold_ms: str(self.cold_ms)} if self.cold_ms else {}
+
     def registration(self):
         return self.report() | {
             "service": self.service,
@@ -97,7 +110,7 @@
             "version": "v1",
             "slots": 9,
             "state": self.state,
-            "cold-remaining-ms": 0,
+            "cold-remaining-ms": self.cold_ms,
             "sequence": self.registration_count,
         }
 
@@ -124,7 +137,8 @@
         expected = exchange.headers.get("x-citronpin-expect-instance")
         if exchange.target == "/v1/report":
             # A report is answered whatever instance id the request expects.
-            exchange.answer(200, json.dumps(self.report()).encode())
+            data = json.dumps(self.report()).encode()
+            exchange.answer(200, data, self.cold_headers)
         elif expected not in (None, self.name):
             exchange.answer(421, headers={"x-citronpin-instance-id": self.name})
         elif exchange.target == "/v1/order":
--- a/citronpin/tests/soaks/checks.py
+++ b/citronpin/tests/soaks/checks.py
@@ -21,6 +21,10 @@
 CRASHES_OF_REQUEST = 3
 CRASHES_OF_PART = 5
 MAX_LATE_REQUESTS = 3
+EVACUATE_S = 5.0  # from the write until nothing more is sent
+COLD_KNOWN_S = 2.5  # a heartbeat, and a read of the registrations
+COLD_SHARE = 1.5  # of the limit, which may arrive in any second
+COLD_SLACK = 5  # and so many more
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
@@ -285,3 +289,45 @@
                 f"of {episode.rate} a second"
             )
     return violations
+
+
+def check_evacuations(evacuations, arrivals, nodes, disturbances):
+    """Check that nothing reached the instances of evacuated zones.
+
+    ``evacuations`` are ``(zone, start_s, end_s)``, ``arrivals`` ``(at_s, zone,
+    attempt)``; the rest is as in `check_limits`. A node that was disturbed since the
+    start is not counted.
+    """
+    return [
+        f"{attempt} of {nodes.get(attempt)} reached {zone}, which was evacuated"
+        for zone, start_s, end_s in evacuations
+        for at_s, name, attempt in arrivals
+        if name == zone
+        and start_s + EVACUATE_S < at_s < end_s
+        and not _overlaps(nodes.get(attempt), start_s, at_s, disturbances)
+    ]
+
+
+def check_cold_episodes(episodes, per_s, nodes, disturbances):
+    """Check that cold instances got no more requests in any second than allowed.
+
+    Parameters are as in `check_limits`; ``per_s`` is the limit of all episodes.
+    """
+    violations = []
+    for episode in episodes:
+        counted_s = sorted(
+            at_s
+            for at_s, attempt in episode.arrivals
+            if episode.start_s + COLD_KNOWN_S <= at_s <= episode.end_s
+            and not _overlaps(nodes.get(attempt), at_s, at_s, disturbances)
+        )
+        worst = max(
+            (sum(at_s <= other <= at_s + 1.0 for other in counted_s))
+            for at_s in [*counted_s, 0.0]
+        )
+        if worst > COLD_SHARE * per_s + COLD_SLACK:
+            violations.append(
+                f"a cold instance got {worst} requests in a second, "
+                f"of {per_s} a second"
+            )
+    return violations
--- a/citronpin/tests/soaks/platforms.py
+++ b/citronpin/tests/soaks/platforms.py
@@ -98,6 +98,15 @@
         self.answers = []  # that named the limit
 
 
+class ColdEpisode:
+    """A cold phase of an instance; attempts with their clock times."""
+
+    def __init__(self, *, start_s, end_s):
+        self.start_s = start_s
+        self.end_s = end_s
+        self.arrivals = []
+
+
 class NetworkStub:
     """Takes what the fleet registers at its network; requests go through sockets."""
 
@@ -111,10 +120,18 @@
 
     Gateways reach the store through one proxy for each node, and each instance through
     a proxy of its own. The nodes of ``cuttable`` reach each instance through one more,
-    which only they use: the store tells them its address.
+    which only they use: the store tells them its address. The instances are in
+    ``zones`` by turns; the configuration limits cold ones if ``cold_per_s`` is above 0.
     """
 
-    def __init__(self, *, nodes, cuttable=()):
+    def __init__(self, *, nodes, cuttable=(), zones=("a",), cold_per_s=0.0):
+        self.zones = zones
+        self.cold_per_s = cold_per_s
+        self.evacuated = {}  # zone -> (clock time in s, evacuations that last)
+        self.evacuations = []  # (zone, start_s, end_s) of those that ended
+        self.evacuated_arrivals = []  # (clock time in s, zone, attempt)
+        self.cold_episodes = {}  # instance -> its latest `ColdEpisode`
+        self.all_cold_episodes = []
         self.clock = SystemClock()
         root = Component()
         ClockTask(clock=self.clock).register(root)
@@ -189,7 +206,11 @@
         port = free_port()
         proxy = FaultProxy(port=0, target_port=port)
         new_instance = self.fleet.add(
-            name, domain, address=proxy.address, service=service
+            name,
+            domain,
+            zone=self.zones[len(self.fleet.instances) % len(self.zones)],
+            address=proxy.address,
+            service=service,
         )
         self.instance_proxies[name] = proxy
         for proxies in self.cut_proxies.values():
@@ -199,6 +220,37 @@
             lambda exchange: self._handle_instance_request(new_instance, exchange),
         )
 
+    def evacuate(self, zone):
+        """Write an evacuation, unless one of the zone lasts."""
+        start_s, count = self.evacuated.get(zone, (self.clock.now(), 0))
+        self.evacuated[zone] = (start_s, count + 1)
+        self._put_evacuation(zone)
+
+    def revoke(self, zone):
+        """Delete an evacuation, unless another one of the zone lasts."""
+        start_s, count = self.evacuated.pop(zone)
+        if count > 1:
+            self.evacuated[zone] = (start_s, count - 1)
+            return
+        self.evacuations.append((zone, start_s, self.clock.now()))
+        self._put_evacuation(zone)
+
+    def _put_evacuation(self, zone):
+        value = b"{}" if zone in self.evacuated else b""
+        self.store.put("keyed.op", f"evacuate/{zone}", value)
+
+    def make_cold(self, zone, seconds):
+        """Let the instances of a zone be cold, as their registrations say."""
+        now_s = self.clock.now()
+        for instance in self.fleet.instances.values():
+            if instance.zone != zone or instance.cold_until_s > now_s:
+                continue
+            instance.cold_until_s = now_s + seconds
+            episode = ColdEpisode(start_s=now_s, end_s=now_s + seconds)
+            self.cold_episodes[instance.name] = episode
+            self.all_cold_episodes.append(episode)
+            instance.write_entry()
+
     def limit_instances(self, service, rate):
         """Let all instances of a service name a limit, or none any more."""
         for instance in self.fleet.instances.values():
@@ -221,7 +273,7 @@
 
     def _answer_headers(self, instance, attempt, digest=None):
         """Return the headers of an answer, with the limit of the instance."""
-        headers = {HEADERS.attempt: attempt}
+        headers = {HEADERS.attempt: attempt} | instance.cold_headers
         if digest is not None:
             headers[HEADERS.digest] = digest
         episode = self._find_episode(instance)
@@ -270,6 +322,9 @@
             for number in range(1, self.config_version + 1)
         ]
         cfg = wire_config(version=self.config_version, routes=ROUTES + version_routes)
+        if self.cold_per_s > 0.0:
+            for service in cfg["services"]:
+                service |= {"cold-start-s": 2.0, "cold-per-s": self.cold_per_s}
         self.store.put("keyed.op", "config", json.dumps(cfg).encode())
 
     def restore_store(self, lost_s):
@@ -280,6 +335,8 @@
 
     def _write_again(self):
         self._put_config()
+        for zone in {*self.evacuated, *(zone for zone, _, _ in self.evacuations)}:
+            self._put_evacuation(zone)
         for instance in self.fleet.instances.values():
             instance.write_entry()
 
@@ -359,6 +416,12 @@
         episode = self._find_episode(instance)
         if episode is not None:
             episode.arrivals.append((self.clock.now(), attempt))
+        if instance.zone in self.evacuated:
+            row = (self.clock.now(), instance.zone, attempt)
+            self.evacuated_arrivals.append(row)
+        if instance.name in self.cold_episodes:
+            cold = self.cold_episodes[instance.name]
+            cold.arrivals.append((self.clock.now(), attempt))
         if self.rest or self.leaving or self.rests:
             row = (self.clock.now(), instance.name, instance.born, attempt)
             self.arrivals.append(row)
--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -37,6 +37,13 @@
 PROBE_INTERVAL_S = 0.25
 LIMIT_S = 9.0  # for which instances name a limit
 LIMITED_REQUEST_INTERVAL_S = 0.03
+EVACUATED_S = (7.0, 9.0)  # the first 5 s are left to the entries
+COLD_S = 6.0
+COLD_PER_S = 4.0
+ZONES = ("z0", "z1")
+# Drawn only where they are named: more names change the faults of every seed, and they
+# need a platform with several zones and a configuration that limits cold instances.
+NAMED_FAULTS = ("do_evacuate_zone", "do_return_cold")
 MAX_CUT_NODES = 6  # each needs a proxy for each instance
 
 
@@ -142,7 +149,9 @@
         self._seconds = seconds
         # `dir` sorts: another order of the names changes the faults of every seed.
         self._fault_names = faults or [
-            name[1:] for name in dir(self) if name.startswith("_do_")
+            name[1:]
+            for name in dir(self)
+            if name.startswith("_do_") and name[1:] not in NAMED_FAULTS
         ]
         self._folder = folder
         self.injected = Counter()
@@ -161,7 +170,12 @@
         self._threads = []
         self._finished = threading.Event()
         names = [f"front-{number + 1}" for number in range(node_count)]
-        self.platform = LivePlatform(nodes=names, cuttable=names[:MAX_CUT_NODES])
+        options = {}
+        if set(NAMED_FAULTS) & set(self._fault_names):
+            options = {"zones": ZONES, "cold_per_s": COLD_PER_S}
+        self.platform = LivePlatform(
+            nodes=names, cuttable=names[:MAX_CUT_NODES], **options
+        )
         self._cut_locks = {name: threading.Lock() for name in names[:MAX_CUT_NODES]}
         self.platform.start()
         self.nodes = [
@@ -484,6 +498,11 @@
         )
         rate = self._rng.choice([0.5, 1.6, 4.0])
         self.platform.call(lambda: self.platform.limit_instances(service, rate))
+        self._send_much(kinds, LIMIT_S)
+        self.platform.call(lambda: self.platform.limit_instances(service, None))
+
+    def _send_much(self, kinds, seconds):
+        """Send more requests to all nodes than limited instances take."""
         senders = [
             Caller(
                 name=f"limited-{time.monotonic_ns()}-{number}",
@@ -496,13 +515,26 @@
         ]
         for sender in senders:
             sender.start()
-        time.sleep(LIMIT_S)
+        time.sleep(seconds)
         for sender in senders:
             sender.stop_requested.set()
         for sender in senders:
             sender.join()
             self._limited_outcomes += sender.outcomes
-        self.platform.call(lambda: self.platform.limit_instances(service, None))
+
+    def _do_evacuate_zone(self):
+        """Evacuate a zone for some seconds."""
+        zone, seconds = self._rng.choice(ZONES), self._rng.choice(EVACUATED_S)
+        self.platform.call(lambda: self.platform.evacuate(zone))
+        time.sleep(seconds)
+        self.platform.call(lambda: self.platform.revoke(zone))
+
+    def _do_return_cold(self):
+        """Let the instances of a zone be cold while more requests come than allowed."""
+        zone = self._rng.choice(ZONES)
+        kinds = self._rng.choice([[Kind.SAFE, Kind.UNSAFE], [Kind.STREAM]])
+        self.platform.call(lambda: self.platform.make_cold(zone, COLD_S))
+        self._send_much(kinds, COLD_S)
 
     def _do_garble_answers(self):
         """Let instances put bytes that belong to no answer into a part of theirs."""
@@ -628,5 +660,17 @@
             nodes,
             self._config_faults + self._planned_stops,
         )
+        self.violations += checks.check_evacuations(
+            self.platform.evacuations,
+            self.platform.evacuated_arrivals,
+            nodes,
+            self._config_faults + self._planned_stops,
+        )
+        self.violations += checks.check_cold_episodes(
+            self.platform.all_cold_episodes,
+            COLD_PER_S,
+            nodes,
+            self._config_faults + self._planned_stops,
+        )
         self.violations += self.platform.fleet.violations
         self.violations += self.platform.store.violations
--- a/citronpin/tests/test_soaks.py
+++ b/citronpin/tests/test_soaks.py
@@ -12,6 +12,7 @@
 from citronpin.tests.soaks.callers import Kind, Outcome
 from citronpin.tests.soaks.platforms import (
     LAST_EVENT,
+    ColdEpisode,
     LimitEpisode,
     answer_body,
     body_digest,
@@ -58,6 +59,30 @@
     run_soak(6, SHORT_RUN_S, tmp_path, names)
 
 
+def test_evacuated_and_cold_instances_are_left_alone_under_faults(tmp_path):
+    names = ["do_evacuate_zone", "do_return_cold", "do_pause_node"]
+    run_soak(7, LONG_RUN_S, tmp_path, names)
+
+
+def test_the_check_of_evacuations_counts_what_comes_late():
+    arrivals = [(at_s, "z0", f"a{at_s}") for at_s in (4.0, 6.0, 7.0, 9.0)]
+    nodes = {"a4.0": "n0", "a6.0": "n0", "a7.0": "n1", "a9.0": "n0"}
+    found = checks.check_evacuations(
+        [("z0", 0.0, 8.0), ("z1", 0.0, 8.0)], arrivals, nodes, [("n1", 2.0, 3.0)]
+    )
+    assert found == ["a6.0 of n0 reached z0, which was evacuated"]
+
+
+@pytest.mark.parametrize("count, is_allowed", [(11, True), (12, False)])
+def test_the_check_of_cold_phases_counts_each_second(count, is_allowed):
+    episode = ColdEpisode(start_s=0.0, end_s=6.0)
+    episode.arrivals = [(3.0 + 0.05 * n, f"a{n}") for n in range(count)]
+    episode.arrivals += [(1.0, "a0")] * 20 + [(6.1, "a0")] * 20
+    nodes = {f"a{n}": "n0" for n in range(count)}
+    found = checks.check_cold_episodes([episode], 4.0, nodes, [])
+    assert (not found) is is_allowed
+
+
 def test_one_deadly_request_is_stopped_under_faults(tmp_path):
     names = ["do_send_request_that_crashes_instances", "do_limit_instances"]
     run_soak(2, SHORT_RUN_S, tmp_path, names)
