Restarts of all instances at once, and the cost of permits for cold instances

Instances whose lives changed count as cold although nothing names the phase: a test restarts all of them before 9 entries. tools/measure_updates.py measures a case in which all instances are cold.

--- a/citronpin/tests/test_cold_starts.py
+++ b/citronpin/tests/test_cold_starts.py
@@ -21,7 +21,7 @@
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import REPORT_PATH, HttpInstanceControl
 from citronpin.tests.platforms.clients import MemoryClient
-from citronpin.tests.platforms.crashes import CrashWorld
+from citronpin.tests.platforms.crashes import RESTART_S, CrashWorld
 from citronpin.tests.platforms.requests import FrontHarness
 from citronpin.tests.platforms.simulations import make_routing_table, wire_config
 
@@ -97,6 +97,22 @@
     assert all(float(reply.headers["retry-after"]) > 0.0 for reply in refused)
 
 
+def test_instances_that_all_restart_at_once_get_no_more_than_allowed(paused_clock):
+    # Nothing names the phase: it is supposed, since their lives have changed.
+    world = CrashWorld(clock=paused_clock, entries=9, replicas=4)
+    for entry in world.entries:
+        set_cold(entry, per_s=5.0)
+    world.run(2.0, sound_per_s=30)
+    for replica in world.replicas.values():
+        replica.crash()
+    paused_clock.advance(RESTART_S)
+    start_s = paused_clock.now()
+    world.run(START_S - 0.1, sound_per_s=120)
+    for replica in world.replicas.values():
+        assert worst_second(replica, start_s) <= 5.0 * 1.5 + 5
+        assert sum(at_s > start_s for at_s, _ in replica.arrivals) > 0.6 * 5.0 * 5.9
+
+
 def test_without_the_configuration_no_permit_is_asked_for(paused_clock):
     front = FrontHarness(clock=paused_clock)
     name_cold(front, 60.0, "e0", "b0")
--- a/tools/measure_updates.py
+++ b/tools/measure_updates.py
@@ -6,6 +6,8 @@
 import sys
 import time
 
+import msgspec
+
 from citronpin.basics.clocks import PausedClock
 from citronpin.tests.platforms.crashes import CrashWorld
 from citronpin.tests.platforms.cuts import Cut, cut_off
@@ -21,7 +23,8 @@
 REPLICAS_PER_ENTRY = 3
 DEADLY_PER_S = 2
 CUT_SHARE = 1 / 3  # of the entries, from all instances
-CASES = ("calm", "parts", "requests", "limits", "cut")
+COLD_PER_S = 18.0  # requests per second
+CASES = ("calm", "parts", "requests", "limits", "cut", "cold")
 
 
 def measure(entries: int, case: str) -> dict[str, float]:
@@ -37,6 +40,8 @@
     if case == "cut":
         for entry in world.entries[: round(CUT_SHARE * entries)]:
             cut_off(entry, world.all_replicas(), Cut.HANG)
+    if case == "cold":
+        _make_cold(world)
     before = _sent(world)
     started_s = time.process_time()
     if case == "requests":
@@ -62,6 +67,22 @@
     }
 
 
+def _make_cold(world: CrashWorld) -> None:
+    """Let all instances be cold throughout, as all entries know.
+
+    If only some are, others get the requests.
+    """
+    for entry in world.entries:
+        entry.cold_starts.set_services(
+            msgspec.structs.replace(spec, cold_start_s=5.0, cold_per_s=COLD_PER_S)
+            for spec in entry.context.table.cfg.services
+        )
+        for name in world.replicas:
+            entry.cold_starts.record(
+                entry.fleet.get(name), remaining_s=60.0, source="registration"
+            )
+
+
 def _sent(world: CrashWorld) -> tuple[int, int]:
     counters = [entry.gossip._links.counters for entry in world.entries]
     return (
