--- a/citronpin/tests/test_cold_starts.py
+++ b/citronpin/tests/test_cold_starts.py
@@ -13,7 +13,7 @@
     ColdStarts,
 )
 from citronpin.gateway.fleets import Fleet, FleetInstance, Membership, Phase
-from citronpin.gateway.permits import COLD_TAKEOVER_S, Permits
+from citronpin.gateway.permits import Permits
 from citronpin.gateway.routings import ServiceSpec
 from citronpin.gateway.watches import MemberWatch
 from citronpin.peers.messages import LimitReport, PermitReply, PermitRequest
@@ -21,7 +21,7 @@
 from citronpin.platform.names import HEADERS
 from citronpin.platform.orders import REPORT_PATH, HttpInstanceControl
 from citronpin.tests.platforms.clients import MemoryClient
-from citronpin.tests.platforms.crashes import CrashWorld
+from citronpin.tests.platforms.crashes import RESTART_S, CrashWorld
 from citronpin.tests.platforms.requests import FrontHarness
 from citronpin.tests.platforms.simulations import make_routing_table, wire_config
 
@@ -97,6 +97,22 @@
     assert all(float(reply.headers["retry-after"]) > 0.0 for reply in refused)
 
 
+def test_instances_that_all_restart_at_once_get_no_more_than_allowed(paused_clock):
+    # Nothing names the phase: it is supposed, since their lives have changed.
+    world = CrashWorld(clock=paused_clock, entries=9, replicas=4)
+    for entry in world.entries:
+        set_cold(entry, per_s=5.0)
+    world.run(2.0, sound_per_s=30)
+    for replica in world.replicas.values():
+        replica.crash()
+    paused_clock.advance(RESTART_S)
+    start_s = paused_clock.now()
+    world.run(START_S - 0.1, sound_per_s=120)
+    for replica in world.replicas.values():
+        assert worst_second(replica, start_s) <= 5.0 * 1.5 + 5
+        assert sum(at_s > start_s for at_s, _ in replica.arrivals) > 0.6 * 5.0 * 5.9
+
+
 def test_without_the_configuration_no_permit_is_asked_for(paused_clock):
     front = FrontHarness(clock=paused_clock)
     name_cold(front, 60.0, "e0", "b0")
@@ -380,7 +396,6 @@
     sent = []
     front.permits.connect(lambda entry, message: sent.append(message) or True)
     report = LimitReport(InstanceId("e0"), 0, None, 2**31)
-    paused_clock.advance(COLD_TAKEOVER_S)  # from the begin of an owner
     front.permits.receive("n1", PermitRequest(1, report, PER_S, 4000))
     paused_clock.advance(1.0)
     for number in range(2, 9):
