--- a/citronpin/tests/soaks/soaks.py
+++ b/citronpin/tests/soaks/soaks.py
@@ -43,7 +43,7 @@
 class GatewayNode:
     """A gateway process and its settings; each restart is a new incarnation."""
 
-    def __init__(self, *, name, store_address, folder):
+    def __init__(self, *, name, store_address, folder, limits=None):
         self.name = name
         self.incarnation = 0
         self.front_port, self.ready_port, self.metrics_port, *internal_ports = (
@@ -61,6 +61,8 @@
             "platform": {"address": store_address},
             "bounds": {"grace-s": GRACE_PERIOD_S},
         }
+        if limits is not None:
+            settings["limits"] = limits
         self._settings_path = Path(folder) / f"{name}.json"
         self._settings_path.write_text(json.dumps(settings))
         self._log_path = Path(folder) / f"{name}.log"
