One account of the bytes that a process holds for others

Each body, answer and connection was bounded, but not their sum, and a process kept all that clients sent short of an end or left unread. ByteAccount counts them; requests reserve their bytes before they are read and wait with their socket out of the poller; whoever makes no progress for longest is refused (408, 503) or dropped while others wait. Answers that are not taken are read slower from instances. Bodies are read into one buffer each. Connections are divided by the descriptors; accepting pauses at the limit.

--- a/citronpin/basics/clocks.py
+++ b/citronpin/basics/clocks.py
@@ -11,6 +11,10 @@
 MS_PER_S = 1_000
 
 
+def _do_nothing() -> None:
+    """Stand in for the callback of a cancelled timer."""
+
+
 class TimerHandle:
     """A scheduled call that can be cancelled."""
 
@@ -22,8 +26,13 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Keep the callback from running; a second call has no effect."""
+        """Keep the callback from running; a second call has no effect.
+
+        A cancelled timer stays until it is due. It releases its callback at once, which
+        may refer to the body of a request.
+        """
         self.cancelled = True
+        self.callback = _do_nothing
 
 
 class Clock(ABC):
--- a/citronpin/gateway/attempts.py
+++ b/citronpin/gateway/attempts.py
@@ -207,6 +207,21 @@
         if self._exchange is not None:
             self._client.cancel(self._exchange)
 
+    def pause_reading(self, for_s: float) -> None:
+        """Read no more of the answer for some seconds, or until `resume_reading`."""
+        if not self.is_over and self._exchange is not None:
+            self._client.pause_reading(self._exchange, for_s)
+
+    def resume_reading(self) -> None:
+        """Read the answer on."""
+        if self._exchange is not None:
+            self._client.resume_reading(self._exchange)
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the answer is not read now."""
+        return self._exchange is not None and self._client.is_paused(self._exchange)
+
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
         self.headers = headers
--- a/citronpin/gateway/buffered_exchanges.py
+++ b/citronpin/gateway/buffered_exchanges.py
@@ -20,32 +20,36 @@
 
     def __init__(self, *, task: Task, reply: Reply, context: ExchangeContext) -> None:
         super().__init__(task=task, reply=reply, context=context)
-        self._parts: list[bytes] = []
-        self._buffered_bytes = 0
+        self._body = bytearray()
 
     def attempt_head(self, attempt: Attempt) -> None:
         super().attempt_head(attempt)
-        self._parts = []
-        self._buffered_bytes = 0
+        self._body = bytearray()
+        self._answer_bytes.close()
 
     def attempt_data(self, attempt: Attempt, data: bytes) -> None:
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if len(self._body) + len(data) > MAX_BUFFERED_BYTES:
             attempt.cancel(Fault.INVALID, "the answer is over its bound")
             self.attempt_failed(attempt, Fault.INVALID)
             return
-        self._parts.append(data)
+        self._body += data
+        self._hold(attempt, len(self._body))
+
+    def _take_body(self) -> bytes:
+        """Return the body of the last answer and release the buffer."""
+        body, self._body = bytes(self._body), bytearray()
+        return body
 
     def attempt_ended(self, attempt: Attempt) -> None:
         attempt.recipient.ended()
         if attempt.refusal:
-            self._on_refusal(attempt, b"".join(self._parts))
+            self._on_refusal(attempt, self._take_body())
             return
         self._record_answered(attempt)
         fault = self._classify(attempt)
         if fault is None:
             attempt.recipient.record_progress()
-            self._deliver_answer(attempt, b"".join(self._parts))
+            self._deliver_answer(attempt, self._take_body())
             return
         attempt.fault = fault
         self._report_fault(attempt, fault)
@@ -67,7 +71,7 @@
     def _answer_after_retries(self, fault: Fault) -> None:
         last = self._last_attempt
         if fault is Fault.ERROR and last is not None:
-            self._deliver_answer(last, b"".join(self._parts))
+            self._deliver_answer(last, self._take_body())
         else:
             self._answer_fault(fault)
 
--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -37,6 +37,7 @@
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
+from citronpin.web.byte_accounts import ByteAccount
 from citronpin.web.clients import HttpClient
 from citronpin.web.replies import HttpRequest
 
@@ -130,8 +131,10 @@
         log: RequestLog,
         rng: random.Random,
         make_budget: Callable[[], RetryBudget],
+        account: ByteAccount | None = None,
     ) -> None:
         self.clock = clock
+        self.account = account or ByteAccount()
         self.client = client
         self.names = names
         self.fleet = fleet
--- a/citronpin/gateway/event_streams.py
+++ b/citronpin/gateway/event_streams.py
@@ -35,6 +35,11 @@
         self._fields = FIELDS.union(name.encode() for name in more_fields)
         self._buffer = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of an incomplete event are held."""
+        return len(self._buffer)
+
     @property
     def partial(self) -> bool:
         """Return whether the buffer holds an incomplete event."""
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from functools import cached_property
 
+import msgspec
+
 from citronpin.basics.clocks import MS_PER_S, TimerHandle
 from citronpin.basics.ids import (
     ApplicationName,
@@ -55,6 +57,9 @@
 MOVE_AFTER_S = 0.25  # without progress, when no instance is reached any more
 MAX_REFUSED_PERMITS = 2  # of one request; asking for another delays it further
 MAX_LOGGED_LIMITS = 4
+# Instances cut an answer off that stays unread for some seconds. Each pause is followed
+# by a read of 64 KiB.
+OVERDRAWN_PAUSE_S = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 # What the refusals of another entry mean here; all others are passed on.
 FAULT_BY_REFUSAL = {
@@ -85,6 +90,7 @@
         self._limit_rows: list[dict[str, object]] = []  # that decided, for the log
         self._refused_permits = 0
         self._is_counted = task.is_counted
+        self._answer_bytes = context.account.open()  # of the answer, held here
         self._outgoing = OutgoingRequest(
             method=task.req.method,
             target=task.req.target,
@@ -294,6 +300,13 @@
     def attempt_head(self, attempt: Attempt) -> None:
         attempt.recipient.record_head(attempt)
 
+    def _hold(self, attempt: Attempt, count: int) -> None:
+        """Count the bytes of an answer held here, and read it slower without room."""
+        self._answer_bytes.set(count)
+        account, now_s = self._context.account, self._context.clock.now()
+        if account.is_overdrawn and not account.favour(self._answer_bytes, now_s=now_s):
+            attempt.pause_reading(OVERDRAWN_PAUSE_S)
+
     def _max_idle_s(self) -> float:
         # On a kept-alive connection, an instance may close while the request is in
         # flight, or repeat an earlier answer. Whether the request ran is then unknown.
@@ -570,6 +583,7 @@
 
     def _close(self, outcome: str, status: int) -> None:
         self._done = True
+        self._answer_bytes.close()
         if self._timer is not None:
             self._timer.cancel()
         self._context.open_exchanges.discard(self)
@@ -584,6 +598,12 @@
             fingerprint="" if status in OK_STATUSES else self._fingerprint,
             now_s=self._context.clock.now(),
         )
+        self._release_body()
+
+    def _release_body(self) -> None:
+        """Release the body of the request before the next collection of cycles."""
+        self._outgoing = msgspec.structs.replace(self._outgoing, body=b"")
+        self._task.req.body = b""
 
 
 def end_to_end_headers(headers: dict[str, str]) -> dict[str, str]:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -46,9 +46,10 @@
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import NngLinks
 from citronpin.web.clients import HttpClient
-from citronpin.web.http_conns import ServerLimits
+from citronpin.web.http_conns import MAX_CONNECTIONS, ServerLimits
+from citronpin.web.process_limits import ConnectionShares, ProcessLimits, make_account
 from citronpin.web.routes import Routes
-from citronpin.web.servers import HttpRequest, Reply, WebServer
+from citronpin.web.servers import HttpHandler, HttpRequest, Reply, WebServer
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,17 @@
 # The balancer probes every second and removes an entry at the second failure.
 BALANCER_REMOVAL_S = 2.6
 FORWARDED_HEADER_BYTES = 4 * 1024  # in addition to the headers of the caller
+CONTROL_BODY_BYTES = 16 * 1024  # of requests to the ports for readiness and metrics
+# Metrics of what became of clients, summed over the ports.
+CLIENT_COUNTERS = {
+    "evicted_senders": "Requests refused before their end, for the room of others.",
+    "evicted_readers": "Answers ended that were not read, for the room of others.",
+    "accept_pauses": "Times at which no connection was left to accept.",
+    "crowded_out": "Connections closed without progress, for those of others.",
+    "slow_senders": "Requests that were not received whole in time.",
+    "slow_readers": "Answers of which the client took nothing for too long.",
+    "write_overflows": "Streams that the client read too slowly.",
+}
 KILL_MARGIN_S = 0.8  # the interpreter takes up to 0.3 s to end
 
 
@@ -79,6 +91,7 @@
     repeat_ratio: float  # retries per request, over all entries
     repeat_slack: float  # retries allowed beyond the ratio, over all entries
     repeat_window_s: float
+    process: ProcessLimits = ProcessLimits()
 
 
 class PlatformConnector(ABC):
@@ -148,6 +161,10 @@
         self.permits = SharedPermits(entry=cfg.name, limits=self.limits, clock=clock)
         self.fingerprints = Fingerprints()
         self.metrics = Metrics()
+        self.account = make_account(cfg.process)
+        self._shares = ConnectionShares.of(cfg.process)
+        client.max_connections = self._shares.outgoing
+        self._add_account_gauges()
         self.loop_lag = LoopLag(clock=clock)
         self.loop_faults = LoopFaults().register(self)
         self.metrics.gauges.add(
@@ -258,8 +275,37 @@
             log=RequestLog(metrics=self.metrics),
             rng=self._rng,
             make_budget=self._make_budget,
+            account=self.account,
         )
 
+    def _add_account_gauges(self) -> None:
+        account, add = self.account, self.metrics.gauges.add
+        add(
+            "held_bytes",
+            "Bytes of requests and answers that the process holds for others.",
+            lambda: account.held_bytes,
+        )
+        add(
+            "held_bytes_capacity",
+            "Bytes that the process may hold for others.",
+            lambda: account.capacity_bytes,
+        )
+        add(
+            "held_bytes_peak",
+            "Most bytes that the process held for others since its start.",
+            lambda: account.peak_bytes,
+        )
+        add(
+            "requests_waiting_for_room",
+            "Requests that are not read on, since the bytes held leave no room.",
+            lambda: account.waiting,
+        )
+        for name, doc in CLIENT_COUNTERS.items():
+            add(name, doc, lambda name=name: self._client_count(name))
+
+    def _client_count(self, name: str) -> int:
+        return sum(server.http.counters.get(name, 0) for server in self.servers)
+
     def _count_quarantined(self, field: str) -> int:
         rows = self.quarantine.rows(now_s=self.clock.now())
         return sum(field in row for row in rows)
@@ -279,21 +325,47 @@
         routes.add("GET", "/admin/limits", self._answer_limits)
         routes.add("GET", "/admin/quarantines", self._answer_quarantines)
         routes.add("POST", "/admin/quarantines/{key}/release", self._release_key)
-        self.server = self._serve(self.cfg.front, self.front, "front")
-        self.forward_server = self._serve(self.cfg.forward, self.forwarded, "forward")
+        shares = self._shares
+        callers = ServerLimits(connections=min(shares.callers, MAX_CONNECTIONS))
+        entries = ServerLimits(connections=shares.entries)
+        self.server = self._serve(self.cfg.front, self.front, "front", callers)
+        self.forward_server = self._serve(
+            self.cfg.forward, self.forwarded, "forward", entries
+        )
         self.servers = (
             self.server,
             self.forward_server,
-            self._serve(self.cfg.ready, routes, "ready"),
-            self._serve(self.cfg.metrics, routes, "metrics"),
+            self._serve_control(self.cfg.ready, routes, "ready"),
+            self._serve_control(self.cfg.metrics, routes, "metrics"),
         )
 
-    def _serve(self, address: str, target, channel: str) -> WebServer:
+    def _serve(
+        self,
+        address: str,
+        target: HttpHandler,
+        channel: str,
+        limits: ServerLimits,
+        is_control: bool = False,
+    ) -> WebServer:
         host, _, port = address.rpartition(":")
         return WebServer(
-            bind=(host, int(port)), target=target, clock=self.clock, channel=channel
+            bind=(host, int(port)),
+            target=target,
+            clock=self.clock,
+            limits=limits,
+            channel=channel,
+            account=self.account,
+            is_control=is_control,
         ).register(self)
 
+    def _serve_control(
+        self, address: str, target: HttpHandler, channel: str
+    ) -> WebServer:
+        limits = ServerLimits(
+            body_bytes=CONTROL_BODY_BYTES, connections=self._shares.control
+        )
+        return self._serve(address, target, channel, limits, is_control=True)
+
     def _start_components(self) -> None:
         logger.info("start", extra={"front": self.cfg.front, "peers": self.cfg.peers})
         self.loop_lag.start()
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -19,6 +19,11 @@
 MIDWAY_STALL_GAP_OBJECTIVES = 1.5  # multiple of the gap objective of the route
 MAX_RESUME_WAIT_S = 1.4  # callers leave a stream that is silent for two seconds
 RESUME_RETRY_INTERVAL_S = 0.1
+# An answer that its caller reads slower than the instance writes is read slower too. An
+# instance cuts an answer off that stays unread for some seconds.
+UNREAD_HIGH_BYTES = 64 * 1024
+UNREAD_LOW_BYTES = 16 * 1024
+UNREAD_PAUSE_S = 1.5
 
 
 class StreamExchange(Exchange):
@@ -31,8 +36,7 @@
     def __init__(self, *, task: Task, reply: Reply, context: ExchangeContext) -> None:
         super().__init__(task=task, reply=reply, context=context)
         self._splitter = self._make_splitter()
-        self._parts: list[bytes] = []  # body of an answer that is not a stream
-        self._buffered_bytes = 0
+        self._body = bytearray()  # of an answer that is not a stream
         self._last_event_number = self._requested_event_number()
         self._last_event_s = 0.0
         self._started = False
@@ -65,8 +69,8 @@
     def attempt_head(self, attempt: Attempt) -> None:
         super().attempt_head(attempt)
         self._splitter = self._make_splitter()
-        self._parts = []
-        self._buffered_bytes = 0
+        self._body = bytearray()
+        self._answer_bytes.close()
         self._is_stream = (
             attempt.status == OK_STATUS and attempt.is_genuine and not attempt.not_run
         )
@@ -81,13 +85,18 @@
                     return
         except InvalidEvent as exc:
             self._fail_attempt(attempt, Fault.INVALID, str(exc))
+            return
+        if not self._done:
+            self._hold(attempt, self._splitter.held_bytes)
+            if self._reply.buffered_bytes > UNREAD_HIGH_BYTES:
+                attempt.pause_reading(UNREAD_PAUSE_S)
 
     def _buffer(self, attempt: Attempt, data: bytes) -> None:
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if len(self._body) + len(data) > MAX_BUFFERED_BYTES:
             self._fail_attempt(attempt, Fault.INVALID, "the answer is over its bound")
             return
-        self._parts.append(data)
+        self._body += data
+        self._hold(attempt, len(self._body))
 
     def _forward(self, attempt: Attempt, event: StreamEvent) -> bool:
         """Forward an event; return false when the attempt was cancelled."""
@@ -120,7 +129,7 @@
     def attempt_ended(self, attempt: Attempt) -> None:
         attempt.recipient.ended()
         if attempt.refusal:
-            self._on_refusal(attempt, b"".join(self._parts))
+            self._on_refusal(attempt, bytes(self._body))
             return
         fault = self._classify(attempt)
         if fault in (None, Fault.ERROR):
@@ -213,7 +222,7 @@
             and self._last_attempt is not None
             and self._last_attempt.is_genuine
         ):
-            self._deliver_answer(self._last_attempt, b"".join(self._parts))
+            self._deliver_answer(self._last_attempt, bytes(self._body))
         else:
             self._answer_fault(fault)
 
@@ -261,6 +270,13 @@
         last = self._last_attempt
         if self._done or last is None or last.is_over:
             return
+        if last.is_paused:
+            # Its silence is this entry's doing.
+            self._last_event_s = now_s
+            has_room = not self._context.account.is_overdrawn
+            if has_room and self._reply.buffered_bytes <= UNREAD_LOW_BYTES:
+                last.resume_reading()
+            return
         last_progress_s = self._last_progress_s(last)
         if last.first_s is None:
             # The request may be queued: progress of other answers on the instance
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -22,6 +22,7 @@
 )
 from citronpin.platform.stores import LogStore
 from citronpin.web.clients import HttpClient
+from citronpin.web.process_limits import return_large_blocks
 
 logger = logging.getLogger(__name__)
 
@@ -156,6 +157,7 @@
         print(f"citronpin gateway: {result.err_value}", file=sys.stderr)
         return EXIT_USAGE
     settings = result.ok_value
+    return_large_blocks()
     listener = set_up_logging(log_level, settings.node, stream=sys.stdout)
     clock = SystemClock()
     client = HttpClient(clock=clock)
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -12,6 +12,7 @@
 from citronpin.basics.errors import SettingsError
 from citronpin.basics.ids import EntryId, FailureDomainName
 from citronpin.gateway.nodes import NodeSettings
+from citronpin.web.process_limits import ProcessLimits
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +38,13 @@
     budget_window_s: float = 10.0
 
 
+class WireLimits(msgspec.Struct, kw_only=True, rename="kebab"):
+    """What the process may use; a default of the machine stands for what is absent."""
+
+    memory_mb: int | None = None  # resident, in units of 2**20 bytes
+    max_fds: int | None = None  # descriptors, 200 of them for files
+
+
 class WireStore(msgspec.Struct, kw_only=True, rename="kebab"):
     """Address and parameters of the platform's store."""
 
@@ -56,6 +64,7 @@
     platform: WireStore
     heartbeat_ms: int = 1_200  # interval at which instances renew registrations
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
 
 def settings_path() -> Path:
@@ -100,4 +109,7 @@
         repeat_ratio=settings.bounds.retry_budget_ratio,
         repeat_slack=settings.bounds.retry_budget_slack,
         repeat_window_s=settings.bounds.budget_window_s,
+        process=ProcessLimits(
+            memory_mb=settings.limits.memory_mb, max_fds=settings.limits.max_fds
+        ),
     )
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -201,5 +201,14 @@
             if exchange.on_cancel is not None and not self.is_held(exchange.address):
                 exchange.on_cancel()
 
+    def pause_reading(self, exchange, for_s):
+        """Do nothing: handlers of this client do not wait for a reader."""
+
+    def resume_reading(self, exchange):
+        """Do nothing, see `pause_reading`."""
+
+    def is_paused(self, exchange):
+        return False
+
     def close_all(self):
         """Do nothing, since no connection is kept open."""
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -188,6 +188,8 @@
 class ExchangeReply:
     """Answers the exchange of another entry's client."""
 
+    buffered_bytes = 0  # that the client has not taken
+
     def __init__(self, exchange):
         self.exchange = exchange
         self.on_disconnect = None
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -73,6 +73,8 @@
 class CallerReply:
     """Records the reply that a caller receives."""
 
+    buffered_bytes = 0  # that the caller has not taken
+
     def __init__(self):
         self.status = None
         self.headers = {}
--- a/citronpin/tests/test_servers.py
+++ b/citronpin/tests/test_servers.py
@@ -212,7 +212,7 @@
             http._sweep()
         else:
             http.close_idle()
-        http._on_read(sock, b"GET /echo/late HTTP/1.1\r\nHost: a\r\n\r\n")
+        http.on_read(sock, b"GET /echo/late HTTP/1.1\r\nHost: a\r\n\r\n")
 
     with socket.create_connection((server.host, server.port), timeout=10) as conn:
         wait_until(lambda: http.open_connections)
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -39,6 +39,8 @@
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 128 * 1024  # in the kernel, which doubles it; else up to 32 MiB
+JOINED_BODY_BYTES = 64 * 1024  # up to which a request is sent from one buffer
 PROGRESS_INTERVAL_S = 0.3  # a response of which nothing arrives for longer has stalled
 
 
@@ -152,6 +154,7 @@
         self.keep_alive_s = MAX_IDLE_S  # how long the server keeps it open when idle
         self.exchange: Exchange | None = None
         self.connect_timer: TimerHandle | None = None
+        self.pause_timer: TimerHandle | None = None  # set while it is not read
 
 
 class ClientCounters(msgspec.Struct):
@@ -176,6 +179,8 @@
         self.counters = ClientCounters()
         # Called with the address of each new connection and whether it was accepted.
         self.connection_listeners: list[Callable[[str, bool], None]] = []
+        # From this number on, a new connection replaces the one idle for longest.
+        self.max_connections: int | None = None
         self._poller: BasePoller | None = None
         self._conns: dict[socket.socket, Connection] = {}
         self._idle: dict[str, deque[Connection]] = {}
@@ -259,6 +264,32 @@
         if exchange.conn is not None:
             self._close(exchange.conn)
 
+    def pause_reading(self, exchange: Exchange, for_s: float) -> None:
+        """Leave the bytes of a response to the kernel for some seconds."""
+        conn = exchange.conn
+        if exchange.ended or conn is None or conn.pause_timer is not None:
+            return
+        self._poller.removeReader(conn.sock)
+        conn.pause_timer = self._clock.call_later(
+            for_s, lambda: self._resume_reading(conn)
+        )
+
+    def resume_reading(self, exchange: Exchange) -> None:
+        """End a pause of `pause_reading` before its time."""
+        if exchange.conn is not None and not exchange.ended:
+            self._resume_reading(exchange.conn)
+
+    def is_paused(self, exchange: Exchange) -> bool:
+        """Return whether the response of an exchange is not read now."""
+        conn = exchange.conn
+        return not exchange.ended and conn is not None and conn.pause_timer is not None
+
+    def _resume_reading(self, conn: Connection) -> None:
+        if conn.pause_timer is not None:
+            conn.pause_timer.cancel()
+            conn.pause_timer = None
+            self._poller.addReader(self, conn.sock)
+
     def close_all(self) -> None:
         """Close every connection and fail the exchanges in progress."""
         self.connection_listeners.clear()
@@ -297,6 +328,8 @@
 
     def _open(self, address: str, timeout_s: float) -> Connection | None:
         """Begin to connect; return ``None`` if that fails at once."""
+        if self.max_connections is not None:
+            self._close_oldest_idle(self.max_connections - 1)
         try:
             sock = _start_connecting(address)
         except (OSError, ValueError) as exc:
@@ -313,6 +346,14 @@
         self._find_poller().addWriter(self, sock)
         return conn
 
+    def _close_oldest_idle(self, limit: int) -> None:
+        """Close idle connections until no more than ``limit`` are open."""
+        while len(self._conns) > limit:
+            idle = [conn for found in self._idle.values() for conn in found]
+            if not idle:
+                return
+            self._close(min(idle, key=lambda conn: conn.idle_since_s))
+
     def _report(self, address: str, connected: bool) -> None:
         for listener in self.connection_listeners:
             listener(address, connected)
@@ -326,7 +367,10 @@
         if exchange.body:
             parts.append(conn.parser.send(h11.Data(data=exchange.body)))
         parts.append(conn.parser.send(h11.EndOfMessage()))
-        conn.unsent.append(memoryview(b"".join(parts)))
+        if len(exchange.body) <= JOINED_BODY_BYTES:
+            parts = [b"".join(parts)]
+        # A copy of a large body would take as much memory again.
+        conn.unsent.extend(memoryview(part) for part in parts if part)
         conn.sent_bytes = 0
         self._flush(conn)
 
@@ -443,6 +487,7 @@
 
     def _complete(self, conn: Connection, exchange: Exchange) -> None:
         self._finish(exchange)
+        self._resume_reading(conn)
         conn.exchange = None
         # Bytes after the response belong to no request, so the connection is closed.
         has_extra = bool(conn.parser.trailing_data[0])
@@ -534,6 +579,7 @@
 
     def _finish(self, exchange: Exchange) -> None:
         exchange.ended = True
+        exchange.body = b""
         if exchange.timer is not None:
             exchange.timer.cancel()
 
@@ -542,11 +588,15 @@
             return
         if conn.connect_timer is not None:
             conn.connect_timer.cancel()
+        if conn.pause_timer is not None:
+            conn.pause_timer.cancel()
+            conn.pause_timer = None
         idle = self._idle.get(conn.address)
         if idle and conn in idle:
             idle.remove(conn)
         self._poller.discard(conn.sock)
         conn.sock.close()
+        conn.unsent.clear()
 
 
 def _start_connecting(address: str) -> socket.socket:
@@ -558,6 +608,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
--- a/citronpin/web/servers.py
+++ b/citronpin/web/servers.py
@@ -3,10 +3,11 @@
 import logging
 
 from circuits import BaseComponent, handler
-from circuits.net.sockets import TCPServer
 
 from citronpin.basics.clocks import Clock
+from citronpin.web.byte_accounts import ByteAccount
 from citronpin.web.http_conns import BoundedHttp, ServerLimits
+from citronpin.web.listeners import Listener
 from citronpin.web.replies import (
     JSON_TYPE,
     PROBLEM_TYPE,
@@ -37,7 +38,9 @@
 class WebServer(BaseComponent):
     """A listening server that passes each complete request to ``target``.
 
-    ``bind`` is ``(IP address, port)``; port 0 binds a free port.
+    ``bind`` is ``(IP address, port)``; port 0 binds a free port. Servers of one process
+    share an ``account``; without one, bytes are not bounded in sum. The requests of a
+    server with ``is_control`` are counted, but do not wait for room.
     """
 
     channel = "web"
@@ -52,15 +55,22 @@
         clock: Clock,
         limits: ServerLimits | None = None,
         channel: str = channel,
+        account: ByteAccount | None = None,
+        is_control: bool = False,
     ) -> None:
         super().__init__(channel=channel)
-        self.server = TCPServer(bind, channel=channel).register(self)
+        self.server = Listener(bind, channel=channel).register(self)
         self.http = BoundedHttp(
             server=self,
             limits=limits or ServerLimits(),
             clock=clock,
             request_handler=target,
+            account=account or ByteAccount(),
+            is_control=is_control,
         ).register(self)
+        self.server.on_read = self.http.on_read
+        self.server.on_sent = self.http.on_sent
+        self.server.may_accept = self.http.may_accept
 
     @property
     def host(self) -> str:
