--- a/citronpin/basics/clocks.py
+++ b/citronpin/basics/clocks.py
@@ -12,6 +12,10 @@
 BEAT_TOLERANCE = 1e-3  # of a beat, by which sums of floats may differ
 
 
+def _do_nothing() -> None:
+    """Stand in for the callback of a cancelled timer."""
+
+
 class TimerHandle:
     """A scheduled call that can be cancelled."""
 
@@ -23,8 +27,13 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Keep the callback from running; a second call has no effect."""
+        """Keep the callback from running; a second call has no effect.
+
+        A cancelled timer stays until it is due. It releases its callback at once, which
+        may refer to the body of a request.
+        """
         self.cancelled = True
+        self.callback = _do_nothing
 
 
 class Clock(ABC):
--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -41,6 +41,7 @@
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.withdrawals import NO_WITHDRAWALS, Withdrawals
+from citronpin.web.byte_accounts import ByteAccount
 from citronpin.web.clients import HttpClient
 from citronpin.web.replies import HttpRequest
 
@@ -138,9 +139,11 @@
         costs: RequestCosts | None = None,
         works: GroupWorks | None = None,
         admission: AdmissionPolicy | None = None,
+        account: ByteAccount | None = None,
     ) -> None:
         self.withdrawals = withdrawals
         self.clock = clock
+        self.account = account or ByteAccount()
         self.client = client
         self.names = names
         self.fleet = fleet
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -14,6 +14,7 @@
 from citronpin.basics.ids import EntryId, FailureDomainName
 from citronpin.gateway.nodes import AdmissionKind, NodeSettings
 from citronpin.gateway.placers import PlacementPolicy
+from citronpin.web.process_limits import ProcessLimits
 
 logger = logging.getLogger(__name__)
 
@@ -41,6 +42,13 @@
     budget_window_s: float = 10.0
 
 
+class WireLimits(msgspec.Struct, kw_only=True, rename="kebab"):
+    """What the process may use; a default of the machine stands for what is absent."""
+
+    memory_mb: int | None = None  # resident, in units of 2**20 bytes
+    max_fds: int | None = None  # descriptors, 200 of them for files
+
+
 class WireStore(msgspec.Struct, kw_only=True, rename="kebab"):
     """Address and parameters of the platform's store."""
 
@@ -61,6 +69,7 @@
     contracts: Any = ()  # list of the rules in force, by name
     heartbeat_ms: int = 1_200  # interval at which instances renew registrations
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
     def has_contract(self, name: str) -> bool:
         """Return whether a rule is in force; in a list of another form none is."""
@@ -119,4 +128,7 @@
             if settings.has_contract(POOL_CONTRACT)
             else AdmissionKind.OPEN
         ),
+        process=ProcessLimits(
+            memory_mb=settings.limits.memory_mb, max_fds=settings.limits.max_fds
+        ),
     )
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -78,6 +78,7 @@
         self.silent = set()  # addresses at which connections time out
         self.hanging = set()  # addresses of which neither old nor new connections pass
         self.full = set()  # addresses that refuse only new connections
+        self.paused = {}  # exchange -> clock time in s until which it is not read
         self.mute = set()  # addresses at which connections are accepted, but silent
         self.closing = set()  # addresses that accept connections and close them unread
         self.idle_s = defaultdict(list)  # clock times since which connections idle
@@ -202,5 +203,16 @@
             if exchange.on_cancel is not None and not self.is_held(exchange.address):
                 exchange.on_cancel()
 
+    def pause_reading(self, exchange, for_s):
+        """Record the pause; handlers of this client do not wait for a reader."""
+        self.paused[exchange] = self.clock.now() + for_s
+
+    def resume_reading(self, exchange):
+        self.paused.pop(exchange, None)
+
+    def is_paused(self, exchange):
+        end_s = self.paused.get(exchange, 0.0)
+        return not exchange.ended and self.clock.now() < end_s
+
     def close_all(self):
         """Do nothing, since no connection is kept open."""
