--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -197,6 +197,8 @@
             self._timer.cancel()
             # The store that refused a read is not asked more often for news of it.
             due_s = max(self._retry_at_s, self._read_started_s + CATCH_UP_INTERVAL_S)
+            if not self._is_paused:
+                due_s = min(due_s, self._timer.due_s)
             self._schedule_read(max(due_s - self._clock.now(), 0.0))
 
     def resume_if_unconfirmed(self) -> None:
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -291,6 +291,16 @@
     assert 1 <= len(reads) <= 5.0 / CATCH_UP_INTERVAL_S + 1
 
 
+def test_news_of_relays_does_not_put_off_a_read(paused_clock, simulation):
+    # A configuration that has just been read is followed by the next read at once.
+    config = simulation.follower.all_feeds[0]
+    config._read_started_s = paused_clock.now()
+    config._schedule_read(0.02)
+    due_s = config._timer.due_s
+    config._read_now()
+    assert config._timer.due_s <= due_s
+
+
 def test_relays_that_know_no_age_do_not_make_the_configuration_late(
     paused_clock, simulation, caplog
 ):
