Admission levels: fewer reads in calm traffic, starvation test, measurements

Cause: a step reads all instances of a service, 0.08 ms for 162 of them; a copy without the floor of each class passed the starvation tests, and the test of free slots took its bound from the code. Result: test_admission_levels, 65 tests, pass; the new test fails without the floor. A target use of 1.2 failed three tests and was not taken.

--- a/citronpin/gateway/admission_levels.py
+++ b/citronpin/gateway/admission_levels.py
@@ -36,7 +36,9 @@
 MAX_STEP = 0.1  # of the admitted share in one tick; from 1 to 0.3 within 0.7 s
 MAX_OPENING_STEP = 0.05  # likewise; with 0.1 levels opened at times amid a burst
 MAX_CATCH_UP_TICKS = 20  # after a pause of the process
-TARGET_USE = 1.0  # of the slots; the groups differ, so some still have free slots
+# Of the slots. With 1.2, 1 to 4 in 100 more requests were served in replays, but levels
+# followed mild bursts too late and urgent requests were refused more often.
+TARGET_USE = 1.0
 SETTLE_S = 1.0  # in which the load is brought to its target
 MIN_STEADY_SHARE = 0.5  # of the steady share; admitted also while queues shorten
 REPORT_AGE_S = 0.65  # reports are 0.3 to 1 s old
@@ -61,6 +63,7 @@
 RETURN_WEIGHT = 0.5
 FITTING_USE = (0.9, 1.2)  # of first tries, between which returns get their full weight
 RESERVED_SLOT_SHARE = 0.12  # kept from the least urgent rank; at least one slot
+CALM_TICK_S = 0.3  # with free slots; one step reads all instances, in 0.1 ms
 IDLE_STATE_S = 30.0  # after which the state of a model without requests is dropped
 CALM_S = 2.0  # without a refusal, until the end of a level is logged
 
@@ -270,7 +273,7 @@
         self.customers = CustomerUse()
         self.refused_s = float("-inf")
         self.is_logged = False
-        self._ticked_s = now_s
+        self.ticked_s = now_s
         # Admitted share, averaged over the requests that take slots, by time.
         self._in_slots = 1.0
         self._history: deque[tuple[float, float]] = deque()
@@ -311,12 +314,12 @@
         """Let the level follow the load and the slots that are known now."""
         self._follow_slots(load, slots)
         self.use = load / slots if slots else 0.0
-        steps = int((now_s - self._ticked_s) / TICK_S + 1e-6)
+        steps = int((now_s - self.ticked_s) / TICK_S + 1e-6)
         if steps < 0:
-            self._ticked_s = now_s  # the clock went back
+            self.ticked_s = now_s  # the clock went back
         if steps <= 0:
             return
-        self._ticked_s += steps * TICK_S
+        self.ticked_s += steps * TICK_S
         for _ in range(min(steps, MAX_CATCH_UP_TICKS)):
             gain = min(TICK_S / self.hold_s, 1.0)
             self._in_slots += gain * (self._effective(now_s) - self._in_slots)
@@ -373,6 +376,11 @@
         """Return whether slots are free, so that nothing is refused."""
         return self.use < UNQUEUED_LOAD_SHARE
 
+    @property
+    def is_calm(self) -> bool:
+        """Return whether all requests are admitted and are likely to be for a while."""
+        return self.is_open and self.admitted >= 1.0 and not self.is_logged
+
     @property
     def level(self) -> float:
         """Return the share of the cost that is refused."""
@@ -546,6 +554,8 @@
             if now_s - level.asked_s > IDLE_STATE_S:
                 del self._levels[key]
                 continue
+            if level.is_calm and 0.0 <= now_s - level.ticked_s < CALM_TICK_S:
+                continue
             self._tick(key, level, now_s)
             level.customers.expire(now_s=now_s)
             if level.is_logged and now_s - level.refused_s > CALM_S:
--- a/citronpin/tests/test_admission_levels.py
+++ b/citronpin/tests/test_admission_levels.py
@@ -17,7 +17,6 @@
 from citronpin.gateway.capacities import Capacity, CapacityReader
 from citronpin.gateway.overloads import (
     MAX_RETRY_DELAY_SHARE,
-    UNQUEUED_LOAD_SHARE,
     FirstEventTimes,
     ObjectiveLoadLimit,
     Pending,
@@ -37,6 +36,7 @@
 MIN_CLASS_SHARE = 0.25  # of the mean; also of each customer
 MIN_LARGE_SHARE = 0.5  # of the class, for its largest tenth by size
 MAX_REFUSED_RATIO = 0.5  # tries refused, the most urgent class to the least urgent
+MIN_REFUSING_USE = 0.7  # of the slots; below it nothing is refused by priority
 REPORT_MAX_AGE_S = 1.0
 FLAP_LEVEL = 0.2
 REPEATERS = 3  # of 8 customers
@@ -160,12 +160,12 @@
 def test_nothing_is_refused_by_priority_while_slots_are_free(name, report_s):
     # Guards against a level that stays up, or refuses in calm traffic.
     for run in replay(name, report_s, False):
-        assert all(use >= UNQUEUED_LOAD_SHARE for use in run.refused_uses)
+        assert all(use >= MIN_REFUSING_USE for use in run.refused_uses)
         for at in run.refused_at:
             recent = [
                 use for time, use, _ in run.uses if at - REPORT_MAX_AGE_S <= time <= at
             ]
-            assert max(recent) >= UNQUEUED_LOAD_SHARE
+            assert max(recent) >= MIN_REFUSING_USE
 
 
 @each_replay
@@ -174,15 +174,14 @@
     # second passes until slots are short and the second until this is reported.
     for run in replay(name, report_s, False):
         from_s = run.case.burst_from_s
-        assert any(
-            from_s <= at <= from_s + 2 * REPORT_MAX_AGE_S for at in run.refused_at
-        )
+        to_s = from_s + 2 * REPORT_MAX_AGE_S
+        assert any(from_s <= at <= to_s for at in run.refused_at)
 
 
 @each_replay
 def test_a_level_does_not_flap(name, report_s):
-    # Guards against levels that swing around the load that they cause: an opening from
-    # a level that is back within a second. A level near 0 may open; slots are free then.
+    # Guards against levels that swing around the load that they cause: one that opens
+    # and is back within a second. Near 0 it may open, since slots are free then.
     for run in replay(name, report_s, False):
         burst = [
             level
@@ -345,6 +344,24 @@
     assert admission.level() == 0.0
 
 
+def test_the_least_urgent_are_not_starved_by_many_urgent_ones(admission, capacities):
+    # Guards against a level that leaves nothing to a small class for as long as more
+    # urgent requests alone fill the slots.
+    capacities.set(250)
+    admitted = {0: 0, 7: 0}
+    for step in range(4_000):
+        now_s = step / 200
+        admission.update(now_s=now_s)
+        for priority in (0,) * 9 + (7,):
+            result = decide(
+                admission, now_s, priority=priority, customer=f"c{step % 9}"
+            )
+            admitted[priority] += isinstance(result, Admitted)
+    mean = sum(admitted.values()) / 40_000
+    assert 0.0 < mean < 0.9
+    assert admitted[7] / 4_000 >= MIN_CLASS_SHARE * mean
+
+
 def test_without_reports_or_groups_everything_is_admitted(admission, capacities):
     # Guards against refusals where nothing is known, which placement answers.
     for load, slots in [(0, 100), (0, 0)]:
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -1,12 +1,19 @@
 """A stopping node releases its leases as soon as other entries can acquire them."""
 
 import random
+from contextlib import contextmanager
 
 import pytest
 
 from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
 from citronpin.gateway.fleets import FleetInstance
-from citronpin.gateway.nodes import GatewayNode, NodeSettings, PlatformConnector
+from citronpin.gateway.nodes import (
+    AdmissionKind,
+    GatewayNode,
+    NodeSettings,
+    PlatformConnector,
+)
+from citronpin.gateway.overloads import Pending
 from citronpin.gateway.ports import DomainLeases, InstanceControl
 from citronpin.platform.names import HEADERS
 from citronpin.web.clients import HttpClient
@@ -85,8 +92,8 @@
     return RecordingConnector(paused_clock)
 
 
-@pytest.fixture
-def node(paused_clock, connector):
+@contextmanager
+def started_node(paused_clock, connector, **settings):
     node = GatewayNode(
         cfg=NodeSettings(
             name=EntryId("entry-1"),
@@ -101,6 +108,7 @@
             repeat_ratio=0.2,
             repeat_slack=10,
             repeat_window_s=10.0,
+            **settings,
         ),
         clock=paused_clock,
         client=HttpClient(clock=paused_clock),
@@ -114,6 +122,35 @@
     flush_events(node)
 
 
+@pytest.fixture
+def node(paused_clock, connector):
+    with started_node(paused_clock, connector) as node:
+        yield node
+
+
+@pytest.mark.parametrize("admission", AdmissionKind)
+def test_admission_metrics_are_shown_only_where_levels_are_used(
+    paused_clock, connector, admission
+):
+    # Guards against a policy other than the settings name, and levels nobody sees.
+    with started_node(paused_clock, connector, admission=admission) as node:
+        pending = Pending(
+            service="engines", model="small", objective_s=0.3, spent_s=0.0
+        )
+        node.context.admission.decide(
+            pending=pending, priority=2, customer=None, left_s=5.0, now_s=0.0
+        )
+        paused_clock.advance(1.0)
+        lines = node.metrics.text().decode().splitlines()
+    shown = [line for line in lines if line.startswith("citronpin_admission")]
+    if admission is AdmissionKind.OPEN:
+        assert shown == []
+    else:
+        assert "citronpin_admission_level 0.0" in shown
+        labels = 'priority="2",result="admitted",target="engines"'
+        assert f"citronpin_admissions_total{{{labels}}} 1.0" in shown
+
+
 def test_a_stopping_node_releases_its_leases_at_once(paused_clock, connector, node):
     node.drain()
     assert connector.released_s == [0.0]
