--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -124,6 +124,13 @@
         )
         self._send_next()
 
+    @property
+    def _relative_cost(self) -> float:
+        """Return the expected length of the answer in mean answers of the engine."""
+        if self._cost is None:
+            return DEFAULT_COST
+        return self._cost.answer_tokens / max(self._cost.mean_tokens, 1.0)
+
     def _admit(self, now_s: float) -> bool:
         """Refuse a request that yields to more urgent ones; return whether it may go.
 
@@ -137,7 +144,7 @@
             pending=self._pending(),
             priority=task.priority,
             customer=task.customer,
-            cost=DEFAULT_COST,
+            cost=self._relative_cost,
             left_s=task.deadline_s - now_s,
             now_s=now_s,
         )
