--- a/citronpin/gateway/admission_levels.py
+++ b/citronpin/gateway/admission_levels.py
@@ -459,8 +459,18 @@
         index = min(bisect_left(known, priority), len(known) - 1)
         return Rank(index=index, count=len(known))
 
+    def _is_known(self, pending: Pending) -> bool:
+        """Return whether an engine has the model, whose name is the caller's word."""
+        if pending.model is None:
+            return False
+        if self._table is None:
+            return True  # nothing is served yet
+        spec = self._table.services.get(pending.service)
+        engine = None if spec is None else spec.engine
+        return engine is not None and engine.model(pending.model) is not None
+
     def decide(self, *, pending, priority, customer, cost=DEFAULT_COST, left_s, now_s):
-        if pending.model is None or pending.midway:
+        if pending.midway or not self._is_known(pending):
             return Admitted()
         level = self._level(pending, now_s)
         rank = self.rank(pending.service, priority)
--- a/citronpin/gateway/cold_starts.py
+++ b/citronpin/gateway/cold_starts.py
@@ -12,6 +12,8 @@
 
 logger = logging.getLogger(__name__)
 
+REGISTRATION = "registration"  # source of a phase, which all entries read
+
 COLD_COST_REQUESTS = 2.0  # a cold instance counts as fuller by so many
 MAX_COLD_S = 3_600.0  # bounds what a faulty record or answer can cause
 # The time on the way of a message counts as remaining time. Without a margin, entries
@@ -60,6 +62,8 @@
         self._serving: dict[InstanceId, ServingSince] = {}
         self._exhausted_until_s: dict[InstanceId, float] = {}
         self.traffic_began: Callable[[], bool] = lambda: True
+        # Called with each cold phase that an instance told this entry of, in seconds.
+        self.on_told: Callable[[FleetInstance, float], None] = lambda one, left_s: None
         fleet.add_listener(self.observe)
 
     def set_services(self, services: Iterable[ServiceSpec]) -> None:
@@ -105,6 +109,8 @@
             return False  # nothing follows from it
         if is_news and known is None:
             self._log_begin(instance.id, remaining_s, source)
+        if is_news and source != REGISTRATION:
+            self.on_told(instance, remaining_s)
         return is_news
 
     def apply_fact(
--- a/citronpin/gateway/facts.py
+++ b/citronpin/gateway/facts.py
@@ -16,6 +16,7 @@
 
 # Kinds; the value of the first is the start of the instance's life in Unix ms.
 SUSPECT = "suspect"  # subject: an instance that was found unreachable or stalled
+COLD = "cold"  # subject: an instance; value: start of its life; valid while cold
 WITHDRAWN = "withdrawn"  # subject: GROUP/EPOCH; value: 1, or 0 once it serves again
 
 MAX_UPDATE_FACTS = 64  # in one update
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -151,6 +151,7 @@
             store_lost=self._leases.store_lost,
             now_s=now_s,
             is_cut_off=bool(self._with_groups(self._reach.cut_off_services())),
+            reaches_store=not (self._leases.store_lost or self._fleet.in_outage),
         )
         self._leases.set_participating(
             self.role.is_relay and not self._should_release_leases(now_s)
@@ -161,7 +162,11 @@
         heads = self._fabrics.heads()
         for head in heads:
             self._loads.record_pace(head.instance, pace=head.pace, now_s=now_s)
-            if not is_mesh:
+            if not is_mesh and head.load >= 0:
+                # Others hear of these loads from this entry only.
+                self._loads.record_instance_load(
+                    head.instance, load=head.load, now_s=now_s
+                )
                 self._record_report(head, now_s)
         self._connect(self._recipients(is_mesh, now_s))
         update = StatusUpdate(
@@ -390,7 +395,11 @@
             return
         now_s = self._clock.now()
         self._apply_news(sender, message, now_s)
-        self._loads.record_peer_loads(entry=sender, loads=message.loads, now_s=now_s)
+        if self._was_mesh:
+            # Entries of a crowd report no loads, which says nothing of them.
+            self._loads.record_peer_loads(
+                entry=sender, loads=message.loads, now_s=now_s
+            )
         self._cut_off_reports[sender] = frozenset(message.cut_off)
         self._forward_peers.record_cut_off(sender, message.cut_off)
         for instance, born_ms in message.leaving.items():
@@ -409,12 +418,12 @@
             # The store assigns leases only to entries that participate.
             self._store_lost_reports[sender] = (now_s, message.store_lost)
             self._relay_update_s[sender] = now_s
-            if not message.store_lost:
-                self.role.record_relay_update(
-                    sender,
-                    now_s=now_s,
-                    is_cut_off=bool(self._with_groups(message.cut_off)),
-                )
+            self.role.record_relay_update(
+                sender,
+                now_s=now_s,
+                is_cut_off=bool(self._with_groups(message.cut_off)),
+                store_lost=message.store_lost,
+            )
         else:
             self._permits.owner_left(sender)
         self._feeds.apply_positions(sender, message.positions)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -11,8 +11,8 @@
 from circuits import Component, handler
 from circuits.core.pollers import EPoll
 
-from citronpin.basics.clocks import Clock, ClockTask
-from citronpin.basics.ids import EntryId, FailureDomainName
+from citronpin.basics.clocks import MS_PER_S, Clock, ClockTask
+from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
 from citronpin.basics.loop_faults import LoopFaults, call_each
 from citronpin.basics.loop_lags import LoopLag
 from citronpin.basics.metrics import Metrics, ReadCounter
@@ -27,9 +27,9 @@
 from citronpin.gateway.contexts import ExchangeContext
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fabrics import Fabrics
-from citronpin.gateway.facts import Facts
+from citronpin.gateway.facts import COLD, Facts
 from citronpin.gateway.fingerprints import Fingerprints, is_fingerprint
-from citronpin.gateway.fleets import Fleet
+from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.forward_codecs import ForwardCodec
 from citronpin.gateway.forward_peers import ForwardPeer, ForwardPeers
 from citronpin.gateway.fronts import ForwardHandler, FrontHandler
@@ -59,6 +59,7 @@
 from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.gateway.work_placers import WorkPlacer
 from citronpin.peers.links import Links, NngLinks
+from citronpin.peers.messages import Fact
 from citronpin.web.clients import HttpClient
 from citronpin.web.http_conns import MAX_CONNECTIONS, ServerLimits
 from citronpin.web.process_limits import ConnectionShares, ProcessLimits, make_account
@@ -180,6 +181,8 @@
         self.rests = InstanceRests(now=clock.now)
         self.facts = Facts(entry=cfg.name, clock=clock, is_shared=cfg.share_facts)
         self.withdrawals = Withdrawals(facts=self.facts)
+        self.cold_starts.on_told = self._publish_cold
+        self.facts.subscribe(COLD, self._apply_cold)
         self.evacuations = Evacuations(now=clock.now)
         self.gate = InstanceGate(
             fleet=self.fleet,
@@ -419,6 +422,17 @@
     def _client_count(self, name: str) -> int:
         return sum(server.http.counters.get(name, 0) for server in self.servers)
 
+    def _publish_cold(self, instance: FleetInstance, remaining_s: float) -> None:
+        self.facts.put(COLD, instance.id, instance.born_ms, ttl_s=remaining_s)
+
+    def _apply_cold(self, fact: Fact) -> None:
+        """Learn that an instance told another entry that it is cold."""
+        known = self.fleet.get(InstanceId(fact.subject))
+        if known is not None and known.born_ms == fact.value:
+            self.cold_starts.apply_fact(
+                known.id, remaining_s=fact.ttl_ms / MS_PER_S, source=fact.source
+            )
+
     def _count_quarantined(self, field: str) -> int:
         rows = self.quarantine.rows(now_s=self.clock.now())
         return sum(field in row for row in rows)
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -151,9 +151,12 @@
     def _withdraw_group(self) -> None:
         """Withdraw the group that the instance led, since it no longer does."""
         # The head was open before the request was sent, and phases follow each other.
-        if self.instance.is_serving_head:
-            membership = self.instance.membership
-            self._context.withdrawals.withdraw(
+        if not self.instance.is_serving_head:
+            return
+        membership, withdrawals = self.instance.membership, self._context.withdrawals
+        # The refused request may have been sent before the group opened again.
+        if not withdrawals.is_reopened(membership.group, membership.epoch):
+            withdrawals.withdraw(
                 membership.group, membership.epoch, reason="its head refused a request"
             )
 
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -35,18 +35,29 @@
         self.name = name
         self._last_update_s: dict[EntryId, float] = {}
         self._cut_off: set[EntryId] = set()  # relays that reach no group
+        self._store_lost: set[EntryId] = set()  # relays that the store does not answer
         self._too_few_since_s: float | None = None
         self.is_relay = True
         self.is_forwarding = False
 
     def record_relay_update(
-        self, sender: EntryId, *, now_s: float, is_cut_off: bool = False
+        self,
+        sender: EntryId,
+        *,
+        now_s: float,
+        is_cut_off: bool = False,
+        store_lost: bool = False,
     ) -> None:
-        """Record an update from a relay that reaches the store.
+        """Record an update from a relay.
 
-        ``is_cut_off`` tells that it reaches no instance of those that form groups.
+        ``is_cut_off`` tells that it reaches no instance of those that form groups,
+        ``store_lost`` that the store does not answer it.
         """
         self._last_update_s[sender] = now_s
+        if store_lost:
+            self._store_lost.add(sender)
+        else:
+            self._store_lost.discard(sender)
         if is_cut_off:
             self._cut_off.add(sender)
         else:
@@ -68,8 +79,13 @@
         store_lost: bool,
         now_s: float,
         is_cut_off: bool = False,
+        reaches_store: bool = True,
     ) -> None:
-        """Update the role; ``others`` are all other known entries."""
+        """Update the role; ``others`` are all other known entries.
+
+        An entry that reaches the store takes the place of relays that do not. Where
+        the store answers nobody, no entry becomes a relay for that.
+        """
         needs_relays = len(others) >= MAX_MESH_ENTRIES
         self._last_update_s = {
             entry: last_update_s
@@ -80,7 +96,8 @@
         lower_relays = {
             entry for entry in self._last_update_s if relay_rank(entry) < own_rank
         }
-        counted = lower_relays if is_cut_off else lower_relays - self._cut_off
+        reading = lower_relays - self._store_lost if reaches_store else lower_relays
+        counted = reading if is_cut_off else reading - self._cut_off
         lower_relay_count = len(counted)
         is_relay = self._should_be_relay(
             needs_relays, lower_relay_count, others, store_lost, now_s
@@ -92,7 +109,7 @@
             )
         self.is_relay = is_relay
         self.is_forwarding = (
-            needs_relays and is_relay and len(lower_relays) < FORWARDER_COUNT
+            needs_relays and is_relay and len(reading) < FORWARDER_COUNT
         )
 
     def _should_be_relay(
--- a/citronpin/gateway/withdrawals.py
+++ b/citronpin/gateway/withdrawals.py
@@ -44,6 +44,13 @@
             subject = _subject(group, epoch)
             self._facts.put(WITHDRAWN, subject, SERVING, ttl_s=WITHDRAWAL_S)
 
+    def is_reopened(self, group: GroupId, epoch: int) -> bool:
+        """Return whether a group was lately ordered to open again at the same epoch."""
+        if self._facts is None:
+            return False
+        fact = self._facts.get(WITHDRAWN, _subject(group, epoch))
+        return fact is not None and fact.value == SERVING
+
     def is_withdrawn(self, instance: FleetInstance) -> bool:
         """Return whether the group of an instance is withdrawn at its epoch."""
         membership = instance.membership
--- a/citronpin/gateway/work_placers.py
+++ b/citronpin/gateway/work_placers.py
@@ -237,6 +237,8 @@
             return self._placement(found, index, demand, spec)
         if late:
             return self._placement(found, min(late)[1], demand, spec)
+        if suspected is not None and not pending.midway:
+            return self._placement(found, suspected, demand, spec)
         if len(barriers) < len(found.instances):
             return self._full(found)
         return self._without_unsuspected(found, demand, suspected)
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -11,7 +11,7 @@
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId, Offset
 from citronpin.basics.loop_faults import call_each
-from citronpin.gateway.cold_starts import ColdStarts
+from citronpin.gateway.cold_starts import REGISTRATION, ColdStarts
 from citronpin.gateway.evacuations import Evacuations
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import SharedFeeds
@@ -386,6 +386,7 @@
         self._apply = apply
         self._apply_s = apply_s
         self._evacuations = evacuations or Evacuations(now=clock.now)
+        self._changes = ForwardedChanges()
         self._version = -1
         self._has_failed = False  # whether the latest read did
         # Latest clock time at which certainly no newer version existed.
@@ -400,7 +401,19 @@
         """Return whether every version that must be in force by now was read."""
         return self.age_s() <= self._apply_s
 
+    def position(self, *, records: bool) -> FeedPosition | None:
+        """Return the position, with the evacuations since the last call.
+
+        An entry that has lost the store learns of them from relays. Configurations are
+        large, so they are read from the store.
+        """
+        found = super().position(records=records)
+        forwarded = self._changes.complete(found, records=records)
+        return forwarded if records else found
+
     def on_new_era(self) -> str:
+        self._changes.clear()
+        self._changes.restart()
         self._evacuations.history_lost()
         return super().on_new_era()
 
@@ -435,9 +448,15 @@
         self._evacuations.apply_snapshot(found - {None})
         configs = (record for record in records if record.key == CONFIG_KEY)
         call_each(partial(self._apply_record, record) for record in configs)
+        self._changes.clear()
+        self._changes.restart()  # keys deleted meanwhile have no record
 
     def _apply_record(self, record: Record) -> None:
         domain = _evacuated_domain(record)
+        if domain is not None:
+            self._changes.add(record)
+        elif record.key == CONFIG_KEY:
+            self._changes.restart()
         if domain is not None and record.value is None:
             self._evacuations.revoke(domain)
         elif domain is not None:
@@ -582,7 +601,7 @@
         is_cold = is_new and self._cold_starts.record(
             registration.instance,
             remaining_s=registration.cold_s,
-            source="registration",
+            source=REGISTRATION,
         )
         self._record_change(record, registration.instance, is_forwarded=is_cold)
         self._fleet.register(
