--- a/citronpin/tests/test_byte_accounts.py
+++ b/citronpin/tests/test_byte_accounts.py
@@ -11,6 +11,7 @@
     DEADLOCK_S,
     SMALL_BYTES,
     STALLED_S,
+    UNBOUNDED_BYTES,
     UNREAD_S,
     ByteAccount,
 )
@@ -87,6 +88,14 @@
     assert [len(body) for body in handled(harness)] == [200 * KB]
 
 
+def test_the_baseline_without_a_capacity_reads_all_bodies_at_once():
+    harness = make_harness(capacity_bytes=UNBOUNDED_BYTES)
+    for _ in range(20):
+        harness.send(harness.connect(), post(200 * KB) + b"b" * 199 * KB)
+    assert not harness.listener.paused
+    assert harness.account.held_bytes > 20 * 200 * KB
+
+
 def test_a_small_request_passes_large_ones_that_wait(harness):
     for _ in range(8):
         harness.send(harness.connect(), post(200 * KB))
