--- a/citronpin/tests/platforms/crowds.py
+++ b/citronpin/tests/platforms/crowds.py
@@ -250,7 +250,7 @@
         self._network = network
         super().__init__(**parts)
 
-    def _serve(self, address, target, channel):
+    def _serve(self, address, target, channel, limits, is_control=False):
         return NoServer()
 
     def _make_links(self, frame_key):
