--- a/citronpin/tests/test_clocks.py
+++ b/citronpin/tests/test_clocks.py
@@ -89,8 +89,12 @@
 
 def test_an_event_that_a_timer_fires_does_not_wait_for_the_next_timer(loops):
     # The loop waits for the next timer unless events are queued.
-    _, recorder = loops(lambda clock: Recorder(clock=clock))
-    recorder.clock.call_later(1.0, lambda: None)
-    recorder.clock.call_later(0.0, recorder.fire_noted)
+    loop, recorder = loops(lambda clock: Recorder(clock=clock))
+
+    def begin():
+        recorder.clock.call_later(1.0, lambda: None)
+        recorder.clock.call_later(0.0, recorder.fire_noted)
+
+    loop.call(begin)
     wait_until(lambda: recorder.delays_s)
     assert recorder.delays_s[0] < 0.5
