Placement by remaining work is chosen by a flag, least loaded is the default

The messages between entries are the same with both.

Result: the tests of wiring, platform, commands, nodes and layout pass.

--- a/citronpin/commands/commands_gateway.py
+++ b/citronpin/commands/commands_gateway.py
@@ -23,8 +23,16 @@
         flags.DEFINE_integer(
             "metrics_port", 9464, "Port of the metrics page on the node's address."
         )
+        flags.DEFINE_enum(
+            "placement",
+            "least-loaded",
+            ["least-loaded", "remaining-work"],
+            "How instances are selected where many entries share a pool of them.",
+        )
 
     def run(self, args: list[str]) -> int:
+        from citronpin.gateway.placers import PlacementPolicy
         from citronpin.platform.programs import run
 
-        return run(FLAGS.level, FLAGS.metrics_port)
+        placement = PlacementPolicy(FLAGS.placement)
+        return run(FLAGS.level, FLAGS.metrics_port, placement)
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -9,6 +9,7 @@
 from citronpin.basics.loggings import set_up_logging
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.nodes import GatewayNode, PlatformConnector
+from citronpin.gateway.placers import PlacementPolicy
 from citronpin.platform.directories import EntryRecord, StoreDirectory
 from citronpin.platform.feeds import ConfigFeed, FleetFeed, StoreFeeds
 from citronpin.platform.leases import PartitionLeases
@@ -152,7 +153,7 @@
         return ""
 
 
-def run(log_level: str, metrics_port: int) -> int:
+def run(log_level: str, metrics_port: int, placement: PlacementPolicy) -> int:
     """Run a node until it is stopped; return the exit code."""
     path = settings_path()
     result = read_process_settings(path)
@@ -166,7 +167,7 @@
     client = HttpClient(clock=clock)
     connector = StoreConnector(settings=settings, path=path, client=client, clock=clock)
     node = GatewayNode(
-        cfg=node_settings(settings, metrics_port),
+        cfg=node_settings(settings, metrics_port, placement),
         clock=clock,
         client=client,
         connector=connector,
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -98,16 +98,21 @@
     return Ok(settings)
 
 
-def node_settings(settings: WireSettings, metrics_port: int) -> NodeSettings:
+def node_settings(
+    settings: WireSettings,
+    metrics_port: int,
+    placement: PlacementPolicy = PlacementPolicy.LEAST_LOADED,
+) -> NodeSettings:
     """Return the settings of a gateway node.
 
+    ``placement`` applies where many entries share a pool of instances.
+
     The first internal port takes messages of other entries, the last one requests that
     they pass on.
     """
     first, last = settings.internal_ports
-    placement = PlacementPolicy.LEAST_LOADED
-    if settings.has_contract(POOL_CONTRACT):
-        placement = PlacementPolicy.REMAINING_WORK
+    if not settings.has_contract(POOL_CONTRACT):
+        placement = PlacementPolicy.LEAST_LOADED
     return NodeSettings(
         name=EntryId(settings.node),
         failure_domain=FailureDomainName(settings.zone),
