Placement by work spreads requests that no group can begin in time

Such a request went to the group that would begin it soonest. By the same stale reports all entries selected the same group, filled it, learned longer times from it, and found even fewer groups that could begin a request in time. It now goes to the first drawn group.

The new test failed before.

--- a/citronpin/gateway/work_placers.py
+++ b/citronpin/gateway/work_placers.py
@@ -203,14 +203,15 @@
     ) -> Placement | PlacementFailure:
         """Return the first drawn instance that can begin the request in time.
 
-        If none can, the one that begins it soonest is taken.
+        If none can, the first drawn one is taken, and not the one that would begin it
+        soonest: by the same stale reports, all entries would select that one.
         """
         pending, engine, cost = demand.pending, demand.engine, demand.cost
         spec = engine.model(pending.model) if engine and pending.model else None
         left_s = pending.objective_s - pending.spent_s
         is_timed = spec is not None and cost is not None
         must_begin_in_time = is_timed and left_s > 0.0 and not pending.midway
-        late: list[tuple[float, int]] = []  # time to the first event, position
+        late: int | None = None
         suspected: int | None = None
         barriers: list[Barrier] = []
         for index in self._draw(found):
@@ -232,11 +233,11 @@
             if must_begin_in_time:
                 first_s = self._expected_times(found, index, demand, spec).first_s
                 if first_s > left_s:
-                    late.append((first_s, index))
+                    late = index if late is None else late
                     continue
             return self._placement(found, index, demand, spec)
-        if late:
-            return self._placement(found, min(late)[1], demand, spec)
+        if late is not None:
+            return self._placement(found, late, demand, spec)
         if suspected is not None and not pending.midway:
             return self._placement(found, suspected, demand, spec)
         if len(barriers) < len(found.instances):
--- a/citronpin/tests/test_work_placers.py
+++ b/citronpin/tests/test_work_placers.py
@@ -70,6 +70,13 @@
     assert busiest < MAX_BUSIEST and refusals < baseline_refusals / 4
 
 
+def test_entries_spread_requests_that_no_group_can_begin_in_time():
+    # Entries that all select the group that begins a request soonest fill it.
+    case = CrowdCase(slots=(10,) * 45, share=0.7, objective_s=0.16)
+    busiest, refusals = replay(case, Policy.BY_WORK)
+    assert busiest < MAX_BUSIEST and refusals < MAX_MODEL_REFUSALS
+
+
 @pytest.mark.known_red
 def test_refusals_near_the_capacity_are_within_the_target():
     _, refusals = replay(NINE_TENTHS, Policy.BY_WORK)
