--- a/citronpin/commands/commands_gateway.py
+++ b/citronpin/commands/commands_gateway.py
@@ -25,7 +25,7 @@
         )
         flags.DEFINE_enum(
             "placement",
-            "least-loaded",
+            "remaining-work",
             ["least-loaded", "remaining-work"],
             "How instances are selected where many entries share a pool of them.",
         )
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -101,7 +101,7 @@
 def node_settings(
     settings: WireSettings,
     metrics_port: int,
-    placement: PlacementPolicy = PlacementPolicy.LEAST_LOADED,
+    placement: PlacementPolicy = PlacementPolicy.REMAINING_WORK,
 ) -> NodeSettings:
     """Return the settings of a gateway node.
 
--- a/citronpin/tests/test_work_wiring.py
+++ b/citronpin/tests/test_work_wiring.py
@@ -127,10 +127,9 @@
     contracts, placement
 ):
     settings = msgspec.convert(SETTINGS | {"contracts": contracts}, WireSettings)
-    chosen = node_settings(settings, 9464, PlacementPolicy.REMAINING_WORK)
-    assert chosen.placement is placement
-    default = node_settings(settings, 9464)
-    assert default.placement is PlacementPolicy.LEAST_LOADED
+    assert node_settings(settings, 9464).placement is placement
+    chosen = node_settings(settings, 9464, PlacementPolicy.LEAST_LOADED)
+    assert chosen.placement is PlacementPolicy.LEAST_LOADED
 
 
 def test_settings_without_contracts_place_as_before():
