A wait behind a queue, and what another entry suspects, are no stall

In a crowd, each stall that an entry sees is told to all entries, which then avoid the instance for a second. An entry that was told so allowed its own requests there only 0.3 s and told all entries of their silence in turn, and a request behind a queue counted as stalled after 0.9 s. Where work is tracked, the time-out now includes the expected wait for a slot, and an entry tells of a stall only if no answer of the instance went on and the silence is longer than without any suspicion.

An instance counts as cold from its start alone: until now, each epoch of a group counted as a start, so that requests to a group that was formed again needed permits.

--- a/citronpin/gateway/cold_starts.py
+++ b/citronpin/gateway/cold_starts.py
@@ -20,7 +20,6 @@
 # that tell each other the end would put it off with each message.
 MESSAGE_MARGIN_S = 0.25
 NEWS_MARGIN_S = 0.5  # by which a record has to put off the end to be forwarded
-NO_EPOCH = -1
 MAX_KNOWN = 4_096
 
 
@@ -32,11 +31,11 @@
     source: str
 
 
-class ServingSince(msgspec.Struct, frozen=True):
-    """The life and epoch in which an instance serves, and since when."""
+class SeenLife(msgspec.Struct, frozen=True):
+    """The latest life of an instance that was seen, and since when."""
 
-    order: tuple[int, int]  # start of the life in Unix ms, epoch; they rise
-    since_s: float  # clock time; minus infinity for what served before
+    born_ms: int  # start of the life in Unix ms
+    since_s: float  # clock time; minus infinity for what ran before
 
 
 class ColdStarts:
@@ -46,10 +45,11 @@
     of them at once, before up to 114 entries. A phase is named by the instance itself
     or by another entry, always as the remaining time, and only ends by its time. What
     is received late therefore ends it late. An instance also counts as cold for
-    `cold_start_s` after this entry first saw it serve in a life and epoch, since its
-    registration may not have come yet. That does not apply to what served before the
-    first traffic, or in the first complete read of an entry: groups form before the
-    traffic of a new system, and registrations name the phases that began earlier.
+    `cold_start_s` after this entry first saw it in a life, since an answer or a fact
+    that names the phase may not have come yet. An instance that joins another group
+    goes on in its life and does not become cold by it. Nor does that apply to what ran
+    before the first traffic, or in the first complete read of an entry: registrations
+    name the phases that began earlier.
     The baseline, which waits until the registration names the phase, lets all entries
     send at will until then.
     """
@@ -59,7 +59,7 @@
         self._fleet = fleet
         self._services: dict[ApplicationName, ServiceSpec] = {}
         self._phases: dict[InstanceId, ColdPhase] = {}
-        self._serving: dict[InstanceId, ServingSince] = {}
+        self._lives: dict[InstanceId, SeenLife] = {}
         self._exhausted_until_s: dict[InstanceId, float] = {}
         self.traffic_began: Callable[[], bool] = lambda: True
         # Called with each cold phase that an instance told this entry of, in seconds.
@@ -67,33 +67,27 @@
         fleet.add_listener(self.observe)
 
     def set_services(self, services: Iterable[ServiceSpec]) -> None:
-        """Set the services, whose instances known by now served before."""
+        """Set the services, whose instances known by now ran before."""
         self._services = {service.name: service for service in services}
         for instance in self._fleet.all():
-            if instance.id not in self._serving:
-                self._set_serving(instance, float("-inf"))
+            if instance.id not in self._lives:
+                self._set_life(instance, float("-inf"))
 
     def observe(self, instance: FleetInstance) -> None:
-        """Note when an instance is first seen serving in a life and epoch."""
+        """Note when an instance is first seen in a life."""
         is_start = self._fleet.is_loaded and self.traffic_began()
-        self._set_serving(instance, self._now() if is_start else float("-inf"))
+        self._set_life(instance, self._now() if is_start else float("-inf"))
 
-    def _set_serving(self, instance: FleetInstance, since_s: float) -> None:
-        spec = self._services.get(instance.service)
-        membership = instance.membership
-        if spec is None or not (
-            instance.is_serving_head if spec.engine is not None else True
-        ):
+    def _set_life(self, instance: FleetInstance, since_s: float) -> None:
+        if instance.service not in self._services:
             return
-        epoch = NO_EPOCH if membership is None else membership.epoch
-        order = (instance.born_ms, epoch)
-        known = self._serving.get(instance.id)
-        if known is not None and order <= known.order:
+        known = self._lives.get(instance.id)
+        if known is not None and instance.born_ms <= known.born_ms:
             return  # a registration may lag behind a report
-        self._serving.pop(instance.id, None)
-        self._serving[instance.id] = ServingSince(order, since_s)
-        if len(self._serving) > MAX_KNOWN:
-            del self._serving[next(iter(self._serving))]
+        self._lives.pop(instance.id, None)
+        self._lives[instance.id] = SeenLife(instance.born_ms, since_s)
+        if len(self._lives) > MAX_KNOWN:
+            del self._lives[next(iter(self._lives))]
 
     def record(
         self, instance: FleetInstance, *, remaining_s: float, source: str
@@ -167,11 +161,11 @@
         """Return when the named or the supposed cold phase of an instance ends."""
         phase = self._phases.get(instance.id)
         named_s = float("-inf") if phase is None else phase.end_s
-        serving = self._serving.get(instance.id)
-        if serving is None:
+        life = self._lives.get(instance.id)
+        if life is None:
             return named_s
         cold_start_s = self._services[instance.service].cold_start_s
-        return max(named_s, serving.since_s + cold_start_s)
+        return max(named_s, life.since_s + cold_start_s)
 
     def rate(self, instance: FleetInstance) -> float | None:
         """Return the requests per second that a cold instance takes, else ``None``."""
@@ -204,10 +198,10 @@
 
     def began_s(self, instance: InstanceId) -> float:
         """Return when this entry learned of the cold phase of an instance, or now."""
-        phase, serving = self._phases.get(instance), self._serving.get(instance)
+        phase, life = self._phases.get(instance), self._lives.get(instance)
         times = [] if phase is None else [phase.began_s]
-        if serving is not None and serving.since_s > float("-inf"):
-            times.append(serving.since_s)
+        if life is not None and life.since_s > float("-inf"):
+            times.append(life.since_s)
         return max(times, default=self._now())
 
     def set_exhausted(self, instance: InstanceId, *, wait_s: float) -> None:
--- a/citronpin/gateway/group_works.py
+++ b/citronpin/gateway/group_works.py
@@ -186,6 +186,15 @@
         """Record the end; ``has_run`` tells whether the instance began to answer."""
         self._works.remove(self, has_run=has_run, now_s=now_s)
 
+    def queue_wait_s(self) -> float:
+        """Return how long the request may wait for a slot, in seconds."""
+        return self._works.queue_wait_s(
+            self.key,
+            slots=self.instance.slots,
+            load=self._works.load(self.instance.id),
+            pace=self.pace,
+        )
+
     def refused(self, *, now_s: float) -> None:
         """Record that the instance refused the request, since it was full."""
         self._works.record_refusal(self.instance, now_s=now_s)
@@ -411,10 +420,25 @@
         factor = spec.pace * pace
         first_s = factor * (read_s + passes * max(engine.stride, 1) * step_s)
         first_s += pace * self._overheads_s.get(key, DEFAULT_OVERHEAD_S)
-        if load >= slots:
-            first_s += (load - slots + 1.0) * mean_slot_wait_s(engine, spec) * pace
+        first_s += self.queue_wait_s(key, slots=slots, load=load, pace=pace)
         return ExpectedTimes(first_s, factor * step_s)
 
+    def queue_wait_s(
+        self, key: ServiceKey, *, slots: int, load: float, pace: float
+    ) -> float:
+        """Return the mean wait in seconds for a slot behind ``load`` requests."""
+        if load < slots:
+            return 0.0
+        engine = self._engines.get(key[0])
+        spec = engine.model(key[1]) if engine is not None and key[1] else None
+        if spec is None:
+            return 0.0
+        return (load - slots + 1.0) * mean_slot_wait_s(engine, spec) * pace
+
+    def load(self, name: InstanceId) -> int:
+        """Return the requests that are known to be in progress at an instance."""
+        return self._loads.load(name)
+
     def record_answer(
         self, cost: RequestCost, *, tokens: int, is_complete: bool
     ) -> None:
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -77,8 +77,11 @@
         """Doubt the path to the instance, whose answer does not begin."""
 
     @abstractmethod
-    def record_stall(self) -> None:
-        """Record that an answer made no progress for too long."""
+    def record_stall(self, *, silent_s: float, midway_s: float | None) -> None:
+        """Record that an answer made no progress for ``silent_s`` seconds.
+
+        ``midway_s`` is as in `stall_timeout_s`.
+        """
 
     @abstractmethod
     def stall_timeout_s(self, midway_s: float | None) -> float:
@@ -182,7 +185,8 @@
         if fault is Fault.UNSENT:
             suspects.unreachable(self.instance.id, now_s=now_s)
         elif fault is Fault.STALLED:
-            suspects.stalled(self.instance.id, now_s=now_s)
+            if self._work is None:  # else `record_stall` has judged it
+                suspects.stalled(self.instance.id, now_s=now_s)
         elif fault is Fault.NOT_RUN:
             self._record_refusal(attempt)
         else:
@@ -207,17 +211,33 @@
     def doubt(self):
         self._context.reach.doubt(self.instance.service)
 
-    def record_stall(self):
+    def record_stall(self, *, silent_s, midway_s):
         self.doubt()
-        if not self._context.reach.is_cut_off(self.instance.service):
+        if self._context.reach.is_cut_off(self.instance.service):
+            return
+        if self._work is None or self._is_stall_of_instance(silent_s, midway_s):
             self._context.suspects.stalled(self.instance.id, now_s=self._now_s)
 
+    def _is_stall_of_instance(self, silent_s: float, midway_s: float | None) -> bool:
+        """Return whether a stalled answer says that its whole instance stalled.
+
+        In a crowd each entry tells all others. If an entry told them of a silence that
+        is only too long because the instance is suspected already, or has a queue, one
+        false suspicion would bring about the next.
+        """
+        if self._now_s - self.last_progress_s() < silent_s:
+            return False  # another answer of the instance went on
+        if midway_s is not None:
+            return True
+        return silent_s >= FIRST_EVENT_STALL_TIMEOUT_S + self._work.queue_wait_s()
+
     def stall_timeout_s(self, midway_s):
         if midway_s is not None:
             return midway_s
+        queue_s = 0.0 if self._work is None else self._work.queue_wait_s()
         if self._context.suspects.is_avoided(self.instance.id, now_s=self._now_s):
-            return SUSPECT_STALL_TIMEOUT_S
-        return FIRST_EVENT_STALL_TIMEOUT_S
+            return SUSPECT_STALL_TIMEOUT_S + queue_s
+        return FIRST_EVENT_STALL_TIMEOUT_S + queue_s
 
     def last_progress_s(self):
         return self._context.suspects.last_progress_s(self.instance.id)
@@ -299,7 +319,7 @@
     def doubt(self):
         """Wait: the other entry looks after the path to the instance."""
 
-    def record_stall(self):
+    def record_stall(self, *, silent_s, midway_s):
         self._context.forward_peers.stalled(self.entry)
 
     def stall_timeout_s(self, midway_s):
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -298,9 +298,10 @@
             # shows that it works.
             last_progress_s = max(last_progress_s, last.recipient.last_progress_s())
         silent_s = now_s - last_progress_s
-        if silent_s < last.recipient.stall_timeout_s(self._midway_timeout_s(last)):
+        midway_s = self._midway_timeout_s(last)
+        if silent_s < last.recipient.stall_timeout_s(midway_s):
             return
-        last.recipient.record_stall()
+        last.recipient.record_stall(silent_s=silent_s, midway_s=midway_s)
         if not self._has_alternative(now_s):
             return
         if self._may_retry(Fault.STALLED, midway=self._started):
