Admin view limits shows the number of open calls

/admin/limits showed the text of a bound method, since wiring/views.py did not call Calls.open_calls. The test of the admin views now requires that no view contains the text of a Python object and that open_calls is 0.

--- a/citronpin/tests/test_embedded.py
+++ b/citronpin/tests/test_embedded.py
@@ -135,6 +135,10 @@
     views = fetch_all([Fetch(address, "/admin")])[0].json()
     for result in fetch_all([Fetch(address, f"/admin/{view}") for view in views]):
         assert result.status == 200, result.fetch.target
+        # Guards against values that are shown as the text of a Python object.
+        assert b'"<' not in result.body, result.fetch.target
+    limits = fetch_all([Fetch(address, "/admin/limits")])[0].json()
+    assert limits["open_calls"] == 0
     text = fetch_all([Fetch(address, "/metrics")])[0].body.decode()
     assert 'citronpin_first_token_seconds{customer="odori-tower"' in text
     assert 'outcome="complete"' in text
--- a/citronpin/wiring/views.py
+++ b/citronpin/wiring/views.py
@@ -75,7 +75,7 @@
     """Return the customers' limits, the requests in flight and the HTTP counters."""
     return {
         "in_flight": entry.caller_api.in_flight,
-        "open_calls": entry.calls.open_calls,
+        "open_calls": entry.calls.open_calls(),
         "open_connections": entry.server.http.open_connections,
         "http": entry.server.http.counters,
         "customers": {
