Engine stand-in: a later order discards the load that it supersedes

The stand-in joined the group of a form order when its load ended, although a later order had released the engine or moved it to another group, since only another load replaced the order of the load. A load is now discarded by a later order that names a model; one that a form started, also by a later form or release. A load without a group continues after a release, as a spare instance needs it; the stand-in in memory does the same.

The three cases of test_an_engine_does_not_join_a_group_after_a_later_order failed before; test_a_release_does_not_end_a_load_without_a_group passed before and holds that part.

--- a/citronpin/standins/standin_states.py
+++ b/citronpin/standins/standin_states.py
@@ -49,18 +49,22 @@
         self._checks_fence = checks_fence
         self._loader = loader
         self._on_streams_lost = on_streams_lost
-        self._latest_load_order = ""
+        self._load_order: Order | None = None
 
     def apply_order(self, order: Order) -> Problem | None:
         """Carry out an order and return ``None``, or return why it is refused.
 
         An order with an older fencing number than the highest one seen is refused
-        if the engine checks fencing numbers.
+        if the engine checks fencing numbers. A running load is discarded by a later
+        order that names a model and, if an order to form a group started it, by a later
+        order to form or release one.
         """
         if self._checks_fence and order.fence < self._highest_fence:
             detail = f"Fencing number {self._highest_fence} was already seen."
             return Problem(409, "stale-fence", detail)
         self._highest_fence = max(self._highest_fence, order.fence)
+        if order.model or (order.kind is not OrderKind.LOAD and self._joins_after_load):
+            self._discard_load()
         if order.kind is OrderKind.RELEASE:
             self._release()
         elif order.model and self._lacks_any(order):
@@ -71,9 +75,17 @@
 
     def close(self) -> None:
         """Leave the group and discard what is still being loaded."""
-        self._latest_load_order = ""
+        self._discard_load()
         self._release()
 
+    @property
+    def _joins_after_load(self) -> bool:
+        return self._load_order is not None and self._load_order.kind is OrderKind.FORM
+
+    def _discard_load(self) -> None:
+        self._load_order = None
+        self.loading = False
+
     def _release(self) -> None:
         self.group = None
         self.members = ()
@@ -94,7 +106,7 @@
         return (order.model, order.version) != (self.model, self.version)
 
     def _load(self, order: Order) -> None:
-        self._latest_load_order = order.id
+        self._load_order = order
         self.loading = True
         if self._lacks_model(order):
             self.model = None
@@ -107,28 +119,31 @@
         else:
             self._load_adapters(order)
 
+    def _is_current_load(self, order: Order) -> bool:
+        return self._load_order is not None and self._load_order.id == order.id
+
     def _model_loaded(self, order: Order) -> None:
-        if self._latest_load_order != order.id:
+        if not self._is_current_load(order):
             return
         self.model = order.model
         self.version = order.version
         self._load_adapters(order)
 
     def _load_adapters(self, order: Order) -> None:
-        if self._latest_load_order != order.id:
+        if not self._is_current_load(order):
             return
         for adapter in order.adapters:
             if adapter not in self.adapters:
                 self._load_adapter(adapter, order)
                 return
         self.adapters = order.adapters
-        self.loading = False
+        self._discard_load()
         if order.kind is OrderKind.FORM:
             self._form(order)
 
     def _load_adapter(self, adapter: AdapterName, order: Order) -> None:
         def on_loaded() -> None:
-            if self._latest_load_order == order.id:
+            if self._is_current_load(order):
                 self.adapters += (adapter,)
                 self._load_adapters(order)
 
--- a/citronpin/tests/test_standin_engines.py
+++ b/citronpin/tests/test_standin_engines.py
@@ -388,6 +388,53 @@
     assert not state.loading and state.model == "m2"
 
 
+@pytest.mark.parametrize(
+    "kind, fields, group",
+    [
+        (OrderKind.RELEASE, {}, (None, -1)),
+        (OrderKind.FORM, {"group": "g2"}, ("g2", 2)),
+        (OrderKind.LOAD, {"model": "m0", "version": "1"}, ("g0", 0)),
+    ],
+)
+def test_an_engine_does_not_join_a_group_after_a_later_order(
+    paused_clock, kind, fields, group
+):
+    # Guards against a load of adapters or of a model that ends with the join of its
+    # `form` order, although a later order released the engine or moved it.
+    loader = TimedLoader(clock=paused_clock, load_s=1.0)
+    state = EngineState(checks_fence=True, loader=loader, on_streams_lost=lambda: None)
+
+    def apply(kind, fence, **fields):
+        order = Order(id=f"{kind}/{fence}", kind=kind, fence=fence, ttl_ms=9, **fields)
+        assert state.apply_order(order) is None
+
+    apply(OrderKind.FORM, 0, group="g0", model="m0", version="1")
+    paused_clock.advance(1.1)
+    assert state.group == "g0" and state.model == "m0"
+    adapters = ("a",) if kind is OrderKind.LOAD else ()
+    model = "m0" if adapters else "m1"
+    apply(OrderKind.FORM, 1, group="g1", model=model, version="1", adapters=adapters)
+    assert state.loading
+    apply(kind, 2, **fields)
+    assert not state.loading
+    before = (state.group, state.fence)
+    paused_clock.advance(5.0)
+    assert (state.group, state.fence) == before == group
+    assert not state.loading and not state.adapters
+
+
+def test_a_release_does_not_end_a_load_without_a_group(paused_clock):
+    # A spare instance goes on with the model that it loads in advance.
+    loader = TimedLoader(clock=paused_clock, load_s=1.0)
+    state = EngineState(checks_fence=True, loader=loader, on_streams_lost=lambda: None)
+    fields = {"fence": 1, "ttl_ms": 9}
+    load = Order(id="o1", kind=OrderKind.LOAD, model="m", version="1", **fields)
+    state.apply_order(load)
+    state.apply_order(Order(id="o2", kind=OrderKind.RELEASE, **fields))
+    paused_clock.advance(1.1)
+    assert not state.loading and state.model == "m"
+
+
 def test_members_that_do_not_lead_refuse_submissions(make_harness):
     engine = make_harness()
     engine.order(OrderKind.FORM, 3, group="g1", members=("i0", "i1"))
