Engine in memory: no requests are run or queued while it is down

After a crash, pause made MemoryEngine queue requests, and resume ran them although the engine was down. pause has no effect now while the engine is down, and resume drops the queued requests that follow one after which it is down.

test_a_crashed_engine_runs_no_requests_after_a_pause failed before (requests 'down' and 'queued' were run).

--- a/citronpin/backends/memory_engines.py
+++ b/citronpin/backends/memory_engines.py
@@ -85,15 +85,15 @@
         return self._held_requests is not None
 
     def pause(self) -> None:
-        """Queue all further requests until `resume`."""
-        if self._held_requests is None:
+        """Queue all further requests until `resume`; no effect while down."""
+        if self.up and self._held_requests is None:
             self._held_requests = []
 
     def resume(self) -> None:
         """Handle the queued requests and all further ones at once."""
         held, self._held_requests = self._held_requests or [], None
         for action in held:
-            action()
+            self.run_or_hold(action)
 
     def restart(self) -> None:
         """Abort all streams and start again without group and model."""
--- a/citronpin/tests/test_groups.py
+++ b/citronpin/tests/test_groups.py
@@ -313,3 +313,22 @@
     world.advance(20.0)
     assert {g.state for g in world.groups_of()} == {GroupState.SERVING}
     assert world.truth[CONFIG_STREAM].offset == 0
+
+
+def test_a_crashed_engine_runs_no_requests_after_a_pause(world):
+    # Guards against an engine in memory that queues requests while it is down, and so
+    # answers without a restart.
+    engine = world.engine(world.groups_of()[0].members[0])
+    requests = []
+    engine.crash()
+    engine.pause()
+    engine.run_or_hold(lambda: requests.append("down"))
+    engine.resume()
+    engine.restart()
+    engine.pause()
+    engine.run_or_hold(engine.crash)
+    engine.run_or_hold(lambda: requests.append("queued"))
+    engine.resume()
+    engine.restart()
+    engine.run_or_hold(lambda: requests.append("up"))
+    assert requests == ["up"]
