Test of resent joins: the order to a spare instance is left unanswered

The test set the delay of orders on the idle instances, of which its fixture has none, so it passed also when no order was resent. It now uses the domain with spare instances, and requires that the join of the replacement was sent twice, equal in all fields, and that no rule of groups is violated.

--- a/citronpin/tests/test_fabrics.py
+++ b/citronpin/tests/test_fabrics.py
@@ -449,12 +449,11 @@
     assert not simulation.platform.violations
 
 
-def test_an_unanswered_join_is_resent_with_the_same_epoch(simulation):
-    spares = [
-        instance
-        for instance in simulation.platform.instances.values()
-        if instance.member is None
-    ]
+def test_an_unanswered_join_is_resent_with_the_same_epoch(spare_simulation):
+    # Guards against a formation that fails, or gets another epoch, since the answer to
+    # one of its orders is lost.
+    simulation = spare_simulation
+    spares = idle_instances(simulation)
     for spare in spares:
         spare.delayed_order_count = 1
     head = find_serving_head(simulation, "big")
@@ -463,13 +462,17 @@
     simulation.advance(6.0)
     assert simulation.count_serving_groups() == {"big": 1, "small": 2}
     joins = [
-        exchange
+        (exchange.headers["x-citronpin-expect-instance"], json.loads(exchange.body))
         for controller in simulation.controllers.values()
         for exchange in controller.client.sent
         if b'"join"' in exchange.body and head.member.group.encode() in exchange.body
     ]
-    epochs = {json.loads(exchange.body)["epoch"] for exchange in joins}
-    assert len(epochs - {epoch}) == 1
+    new_joins = [(name, order) for name, order in joins if order["epoch"] != epoch]
+    assert len({order["epoch"] for _, order in new_joins}) == 1
+    replacement = next(one for one in spares if one.name in dict(new_joins))
+    sends = [order for name, order in new_joins if name == replacement.name]
+    assert len(sends) == 2 and sends[0] == sends[1]
+    assert not simulation.platform.violations
 
 
 def cut_all_from_store(simulation):
