Hangup signals during the start and the exit do not end a gateway

SIGHUP ended a gateway until the node existed, since its handler was installed after all imports, and again at the exit, when Python resets handlers to the default.

--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -12,6 +12,7 @@
 from circuits.core.pollers import EPoll
 
 from citronpin.basics.clocks import MS_PER_S, Clock, ClockTask
+from citronpin.basics.hangups import ignore_hangups, replace_hangup_handler
 from citronpin.basics.ids import EntryId, FailureDomainName, InstanceId
 from citronpin.basics.loop_faults import LoopFaults, call_each
 from citronpin.basics.loop_lags import LoopLag
@@ -638,11 +639,12 @@
     def run_until_stopped(self) -> None:
         """Run the event loop in the main thread, the only one that receives signals.
 
-        circuits handles the termination signals itself; without a handler for the
-        hangup signal, it would end the process.
+        circuits handles the termination signals itself. A hangup signal that was
+        recorded before makes the node reload once.
         """
-        signal.signal(signal.SIGHUP, self._signal_handler)
+        replace_hangup_handler(self._signal_handler)
         self.run()
+        ignore_hangups()
 
     @handler("signal", channel="*")
     def _on_signal(self, event, number, frame) -> None:
--- a/citronpin/main.py
+++ b/citronpin/main.py
@@ -1,7 +1,6 @@
-"""Entry point of the ``citronpin`` command line."""
+"""The ``citronpin`` command line."""
 
 import importlib
-import sys
 
 from absl import app
 
@@ -39,7 +38,3 @@
 def run() -> None:
     """Parse the command line and run its command under absl."""
     app.run(main, flags_parser=parse)
-
-
-if __name__ == "__main__":
-    sys.exit(run())
