--- a/citronpin/gateway/admission_levels.py
+++ b/citronpin/gateway/admission_levels.py
@@ -196,10 +196,6 @@
         """Add the cost of an admitted request."""
         _add(self._costs, customer, cost, SHARE_WINDOW_S, now_s)
 
-    def cost(self, customer: CustomerName | None, *, now_s: float) -> float:
-        """Return the admitted cost of a customer in the last seconds."""
-        return _total(self._costs, customer, now_s)
-
     def is_over_share(
         self, customer: CustomerName | None, cost: float, *, now_s: float
     ) -> bool:
