Reports carry the token memory of instances to all entries

Entries knew only how many requests an instance has, not how full its memory is. kv-used and kv-total of a report become fields of Report, HeadStatus (at the end, 0 by default, which is unknown) and LoadReport. A wrong number counts as 0: an unreadable report counts as silence of the instance. Without relays, the fields are left out as the load is, since they would make every update a new one.

--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -243,6 +243,7 @@
             if not instance.is_serving_head or observed.dead or not instance.models:
                 continue
             membership = instance.membership
+            used_tokens, memory_tokens = self._watch.tokens(instance.id)
             yield HeadStatus(
                 instance=instance.id,
                 group=membership.group,
@@ -251,6 +252,8 @@
                 load=self._watch.load(instance.id),
                 pace=paces[membership.group],
                 age_ms=round(self._watch.load_age_s(instance.id) * MS_PER_S),
+                used_tokens=used_tokens,
+                memory_tokens=memory_tokens,
             )
 
     def _model_loads_left(
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -443,6 +443,8 @@
                 load=head.load,
                 age_s=head.age_ms / MS_PER_S,
                 now_s=now_s,
+                used_tokens=max(head.used_tokens, 0),
+                memory_tokens=max(head.memory_tokens, 0),
             )
 
     def _apply_news(self, sender: EntryId, message: StatusUpdate, now_s: float) -> None:
@@ -476,7 +478,9 @@
 
 
 def _without_load(head: HeadStatus) -> HeadStatus:
-    return msgspec.structs.replace(head, load=NO_LOAD, age_ms=0)
+    return msgspec.structs.replace(
+        head, load=NO_LOAD, age_ms=0, used_tokens=0, memory_tokens=0
+    )
 
 
 def _group_report(head: HeadStatus, now_s: float) -> PeerGroupReport:
--- a/citronpin/gateway/load_trackers.py
+++ b/citronpin/gateway/load_trackers.py
@@ -28,11 +28,17 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """The running and waiting requests of an instance at clock time ``as_of_s``."""
+    """The running and waiting requests of an instance at clock time ``as_of_s``.
+
+    ``used_tokens`` of ``memory_tokens`` were held then and could not be given up; a
+    memory of 0 is unknown.
+    """
 
     load: int
     as_of_s: float
     heard_s: float
+    used_tokens: int = 0
+    memory_tokens: int = 0
 
 
 class LoadTracker:
@@ -45,7 +51,8 @@
 
     def __init__(self) -> None:
         self._reports: dict[InstanceId, ReportedLoad] = {}
-        self.reports: dict[InstanceId, LoadReport] = {}  # read by `GroupWorks`
+        # Read by `GroupWorks` and `ReportedMemory`.
+        self.reports: dict[InstanceId, LoadReport] = {}
         self._paces: dict[InstanceId, tuple[float, float]] = {}  # clock time, factor
         self._own: Counter[InstanceId] = Counter()
         self._peers: dict[EntryId, PeerLoad] = {}
@@ -81,7 +88,14 @@
         self._reports[instance] = ReportedLoad(now_s, load, self._own[instance])
 
     def record_report(
-        self, instance: InstanceId, *, load: int, age_s: float, now_s: float
+        self,
+        instance: InstanceId,
+        *,
+        load: int,
+        age_s: float,
+        now_s: float,
+        used_tokens: int = 0,
+        memory_tokens: int = 0,
     ) -> None:
         """Store a reported load with the age of the state that it shows.
 
@@ -90,7 +104,9 @@
         as_of_s = now_s - max(age_s, 0.0)
         known = self.reports.get(instance)
         if known is None or known.as_of_s <= as_of_s or known.as_of_s > now_s:
-            self.reports[instance] = LoadReport(load, as_of_s, now_s)
+            self.reports[instance] = LoadReport(
+                load, as_of_s, now_s, used_tokens, memory_tokens
+            )
 
     def peer_load(self, instance: InstanceId) -> int:
         """Return the requests in progress that other entries reported themselves."""
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -83,6 +83,8 @@
     waiting: int = 0
     pace: float = 1.0  # factor on its usual times, above 1 when slow
     cold_s: float = 0.0  # how much longer it is cold
+    used_tokens: int = 0  # held by requests, cannot be given up
+    memory_tokens: int = 0  # that fit into its memory; 0 when unknown
 
 
 class ProbeResult(Enum):
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -205,6 +205,13 @@
             return 0.0
         return max(self._clock.now() - state.reported_s, 0.0) + REPORT_LAG_S
 
+    def tokens(self, instance: InstanceId) -> tuple[int, int]:
+        """Return the tokens in use and the memory in tokens in the last report."""
+        state = self._states.get(instance)
+        if state is None or state.report is None:
+            return 0, 0
+        return state.report.used_tokens, state.report.memory_tokens
+
     def pace(self, instance: InstanceId) -> float:
         """Return the slowdown that an instance reported last; 1 is its usual speed."""
         state = self._states.get(instance)
--- a/citronpin/peers/messages.py
+++ b/citronpin/peers/messages.py
@@ -197,6 +197,10 @@
     load: int = NO_LOAD  # running and waiting requests in its last report
     pace: float = 1.0  # factor on its usual times by its slowest member; slow above 1
     age_ms: int = 0  # of the state that ``load`` shows, when the sender wrote this
+    # In the same state, tokens that the head cannot give up, and its memory in tokens.
+    # A memory of 0 is unknown.
+    used_tokens: int = 0
+    memory_tokens: int = 0
 
 
 class FeedPosition(msgspec.Struct, frozen=True, array_like=True):
--- a/citronpin/platform/decoders.py
+++ b/citronpin/platform/decoders.py
@@ -6,7 +6,7 @@
 
 import logging
 import re
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -43,6 +43,7 @@
 
 PER_THOUSAND = 1_000.0
 PER_MILLION = 1_000_000.0
+MAX_TOKENS = 2.0**53  # larger numbers lose tokens as floating point numbers
 SERVER_STATES = ("ready", "draining")
 INSTANCE_ID = re.compile("[!-~]+")  # what a header carries unchanged
 
@@ -192,6 +193,9 @@
     running: Count = 0
     waiting: Count = 0
     pace: float = 1.0  # above 1 when the instance is slow
+    # Numbers of tokens; a wrong one must not make the instance count as silent.
+    kv_used: Any = 0
+    kv_total: Any = 0
 
 
 class WireServer(WireReport, kw_only=True):
@@ -362,12 +366,20 @@
                 running=wire.running,
                 waiting=wire.waiting,
                 pace=wire.pace,
+                used_tokens=_token_count(wire.kv_used),
+                memory_tokens=_token_count(wire.kv_total),
             )
         )
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(UnreadableRecord(f"A report cannot be read: {exc}."))
 
 
+def _token_count(value: Any) -> int:
+    """Return a reported number of tokens, 0 where it is none."""
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return int(value) if is_number and 0 <= value <= MAX_TOKENS else 0
+
+
 def _model_names(models: tuple) -> tuple[ModelName, ...]:
     return tuple(
         ModelName(model if isinstance(model, str) else model.name) for model in models
--- a/citronpin/tests/test_gossips.py
+++ b/citronpin/tests/test_gossips.py
@@ -275,6 +275,19 @@
     assert not any(node.loads.reports for node in relayed_nodes)
 
 
+def test_token_counts_reach_all_entries_with_the_load(paused_clock, relayed_nodes):
+    # Placement by tokens would count only own requests. A wrong count is none.
+    status = relayed_nodes[0].fabrics.serving_heads[0]
+    for used, total, expected in ((700, 900, (700, 900)), (-5, -1, (0, 0))):
+        relayed_nodes[0].fabrics.serving_heads = (
+            msgspec.structs.replace(status, used_tokens=used, memory_tokens=total),
+        )
+        paused_clock.advance(1.0)
+        for node in relayed_nodes:
+            report = node.loads.reports[HEAD]
+            assert (report.used_tokens, report.memory_tokens) == expected
+
+
 def test_without_relays_an_age_causes_no_updates(paused_clock, nodes):
     # Ages change all the time; sent without relays, they would end the saving of
     # unchanged updates.
@@ -282,7 +295,16 @@
     before = sent.sent_messages
     for step in range(20):
         nodes[0].fabrics.serving_heads = (
-            HeadStatus(HEAD, GroupId("g"), 4, ModelName("small"), 5, age_ms=step),
+            HeadStatus(
+                HEAD,
+                GroupId("g"),
+                4,
+                ModelName("small"),
+                5,
+                age_ms=step,
+                used_tokens=step,
+                memory_tokens=1_000 + step,
+            ),
         )
         paused_clock.advance(0.15)
     assert sent.sent_messages - before <= 6 * (len(nodes) - 1)
--- a/citronpin/tests/test_work_wiring.py
+++ b/citronpin/tests/test_work_wiring.py
@@ -138,11 +138,14 @@
     assert node_settings(settings, 9464).placement is PlacementPolicy.LEAST_LOADED
 
 
+TOKENS = dict(used_tokens=700, memory_tokens=900)
+
+
 class AnsweringControl:
     """Answers each request for a report at once."""
 
     def report(self, *, of, done):
-        done(Report(membership=None, born_ms=0, running=3, waiting=1), None)
+        done(Report(membership=None, born_ms=0, running=3, waiting=1, **TOKENS), None)
 
 
 class SilentReach:
@@ -164,9 +167,11 @@
         reach=SilentReach(),
     )
     assert watch.load_age_s(instance.id) == 0.0
+    assert watch.tokens(instance.id) == (0, 0)
     watch.poll([instance], busy=False)
     paused_clock.advance(0.3)
     assert watch.load(instance.id) == 4
+    assert watch.tokens(instance.id) == (700, 900)
     assert watch.load_age_s(instance.id) == pytest.approx(0.3 + REPORT_LAG_S)
 
 
