A caller that takes nothing for 2.5 s is disconnected where settings say so

Reading of an answer was paused for 1.5 s at a time, without a bound on the number of pauses, so that a caller that never reads held a slot and memory of an instance until the route timed out. BoundedReaders pauses for at most half of the 5 s after which an instance cuts off an unread answer, and then closes the connection of a caller that took nothing, or for which more than 256 KiB are queued. Attempts that are ended so count as no fault of the instance. UnboundedReaders is the baseline and the default; nothing enables the other one yet.

--- a/citronpin/gateway/contexts.py
+++ b/citronpin/gateway/contexts.py
@@ -39,6 +39,7 @@
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import EngineSpec, Route, RoutingTable
+from citronpin.gateway.slow_readers import ReaderPolicy, UnboundedReaders
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.withdrawals import NO_WITHDRAWALS, Withdrawals
 from citronpin.web.byte_accounts import ByteAccount
@@ -140,6 +141,7 @@
         works: GroupWorks | None = None,
         admission: AdmissionPolicy | None = None,
         account: ByteAccount | None = None,
+        readers: ReaderPolicy | None = None,
     ) -> None:
         self.withdrawals = withdrawals
         self.clock = clock
@@ -156,8 +158,10 @@
         self.gate = gate
         self.permits = permits
         self.fingerprints = fingerprints
-        self.costs = costs  # with `works`, only for placement by remaining work
-        self.works = works
+        self.costs = costs  # for placement by remaining work or by tokens
+        self.works = works  # only for placement by remaining work
+        self.readers = readers or UnboundedReaders()
+        self.memory_refusals = 0  # requests for whose tokens no instance had memory
         self.reach = reach
         self._withdrawn_s = float("-inf")  # when crashes were last discounted
         self.forward_peers = forward_peers
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -10,6 +10,12 @@
 from citronpin.gateway.placers import PlacementFailure
 from citronpin.gateway.quarantines import CrashKey
 from citronpin.gateway.recipients import Recipient
+from citronpin.gateway.slow_readers import (
+    UNREAD_HIGH_BYTES,
+    UNREAD_LOW_BYTES,
+    Pause,
+    ReaderAction,
+)
 from citronpin.web.replies import Reply
 
 logger = logging.getLogger(__name__)
@@ -19,11 +25,6 @@
 MIDWAY_STALL_GAP_OBJECTIVES = 1.5  # multiple of the gap objective of the route
 MAX_RESUME_WAIT_S = 1.4  # callers leave a stream that is silent for two seconds
 RESUME_RETRY_INTERVAL_S = 0.1
-# An answer that its caller reads slower than the instance writes is read slower too. An
-# instance cuts an answer off that stays unread for some seconds.
-UNREAD_HIGH_BYTES = 64 * 1024
-UNREAD_LOW_BYTES = 16 * 1024
-UNREAD_PAUSE_S = 1.5
 
 
 class StreamExchange(Exchange):
@@ -43,6 +44,7 @@
         # Clock time since which no instance was found for the next attempt.
         self._unplaced_since_s: float | None = None
         self._is_stream = False  # whether the last attempt answers with a stream
+        self._pause: Pause | None = None  # of reading, since the caller reads slowly
 
     def _make_splitter(self) -> EventSplitter:
         return EventSplitter(more_fields=(self._context.names.weight_versions,))
@@ -54,8 +56,14 @@
     def _start_attempt(self, recipient: Recipient) -> None:
         self._is_stream = False
         self._unplaced_since_s = None
+        self._pause = None
         super()._start_attempt(recipient)
 
+    @property
+    def _written_tokens(self) -> int:
+        last = self._last_event_number
+        return 0 if last is None else last + 1  # events are numbered from 0
+
     def _override_headers(self) -> dict[str, str]:
         names = self._context.names
         if not self._started or self._last_event_number is None:
@@ -93,7 +101,34 @@
         if not self._done:
             self._hold(attempt, self._splitter.held_bytes)
             if self._reply.buffered_bytes > UNREAD_HIGH_BYTES:
-                attempt.pause_reading(UNREAD_PAUSE_S)
+                self._pause_for_caller(attempt)
+
+    def _pause_for_caller(self, attempt: Attempt) -> None:
+        """Read no more of an answer until its caller has read it, or give it up."""
+        now_s, readers = self._context.clock.now(), self._context.readers
+        if self._decide_on_pause(now_s) is ReaderAction.CLOSE:
+            self._end_unread(attempt)
+            return
+        # Where nothing was decided at the end of a pause, the next one goes on with it.
+        if self._pause is None:
+            self._pause = Pause(now_s, self._reply.buffered_bytes)
+        attempt.pause_reading(readers.max_pause_s)
+
+    def _decide_on_pause(self, now_s: float) -> ReaderAction:
+        if self._pause is None:
+            return ReaderAction.WAIT
+        action = self._context.readers.decide(
+            self._pause, queued_bytes=self._reply.buffered_bytes, now_s=now_s
+        )
+        if action is ReaderAction.READ:
+            self._pause = None
+        return action
+
+    def _end_unread(self, attempt: Attempt) -> None:
+        """Close the connection of a caller that does not read its answer."""
+        self._cancel_attempt(attempt, Fault.LOST, "the caller does not read")
+        self._close("unread", OK_STATUS)
+        self._reply.abort()
 
     def _buffer(self, attempt: Attempt, data: bytes) -> None:
         if len(self._body) + len(data) > MAX_BUFFERED_BYTES:
@@ -128,6 +163,8 @@
         self._last_event_s = self._context.clock.now()
         attempt.recipient.record_progress()
         self._reply.push(event.data)
+        if self._pause is not None:
+            self._pause = self._pause.after_push(len(event.data))
         return True
 
     def attempt_ended(self, attempt: Attempt) -> None:
@@ -256,8 +293,10 @@
         super()._close(outcome, status)
         # What a caller resumes is only the rest of an answer.
         is_whole = self._requested_event_number() is None
-        if self._context.works is not None and self._cost is not None and is_whole:
-            self._context.works.record_answer(
+        if self._cost is not None and is_whole:
+            works, costs = self._context.works, self._context.costs
+            record = costs.record if works is None else works.record_answer
+            record(
                 self._cost,
                 tokens=sum(attempt.events for attempt in self._attempts),
                 is_complete=outcome == "delivered",
@@ -285,11 +324,16 @@
         last = self._last_attempt
         if self._done or last is None or last.is_over:
             return
+        action = self._decide_on_pause(now_s)
+        if action is ReaderAction.CLOSE:
+            self._end_unread(last)
+            return
         if last.is_paused:
             # Its silence is this entry's doing.
             self._last_event_s = now_s
             has_room = not self._context.account.is_overdrawn
-            if has_room and self._reply.buffered_bytes <= UNREAD_LOW_BYTES:
+            is_drained = self._reply.buffered_bytes <= UNREAD_LOW_BYTES
+            if has_room and (is_drained or action is ReaderAction.READ):
                 last.resume_reading()
             return
         last_progress_s = self._last_progress_s(last)
--- a/citronpin/tests/test_exchanges.py
+++ b/citronpin/tests/test_exchanges.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from citronpin.gateway.stream_exchanges import UNREAD_HIGH_BYTES, UNREAD_PAUSE_S
+from citronpin.gateway.slow_readers import UNREAD_HIGH_BYTES, UNREAD_PAUSE_S
 from citronpin.platform.names import HEADERS
 from citronpin.tests.platforms.requests import (
     ROUTES,
