Placement checks the token memory of the selected instance

Placement compared only the number of requests with the slots. A few long prompts fill an instance that has free slots, and it then preempts its newest answer. ReportedMemory expects at most 0.9 of the memory to be filled: the last report without the own tokens at its time, the own requests as prompt and tokens written so far, and the new request with its expected answer. Both placers check the selected instance, and one that stands in for it by the last reports. Where every request fits, the draws are the same as before (tested). It is enabled, with BoundedReaders, where the contracts contain pool. Request costs are then estimated without placement by work too, but admission uses them only with it, as before.

--- a/citronpin/benches/crowds.py
+++ b/citronpin/benches/crowds.py
@@ -133,6 +133,12 @@
         self.waiting: list[CrowdRequest] = []
         self.is_up = True
         self.arrivals = 0
+        self.memory_tokens = 0  # 0 is unbounded
+
+    @property
+    def used_tokens(self) -> int:
+        """Return the tokens of the running requests, where memory is bounded."""
+        return 0
 
     @property
     def load(self) -> int:
@@ -231,6 +237,7 @@
         self.answer = run.draw_tokens(ENGINE.mean_answer_tokens)
         self.plain_s = run.draw_plain_s()
         self.is_counted = run.is_counting
+        self.written = 0  # tokens of the answer
         self.first_s: float | None = None
         self.excluded: set[InstanceId] = set()
         self.sends = 0
@@ -282,8 +289,9 @@
         self.sent_s = now_s
         self.excluded.add(found.instance.id)
         self.entry.loads.request_started(found.instance.id)
-        if found.work is not None:
-            found.work.started(now_s=now_s)
+        for course in (found.work, found.held):
+            if course is not None:
+                course.started(now_s=now_s)
         group = run.groups[found.instance.id]
         run.clock.call_later(SEND_S, lambda: group.submit(self))
 
@@ -315,6 +323,8 @@
         self.entry.loads.request_ended(self.placement.instance.id)
         if self.placement.work is not None:
             self.placement.work.ended(has_run=has_run, now_s=now_s)
+        if self.placement.held is not None:
+            self.placement.held.ended(now_s=now_s)
 
     def on_first(self) -> None:
         """Record the first event."""
@@ -420,7 +430,7 @@
             names = list(self.groups)
             for holder in range(self.case.holders):
                 part = names[holder :: self.case.holders]
-                reported: dict[InstanceId, tuple[float, int]] = {}
+                reported: dict[InstanceId, tuple[float, int, int]] = {}
                 phase_s = self.rng.random()
                 self.clock.call_later(
                     phase_s * POLL_S, lambda p=part, r=reported: self._poll(p, r)
@@ -458,7 +468,7 @@
         self.clock.call_later(POLL_S, lambda: self._poll(names, reported))
         now_s = self.clock.now()
         seen = {
-            name: (now_s, self.groups[name].load)
+            name: (now_s, self.groups[name].load, self.groups[name].used_tokens)
             for name in names
             if self.groups[name].is_up
         }
@@ -473,10 +483,15 @@
         self.clock.call_later(UPDATE_S, lambda: self._update(reported))
         now_s = self.clock.now()
         for entry in self.entries:
-            for name, (as_of_s, load) in reported.items():
+            for name, (as_of_s, load, used_tokens) in reported.items():
                 entry.loads.record_instance_load(name, load=load, now_s=now_s)
                 entry.loads.record_report(
-                    name, load=load, age_s=now_s - as_of_s, now_s=now_s
+                    name,
+                    load=load,
+                    age_s=now_s - as_of_s,
+                    now_s=now_s,
+                    used_tokens=used_tokens,
+                    memory_tokens=self.groups[name].memory_tokens,
                 )
                 pace = self.groups[name].pace
                 entry.loads.record_pace(name, pace=pace, now_s=now_s)
--- a/citronpin/gateway/answers.py
+++ b/citronpin/gateway/answers.py
@@ -89,7 +89,9 @@
     )
 
 
-def no_place_refusal(*, reason: str, wait_s: float) -> Refusal:
+def no_place_refusal(
+    *, reason: str, wait_s: float, remedy: str = "Try again after Retry-After."
+) -> Refusal:
     """Return the refusal of a request that no instance can take.
 
     ``wait_s`` is the delay in seconds before a retry.
@@ -98,7 +100,7 @@
         status=503,
         kind="no-place",
         detail=f"The request was not run: {reason}.",
-        remedy="Try again after Retry-After.",
+        remedy=remedy,
         retry_after_s=max(round(wait_s, 2), MIN_RETRY_AFTER_S),
     )
 
--- a/citronpin/gateway/exchanges.py
+++ b/citronpin/gateway/exchanges.py
@@ -127,7 +127,8 @@
     @property
     def _relative_cost(self) -> float:
         """Return the expected length of the answer in mean answers of the engine."""
-        if self._cost is None:
+        # Only placement by remaining work is built on what the estimates learn.
+        if self._context.works is None or self._cost is None:
             return DEFAULT_COST
         return self._cost.answer_tokens / max(self._cost.mean_tokens, 1.0)
 
@@ -236,8 +237,14 @@
             excluded=self._excluded,
             accepts_limited=self._refused_permits < MAX_REFUSED_PERMITS,
             cost=self._cost,
+            written_tokens=self._written_tokens,
         )
 
+    @property
+    def _written_tokens(self) -> int:
+        """Return the tokens of the answer that an instance gets with the prompt."""
+        return 0
+
     @cached_property
     def _cost(self) -> RequestCost | None:
         """Return the expected work, ``None`` where it is not estimated."""
@@ -509,7 +516,18 @@
             self._answer(unreachable_refusal(wait_s=wait_s))
         elif failure.blocked:
             self._refuse_blocked(failure)
+        elif failure.is_too_large:
+            # It is no sign of a lack of capacity.
+            self._context.memory_refusals += 1
+            self._answer(
+                no_place_refusal(
+                    reason=failure.reason,
+                    wait_s=self._retry_delay_s(),
+                    remedy="Send a shorter prompt.",
+                )
+            )
         else:
+            self._context.memory_refusals += failure.lacks_memory
             self._refuse(failure.reason)
 
     def _refuse_blocked(self, failure: PlacementFailure) -> None:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -55,7 +55,13 @@
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
+from citronpin.gateway.slow_readers import BoundedReaders, UnboundedReaders
 from citronpin.gateway.suspects import Suspects
+from citronpin.gateway.token_memories import (
+    ReportedMemory,
+    SlotsOnly,
+    TokenMemory,
+)
 from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.gateway.work_placers import WorkPlacer
 from citronpin.peers.links import Links, NngLinks
@@ -98,6 +104,14 @@
     LEVELS = "levels"  # the least urgent
 
 
+class MemoryKind(Enum):
+    """What instances are assumed to have room for."""
+
+    SLOTS = "slots"  # a request per slot
+    # The tokens of requests. Callers that do not read their answers are disconnected.
+    TOKENS = "tokens"
+
+
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of a node that are fixed at its start; addresses are ``IP:PORT``."""
 
@@ -117,6 +131,7 @@
     share_facts: bool = False
     placement: PlacementPolicy = PlacementPolicy.LEAST_LOADED
     admission: AdmissionKind = AdmissionKind.OPEN
+    memory: MemoryKind = MemoryKind.SLOTS
     process: ProcessLimits = ProcessLimits()
 
 
@@ -287,8 +302,10 @@
         ClockTask(clock=clock).register(self)
         client.register(self)
         self.client = client
+        self.memory = self._make_memory()
         self.context = self._make_context()
         self._add_admission_metrics()
+        self._add_memory_gauges()
         self.front = FrontHandler(context=self.context)
         self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.fabrics = Fabrics(
@@ -308,11 +325,19 @@
         self._add_servers()
         clock.call_later(0.0, self._start_components)
 
+    def _make_memory(self) -> TokenMemory:
+        if self.cfg.memory is MemoryKind.SLOTS:
+            return SlotsOnly()
+        return ReportedMemory(loads=self.loads)
+
     def _make_context(self) -> ExchangeContext:
         first_event_times = FirstEventTimes()
         costs = works = None
-        if self.cfg.placement is PlacementPolicy.REMAINING_WORK:
+        checks_tokens = self.cfg.memory is MemoryKind.TOKENS
+        is_by_work = self.cfg.placement is PlacementPolicy.REMAINING_WORK
+        if checks_tokens or is_by_work:
             costs = RequestCosts()
+        if is_by_work:
             works = GroupWorks(
                 loads=self.loads,
                 costs=costs,
@@ -345,6 +370,7 @@
             works=works,
             admission=self._make_admission(),
             account=self.account,
+            readers=BoundedReaders() if checks_tokens else UnboundedReaders(),
         )
 
     def _make_placer(
@@ -359,6 +385,7 @@
                 failure_domain=self.cfg.failure_domain,
                 rng=self._rng,
                 limit_policy=limit_policy,
+                memory=self.memory,
             )
         return WorkPlacer(
             fleet=self.fleet,
@@ -368,6 +395,7 @@
             failure_domain=self.cfg.failure_domain,
             rng=self._rng,
             limit_policy=limit_policy,
+            memory=self.memory,
         )
 
     def _make_admission(self) -> AdmissionPolicy:
@@ -376,6 +404,20 @@
         capacities = FleetCapacity(fleet=self.fleet, loads=self.loads, gate=self.gate)
         return LevelAdmission(capacities=capacities, rng=self._rng)
 
+    def _add_memory_gauges(self) -> None:
+        if self.cfg.memory is MemoryKind.SLOTS:
+            return
+        self.metrics.gauges.add(
+            "fullest_memory_share",
+            "Tokens held at the fullest instance as a share of its memory, by reports.",
+            self.memory.fullest_share,
+        )
+        self.metrics.gauges.add(
+            "memory_refusals",
+            "Requests refused since the start, for whose tokens no memory was left.",
+            lambda: self.context.memory_refusals,
+        )
+
     def _add_admission_metrics(self) -> None:
         if self.cfg.admission is AdmissionKind.OPEN:
             return
--- a/citronpin/gateway/placers.py
+++ b/citronpin/gateway/placers.py
@@ -8,31 +8,23 @@
 
 import msgspec
 
-from citronpin.basics.ids import FailureDomainName, InstanceId, ModelName
+from citronpin.basics.ids import FailureDomainName, ModelName
+from citronpin.gateway.demands import Demand
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.group_works import OwnRequest
 from citronpin.gateway.instance_gates import Barrier, InstanceGate
 from citronpin.gateway.load_trackers import LoadTracker
-from citronpin.gateway.overloads import LoadLimitPolicy, Pending
-from citronpin.gateway.request_costs import RequestCost
-from citronpin.gateway.routings import EngineSpec
+from citronpin.gateway.overloads import LoadLimitPolicy
+from citronpin.gateway.token_memories import HeldRequest, SlotsOnly, TokenMemory
 
 logger = logging.getLogger(__name__)
 
 SLOW_GROUP_COST_REQUESTS = 2.0  # per multiple of the normal time beyond the first
+NO_MEMORY_REASON = "no instance has memory for its tokens"
+TOO_LARGE_REASON = "its tokens exceed the memory of every instance"
 REMOTE_COST_REQUESTS = 0.35  # prefers the entry's failure domain at equal load
 
 
-class Demand(msgspec.Struct, frozen=True, kw_only=True):
-    """A request to place, and the instances that must not get it."""
-
-    pending: Pending
-    engine: EngineSpec | None = None
-    excluded: Collection[InstanceId] = ()
-    accepts_limited: bool = True  # false once permits were refused
-    cost: RequestCost | None = None  # expected work, where it is estimated
-
-
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
     """The selected instance, its load in requests and the number of candidates."""
 
@@ -40,6 +32,7 @@
     load: int
     candidates: int
     work: OwnRequest | None = None  # told how the attempt goes, where work is tracked
+    held: HeldRequest | None = None  # likewise, where tokens are
 
 
 class PlacementFailure(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,12 +47,33 @@
     blocked: tuple[FleetInstance, ...] = ()
     barriers: tuple[Barrier, ...] = ()  # of these, in the same order
     is_unreachable: bool = False  # neither from here nor through another entry
+    lacks_memory: bool = False  # instances with free slots have no room for its tokens
+    is_too_large: bool = False  # for the memory of every instance, also an empty one
 
     @classmethod
     def unreachable(cls) -> "PlacementFailure":
         """Return the failure of an entry that reaches no instance."""
         return cls(reason="no instance is reached", candidates=0, is_unreachable=True)
 
+    @classmethod
+    def without_memory(
+        cls,
+        *,
+        memory: TokenMemory,
+        instances: Sequence[FleetInstance],
+        demand: Demand,
+        load: int,
+    ) -> "PlacementFailure":
+        """Return the failure of a request whose tokens have no room."""
+        is_too_large = all(memory.is_too_large(one, demand) for one in instances)
+        return cls(
+            reason=TOO_LARGE_REASON if is_too_large else NO_MEMORY_REASON,
+            candidates=len(instances),
+            load=load,
+            lacks_memory=True,
+            is_too_large=is_too_large,
+        )
+
 
 class PlacementPolicy(Enum):
     """How instances are selected."""
@@ -91,6 +105,7 @@
 
     TIE_MARGIN_REQUESTS = 0.6  # costs that differ by no more count as equal
     CHOICES = 3  # instances sampled per request; two or four gave no better results
+    STAND_INS = 2  # selected by reports in place of an instance without memory
 
     def __init__(
         self,
@@ -102,6 +117,7 @@
         rng: random.Random,
         limit_policy: LoadLimitPolicy,
         choices: int = CHOICES,
+        memory: TokenMemory | None = None,
     ) -> None:
         self._fleet = fleet
         self._loads = loads
@@ -110,6 +126,7 @@
         self._rng = rng
         self._limit_policy = limit_policy
         self._choices = choices
+        self._memory = memory or SlotsOnly()
 
     def place(self, *, demand: Demand, now_s: float) -> Placement | PlacementFailure:
         usable = self._candidates(demand)
@@ -139,13 +156,50 @@
             return PlacementFailure(
                 reason="no instance answers", candidates=len(usable)
             )
-        selected = self._select(unsuspected or permitted)
+        found = unsuspected or permitted
+        selected = self._select(found)
         load = self._loads.load(selected.id)
         if not self._is_below_load_limit(selected, demand):
             return PlacementFailure(
                 reason="all instances are full", candidates=len(usable), load=load
             )
-        return Placement(instance=selected, load=load, candidates=len(usable))
+        if not self._memory.fits(selected, demand, now_s):
+            stand_in = self._stand_in(found, selected, demand, now_s)
+            if stand_in is None:
+                return PlacementFailure.without_memory(
+                    memory=self._memory, instances=usable, demand=demand, load=load
+                )
+            selected, load = stand_in, self._loads.load(stand_in.id)
+        return Placement(
+            instance=selected,
+            load=load,
+            candidates=len(usable),
+            held=self._memory.hold(selected, demand, now_s),
+        )
+
+    def _stand_in(
+        self,
+        instances: list[FleetInstance],
+        selected: FleetInstance,
+        demand: Demand,
+        now_s: float,
+    ) -> FleetInstance | None:
+        """Return an instance in place of one that has no memory for the request."""
+        left = [
+            one
+            for one in self._memory.with_room(instances, demand)
+            if one is not selected
+        ]
+        for _ in range(self.STAND_INS):
+            if not left:
+                return None
+            found = self._select(left)
+            if self._is_below_load_limit(found, demand) and self._memory.fits(
+                found, demand, now_s
+            ):
+                return found
+            left.remove(found)
+        return None
 
     def _select(self, instances: list[FleetInstance]) -> FleetInstance:
         if len(instances) > self._choices:
--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -101,6 +101,7 @@
         self.address = placement.instance.address
         self._load = placement.load
         self._work = placement.work
+        self._held = placement.held
         self._context = context
 
     @property
@@ -111,12 +112,16 @@
         self._context.loads.request_started(self.instance.id)
         if self._work is not None:
             self._work.started(now_s=self._now_s)
+        if self._held is not None:
+            self._held.started(now_s=self._now_s)
 
     def ended(self, attempt):
         self._context.loads.request_ended(self.instance.id)
         if self._work is not None:
             has_run = attempt.status != 0 and not attempt.not_run
             self._work.ended(has_run=has_run, now_s=self._now_s)
+        if self._held is not None:
+            self._held.ended(now_s=self._now_s)
 
     def headers(self, task, pending, overrides):
         names = self._context.names
@@ -165,6 +170,8 @@
         self._context.reach.record_reply(self.instance.service)
         if self._work is not None:
             self._work.progressed(now_s=self._now_s)
+        if self._held is not None:
+            self._held.progressed(now_s=self._now_s)
 
     def record_first_event(self, attempt, task):
         self._context.first_event_times.record_first_event(
@@ -227,6 +234,8 @@
         membership = self.instance.membership
         if membership is not None:
             fields["group"] = f"{membership.group}/{membership.epoch}"
+        if self._held is not None and self._held.share is not None:
+            fields["memory"] = round(self._held.share, 2)
         return fields
 
 
--- a/citronpin/gateway/request_costs.py
+++ b/citronpin/gateway/request_costs.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from operator import mul
 
 import msgspec
 
@@ -44,6 +45,9 @@
     return 2.0 ** ((bucket + 0.5) / BUCKETS_PER_DOUBLING)
 
 
+BUCKET_MEANS = tuple(map(bucket_mean, range(BUCKET_COUNT)))
+
+
 class LengthHistogram:
     """Decayed counts of answer lengths by bucket; cut-off answers count as longer.
 
@@ -76,10 +80,14 @@
 
         ``None`` means that no such answer was seen.
         """
+        if beyond_tokens <= 0.0:
+            # Each placement by tokens asks for it.
+            total = sum(map(mul, self._weights, BUCKET_MEANS))
+            return total / self.total if self.total > 1e-6 else None
         first = bucket_of(beyond_tokens) if beyond_tokens >= 1.0 else 0
         weight = total = 0.0
         for bucket in range(first, BUCKET_COUNT):
-            length = bucket_mean(bucket)
+            length = BUCKET_MEANS[bucket]
             if length > beyond_tokens:
                 weight += self._weights[bucket]
                 total += self._weights[bucket] * length
--- a/citronpin/gateway/work_placers.py
+++ b/citronpin/gateway/work_placers.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from citronpin.basics.ids import ApplicationName, FailureDomainName, ModelName
+from citronpin.basics.ids import (
+    ApplicationName,
+    FailureDomainName,
+    InstanceId,
+    ModelName,
+)
+from citronpin.gateway.demands import Demand
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.group_works import GroupWorks, OwnRequest
 from citronpin.gateway.instance_gates import Barrier, InstanceGate
@@ -14,13 +20,13 @@
 from citronpin.gateway.placers import (
     REMOTE_COST_REQUESTS,
     SLOW_GROUP_COST_REQUESTS,
-    Demand,
     Placement,
     PlacementFailure,
     Placer,
     blocked_reason,
     serves,
 )
+from citronpin.gateway.token_memories import SlotsOnly, TokenMemory
 
 logger = logging.getLogger(__name__)
 
@@ -85,6 +91,7 @@
         failure_domain: FailureDomainName,
         rng: random.Random,
         limit_policy: LoadLimitPolicy,
+        memory: TokenMemory | None = None,
     ) -> None:
         self._fleet = fleet
         self._loads = loads
@@ -93,6 +100,7 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._limit_policy = limit_policy
+        self._memory = memory or SlotsOnly()
         self._cached: dict[
             tuple[ApplicationName, ModelName | None], list[FleetInstance]
         ] = {}
@@ -212,9 +220,13 @@
         must_begin_in_time = is_timed and left_s > 0.0 and not pending.midway
         late: list[tuple[float, int]] = []  # time to the first event, position
         suspected: int | None = None
+        # Names of the instances whose reports leave room, once one had no memory.
+        with_room: set[InstanceId] | None = None
         barriers: list[Barrier] = []
         for index in self._draw(found):
             instance = found.instances[index]
+            if with_room is not None and instance.id not in with_room:
+                continue
             barrier = self._gate.barrier(
                 instance, accepts_limited=demand.accepts_limited
             )
@@ -226,6 +238,13 @@
                 pending=pending, slots=instance.slots, engine=engine
             ):
                 continue
+            if not self._memory.fits(instance, demand, now_s):
+                if with_room is None:
+                    left = self._memory.with_room(found.instances, demand)
+                    with_room = {one.id for one in left}
+                    if not left:
+                        break
+                continue
             if barrier is Barrier.SUSPECTED:
                 suspected = index if suspected is None else suspected
                 continue
@@ -234,14 +253,21 @@
                 if first_s > left_s:
                     late.append((first_s, index))
                     continue
-            return self._placement(found, index, demand, spec)
+            return self._placement(found, index, demand, spec, now_s)
         if late:
-            return self._placement(found, min(late)[1], demand, spec)
+            return self._placement(found, min(late)[1], demand, spec, now_s)
         if suspected is not None and not pending.midway:
-            return self._placement(found, suspected, demand, spec)
+            return self._placement(found, suspected, demand, spec, now_s)
+        if with_room is not None:
+            return PlacementFailure.without_memory(
+                memory=self._memory,
+                instances=found.instances,
+                demand=demand,
+                load=round(min(found.loads)),
+            )
         if len(barriers) < len(found.instances):
             return self._full(found)
-        return self._without_unsuspected(found, demand, suspected)
+        return self._without_unsuspected(found, demand, suspected, now_s)
 
     def _draw(self, found: Levels):
         """Yield the positions of all instances, drawn by weight without replacement.
@@ -280,7 +306,7 @@
         )
 
     def _placement(
-        self, found: Levels, index: int, demand: Demand, spec
+        self, found: Levels, index: int, demand: Demand, spec, now_s: float
     ) -> Placement | PlacementFailure:
         instance, load = found.instances[index], found.loads[index]
         expected = None
@@ -290,6 +316,7 @@
             instance=instance,
             load=round(load),
             candidates=len(found.instances),
+            held=self._memory.hold(instance, demand, now_s),
             work=OwnRequest(
                 works=self._works,
                 instance=instance,
@@ -310,7 +337,7 @@
         )
 
     def _without_unsuspected(
-        self, found: Levels, demand: Demand, suspected: int | None
+        self, found: Levels, demand: Demand, suspected: int | None, now_s: float
     ) -> Placement | PlacementFailure:
         """Place at a suspected instance, or fail, where no other is permitted."""
         barriers = [
@@ -332,4 +359,4 @@
             return self._full(found)
         engine, model = demand.engine, demand.pending.model
         spec = engine.model(model) if engine and model else None
-        return self._placement(found, suspected, demand, spec)
+        return self._placement(found, suspected, demand, spec, now_s)
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -12,7 +12,7 @@
 from citronpin.basics.clocks import MS_PER_S
 from citronpin.basics.errors import SettingsError
 from citronpin.basics.ids import EntryId, FailureDomainName
-from citronpin.gateway.nodes import AdmissionKind, NodeSettings
+from citronpin.gateway.nodes import AdmissionKind, MemoryKind, NodeSettings
 from citronpin.gateway.placers import PlacementPolicy
 from citronpin.web.process_limits import ProcessLimits
 
@@ -128,6 +128,11 @@
         repeat_window_s=settings.bounds.budget_window_s,
         share_facts=settings.has_contract(POOL_CONTRACT),
         placement=placement,
+        memory=(
+            MemoryKind.TOKENS
+            if settings.has_contract(POOL_CONTRACT)
+            else MemoryKind.SLOTS
+        ),
         admission=(
             AdmissionKind.LEVELS
             if settings.has_contract(POOL_CONTRACT)
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -10,12 +10,15 @@
 from citronpin.gateway.nodes import (
     AdmissionKind,
     GatewayNode,
+    MemoryKind,
     NodeSettings,
     PlatformConnector,
 )
 from citronpin.gateway.overloads import Pending
 from citronpin.gateway.placers import LeastLoaded, PlacementPolicy
 from citronpin.gateway.ports import DomainLeases, InstanceControl
+from citronpin.gateway.slow_readers import BoundedReaders
+from citronpin.gateway.token_memories import ReportedMemory
 from citronpin.gateway.work_placers import WorkPlacer
 from citronpin.platform.names import HEADERS
 from citronpin.web.clients import HttpClient
@@ -153,6 +156,28 @@
         assert f"citronpin_admissions_total{{{labels}}} 1.0" in shown
 
 
+@pytest.mark.parametrize("placement", PlacementPolicy)
+@pytest.mark.parametrize("memory", MemoryKind)
+def test_tokens_decide_and_are_shown_only_where_the_settings_say(
+    paused_clock, connector, memory, placement
+):
+    # Guards against a node that reads token counts but places by slots.
+    chosen = dict(memory=memory, placement=placement)
+    with started_node(paused_clock, connector, **chosen) as node:
+        node.loads.record_report(
+            "i", load=1, age_s=0.0, now_s=0.0, used_tokens=3, memory_tokens=4
+        )
+        lines = node.metrics.text().decode().splitlines()
+        checks_tokens = memory is MemoryKind.TOKENS
+        assert isinstance(node.context.placer._memory, ReportedMemory) is checks_tokens
+        assert isinstance(node.context.readers, BoundedReaders) is checks_tokens
+        is_by_work = placement is PlacementPolicy.REMAINING_WORK
+        assert (node.context.costs is not None) is (checks_tokens or is_by_work)
+        assert (node.context.works is not None) is is_by_work
+    shown = ["citronpin_fullest_memory_share 0.75", "citronpin_memory_refusals 0.0"]
+    assert [line in lines for line in shown] == [checks_tokens] * 2
+
+
 def test_a_stopping_node_releases_its_leases_at_once(paused_clock, connector, node):
     node.drain()
     assert connector.released_s == [0.0]
