Bytes in the kernel count as not taken by a slow caller

Over a socket, a caller that reads 5 KB/s was disconnected after 2.6 s as if it did not read: the kernel takes more bytes from the entry only when a third of its buffer is free. The bytes that the caller has not acknowledged (TIOCOUTQ) are now added, when reading is paused for a caller.

--- a/citronpin/gateway/slow_readers.py
+++ b/citronpin/gateway/slow_readers.py
@@ -32,17 +32,17 @@
 
 
 class Pause(msgspec.Struct, frozen=True):
-    """The start of a pause: its clock time in seconds, and the bytes queued then."""
+    """The start of a pause: its clock time in seconds, and what was not read then."""
 
     since_s: float
-    queued_bytes: int
+    unread_bytes: int  # queued here or in the kernel
 
     def after_push(self, count: int) -> "Pause":
         """Return the pause after more bytes were queued, which the caller has not read.
 
         An answer is read on within a pause when memory is short.
         """
-        return Pause(self.since_s, self.queued_bytes + count)
+        return Pause(self.since_s, self.unread_bytes + count)
 
 
 class ReaderPolicy(ABC):
@@ -51,8 +51,14 @@
     max_pause_s: float
 
     @abstractmethod
-    def decide(self, pause: Pause, *, queued_bytes: int, now_s: float) -> ReaderAction:
-        """Return what to do at clock time ``now_s`` with ``queued_bytes`` queued."""
+    def decide(
+        self, pause: Pause, *, queued_bytes: int, unread_bytes: int, now_s: float
+    ) -> ReaderAction:
+        """Return what to do at a clock time in seconds.
+
+        ``queued_bytes`` are queued here for the caller, ``unread_bytes`` here or in the
+        kernel.
+        """
 
 
 class UnboundedReaders(ReaderPolicy):
@@ -64,7 +70,7 @@
 
     max_pause_s = UNREAD_PAUSE_S
 
-    def decide(self, pause, *, queued_bytes, now_s):
+    def decide(self, pause, *, queued_bytes, unread_bytes, now_s):
         is_drained = queued_bytes <= UNREAD_LOW_BYTES
         return ReaderAction.READ if is_drained else ReaderAction.WAIT
 
@@ -79,12 +85,12 @@
 
     max_pause_s = MAX_PAUSE_S
 
-    def decide(self, pause, *, queued_bytes, now_s):
+    def decide(self, pause, *, queued_bytes, unread_bytes, now_s):
         if queued_bytes <= UNREAD_LOW_BYTES:
             return ReaderAction.READ
         if now_s - pause.since_s < self.max_pause_s:
             return ReaderAction.WAIT
-        has_read = queued_bytes < pause.queued_bytes
+        has_read = unread_bytes < pause.unread_bytes
         if has_read and queued_bytes <= MAX_UNREAD_BYTES:
             return ReaderAction.READ
         return ReaderAction.CLOSE
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -111,14 +111,17 @@
             return
         # Where nothing was decided at the end of a pause, the next one goes on with it.
         if self._pause is None:
-            self._pause = Pause(now_s, self._reply.buffered_bytes)
+            self._pause = Pause(now_s, self._reply.unread_bytes)
         attempt.pause_reading(readers.max_pause_s)
 
     def _decide_on_pause(self, now_s: float) -> ReaderAction:
         if self._pause is None:
             return ReaderAction.WAIT
         action = self._context.readers.decide(
-            self._pause, queued_bytes=self._reply.buffered_bytes, now_s=now_s
+            self._pause,
+            queued_bytes=self._reply.buffered_bytes,
+            unread_bytes=self._reply.unread_bytes,
+            now_s=now_s,
         )
         if action is ReaderAction.READ:
             self._pause = None
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -88,6 +88,10 @@
         self.on_disconnect = None
         self.closes = False
 
+    @property
+    def unread_bytes(self):
+        return self.buffered_bytes
+
     def send_response(self, status, body=b"", content_type="", headers=None):
         assert self.status is None, "the reply has started already"
         self.status, self.body = status, body
--- a/citronpin/tests/test_slow_readers.py
+++ b/citronpin/tests/test_slow_readers.py
@@ -1,5 +1,9 @@
 """Callers that read their answers slowly or not at all, and what instances see."""
 
+import contextlib
+import socket
+from types import SimpleNamespace
+
 import pytest
 
 from citronpin.gateway.slow_readers import (
@@ -13,6 +17,7 @@
     UnboundedReaders,
 )
 from citronpin.platform.names import HEADERS
+from citronpin.tests.conftest import wait_until
 from citronpin.tests.platforms.requests import (
     STREAM_ROUTE,
     CallerReply,
@@ -20,6 +25,7 @@
     ScriptedStream,
     instance_headers,
 )
+from citronpin.web.http_conns import BoundedHttp
 
 TICK_S = 0.05
 EVENT_BYTES = 16 * 1024
@@ -145,7 +151,9 @@
 def test_a_pause_ends_by_its_time_and_by_what_is_queued(queued_bytes, now_s, action):
     # A caller that takes a byte a second must not have all of an answer kept for it.
     pause = Pause(0.0, MAX_UNREAD_BYTES + 9)
-    decided = BoundedReaders().decide(pause, queued_bytes=queued_bytes, now_s=now_s)
+    decided = BoundedReaders().decide(
+        pause, queued_bytes=queued_bytes, unread_bytes=queued_bytes, now_s=now_s
+    )
     assert decided is action
 
 
@@ -159,6 +167,31 @@
     assert len(gateway.sent_requests()) == 1
 
 
+def test_bytes_in_the_kernel_count_as_unread():
+    # A caller that reads a few KB/s frees no third of the kernel's buffer in a pause,
+    # and was taken for one that does not read at all.
+    http = SimpleNamespace(buffered_bytes=lambda sock: 7)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        server, _ = listener.accept()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 64 * 1024)
+    server.setblocking(False)
+    with client, server:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                server.send(b"x" * 4096)
+        unread_bytes = BoundedHttp.unread_bytes(http, server)
+        assert unread_bytes > 7 + 4096
+
+        def has_shrunk():
+            client.recv(1024)
+            return BoundedHttp.unread_bytes(http, server) < unread_bytes
+
+        wait_until(has_shrunk)
+    assert BoundedHttp.unread_bytes(http, server) == 7  # the socket is closed
+
+
 def test_bytes_that_come_within_a_pause_do_not_hide_what_the_caller_reads(
     gateway, instance
 ):
--- a/citronpin/web/http_conns.py
+++ b/citronpin/web/http_conns.py
@@ -5,7 +5,10 @@
 complete, valid ones reach the `request` event.
 """
 
+import fcntl
 import logging
+import sys
+import termios
 from io import BytesIO
 from urllib.parse import parse_qsl, unquote
 
@@ -60,6 +63,7 @@
 CROWDED_NEW_S = 4.0  # before the first one
 CROWDED_IDLE_S = 13.0  # between two of them
 
+INT_BYTES = 4  # of the kernel's answer to `TIOCOUTQ`
 REASONS = {413: "Content Too Large", 503: "Service Unavailable"}
 
 
@@ -234,6 +238,19 @@
         conn = self._conns.get(sock)
         return 0 if conn is None else conn.queued_bytes
 
+    def unread_bytes(self, sock) -> int:
+        """Return how many bytes a connection has not received, also from the kernel.
+
+        The kernel takes more bytes only when a third of its buffer is free, so that
+        `buffered_bytes` alone does not show a client that reads slowly.
+        """
+        count = self.buffered_bytes(sock)
+        try:
+            in_kernel = fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0" * INT_BYTES)
+        except (OSError, ValueError):
+            return count  # the connection was closed
+        return count + int.from_bytes(in_kernel, sys.byteorder)
+
     def drop(self, sock) -> None:
         """Close a connection and discard the bytes buffered for it."""
         self._listener._buffers.pop(sock, None)
--- a/citronpin/web/replies.py
+++ b/citronpin/web/replies.py
@@ -34,6 +34,10 @@
     def buffered_bytes(self, sock) -> int:
         """Return how many bytes are buffered for a connection."""
 
+    @abstractmethod
+    def unread_bytes(self, sock) -> int:
+        """Return how many bytes a connection has not received, also from the kernel."""
+
 
 class HttpRequest(msgspec.Struct):
     """A complete request; header names are in lower case, ``peer`` is an IP address."""
@@ -88,9 +92,14 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Return how many bytes the caller has not yet received."""
+        """Return how many bytes are buffered for the caller."""
         return self._sender.buffered_bytes(self.sock)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return how many bytes the caller has not received, also from the kernel."""
+        return self._sender.unread_bytes(self.sock)
+
     def send_response(
         self,
         status: int,
