Answer lengths are learned in tokens

An event of a stream holds as many tokens as a pass writes, 5 or 6 on the deployments at hand, but each counted as one token. Learned answers were a sixth of their length, so an own request weighed the least weight there is, against 1 for those of others, and the costs that admission sums up lost against its constants. The new test failed before.

--- a/citronpin/gateway/group_works.py
+++ b/citronpin/gateway/group_works.py
@@ -277,7 +277,8 @@
         cost = request.cost
         if cost is None:
             return
-        remaining = self._costs.remaining_tokens(cost, written=request.events)
+        written = request.events * cost.tokens_per_event
+        remaining = self._costs.remaining_tokens(cost, written=written)
         share = remaining / max(cost.mean_tokens, 1.0)
         request.weight = min(max(share, MIN_WEIGHT), MAX_WEIGHT)
 
--- a/citronpin/gateway/request_costs.py
+++ b/citronpin/gateway/request_costs.py
@@ -26,6 +26,7 @@
     prompt_tokens: int
     answer_tokens: float  # expected length of the answer
     mean_tokens: float = 1.0  # mean answer of the engine
+    tokens_per_event: int = 1  # an engine writes one event per pass
     kinds: tuple["Kind", ...] = ()  # that it was learned from, the most specific first
 
 
@@ -132,6 +133,7 @@
             prompt_tokens=prompt_tokens,
             answer_tokens=max(tokens, 1.0),
             mean_tokens=max(engine.mean_answer_tokens, 1.0),
+            tokens_per_event=max(engine.stride, 1),
             kinds=kinds,
         )
 
--- a/citronpin/gateway/stream_exchanges.py
+++ b/citronpin/gateway/stream_exchanges.py
@@ -62,7 +62,9 @@
     @property
     def _written_tokens(self) -> int:
         last = self._last_event_number
-        return 0 if last is None else last + 1  # events are numbered from 0
+        if last is None or self._cost is None:
+            return 0
+        return (last + 1) * self._cost.tokens_per_event  # events are numbered from 0
 
     def _override_headers(self) -> dict[str, str]:
         names = self._context.names
@@ -301,7 +303,8 @@
             record = costs.record if works is None else works.record_answer
             record(
                 self._cost,
-                tokens=sum(attempt.events for attempt in self._attempts),
+                tokens=sum(attempt.events for attempt in self._attempts)
+                * self._cost.tokens_per_event,
                 is_complete=outcome == "delivered",
             )
 
--- a/citronpin/gateway/token_memories.py
+++ b/citronpin/gateway/token_memories.py
@@ -40,7 +40,7 @@
 
     @abstractmethod
     def progressed(self, *, now_s: float) -> None:
-        """Count a token of the answer."""
+        """Count the tokens of an event of the answer."""
 
     @abstractmethod
     def ended(self, *, now_s: float) -> None:
@@ -110,9 +110,9 @@
         self.tokens += tokens
         self._add_sample(now_s)
 
-    def add_written(self, *, now_s: float) -> None:
-        """Count one more token of an answer."""
-        self.tokens += 1
+    def add_written(self, tokens: int, *, now_s: float) -> None:
+        """Count more tokens of an answer."""
+        self.tokens += tokens
         if not 0.0 <= now_s - self._samples[-1][0] < SAMPLE_INTERVAL_S:
             self._add_sample(now_s)
 
@@ -138,7 +138,7 @@
 class OwnRequestTokens(HeldRequest):
     """The tokens of one own request: its prompt and what was written so far."""
 
-    __slots__ = ("_memory", "_name", "_own", "_tokens", "share")
+    __slots__ = ("_memory", "_name", "_own", "_tokens", "_per_event", "share")
 
     def __init__(
         self,
@@ -146,12 +146,14 @@
         memory: "ReportedMemory",
         name: InstanceId,
         tokens: int,
+        per_event: int,
         share: float | None,
     ) -> None:
         self._memory = memory
         self._name = name
         self._own: OwnTokens | None = None  # set while it is in progress
         self._tokens = tokens
+        self._per_event = per_event
         self.share = share
 
     def started(self, *, now_s):
@@ -160,8 +162,8 @@
 
     def progressed(self, *, now_s):
         if self._own is not None:
-            self._tokens += 1
-            self._own.add_written(now_s=now_s)
+            self._tokens += self._per_event
+            self._own.add_written(self._per_event, now_s=now_s)
 
     def ended(self, *, now_s):
         if self._own is not None:
@@ -233,6 +235,7 @@
             memory=self,
             name=instance.id,
             tokens=cost.prompt_tokens + demand.written_tokens,
+            per_event=cost.tokens_per_event,
             share=share,
         )
 
--- a/citronpin/tests/test_work_wiring.py
+++ b/citronpin/tests/test_work_wiring.py
@@ -230,3 +230,22 @@
     harness.send("/draft/2")
     paused_clock.advance(1.0)
     assert not suspected(harness)
+
+
+def test_answers_are_learned_in_tokens_and_not_in_events(gateway):
+    # Answers of 28 events with 6 tokens each were taken for a sixth of their length.
+    (engine,) = [
+        spec.engine for spec in gateway.context.table.services.values() if spec.engine
+    ]
+    per_event = 6
+    gateway.scripts["*"] = ScriptedStream(clock=gateway.clock, last=9)
+    gateway.context.costs.estimate, estimate = (
+        lambda **fields: estimate(
+            **fields | {"engine": msgspec.structs.replace(engine, stride=per_event)}
+        ),
+        gateway.context.costs.estimate,
+    )
+    gateway.send("/draft/1", **{HEADERS.token_usage: "700,400"})
+    gateway.clock.advance(1.0)
+    for histogram in gateway.context.costs._histograms.values():
+        assert histogram.mean() == pytest.approx(60, rel=0.2)
