Few connections to the instances of a lost failure domain

Cause: on 89 entries, up to 40 connections to one lost instance in the 2 s after the loss. Entries proved their own path with probes of the lost instances, suspicions took up to 0.9 s to spread, each newer version of a fact made a relay wait anew, and a suspicion ended at all entries together, which then tried the instance with requests.

Change: probes go first to failure domains without failures. The source of a suspicion probes the instance and renews the fact, or tells that the instance is back (SuspectChecks).

--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -55,6 +55,7 @@
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.rests import InstanceRests
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
+from citronpin.gateway.suspect_checks import SuspectChecks
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.gateway.work_placers import WorkPlacer
@@ -264,6 +265,7 @@
             control=connector.control,
             clock=clock,
             rng=self._rng,
+            suspects=self.suspects,
         )
         self.forward_peers = ForwardPeers(
             failure_domain=cfg.failure_domain, clock=clock, rng=self._rng
@@ -599,6 +601,14 @@
             forward_peers=self.forward_peers,
             clock=self.clock,
             facts=self.facts,
+            checks=SuspectChecks(
+                facts=self.facts,
+                suspects=self.suspects,
+                fleet=self.fleet,
+                control=self.connector.control,
+                reach=self.reach,
+                clock=self.clock,
+            ),
         )
         self.gossip.start()
 
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -9,9 +9,10 @@
 import msgspec
 
 from citronpin.basics.clocks import MS_PER_S, Clock
-from citronpin.basics.ids import ApplicationName, InstanceId
+from citronpin.basics.ids import ApplicationName, FailureDomainName, InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import InstanceControl, ProbeResult
+from citronpin.gateway.suspects import Suspects
 from citronpin.web.clients import HttpClient
 
 logger = logging.getLogger(__name__)
@@ -77,7 +78,9 @@
         control: InstanceControl,
         clock: Clock,
         rng: random.Random,
+        suspects: Suspects | None = None,
     ) -> None:
+        self._suspects = suspects
         self._fleet = fleet
         self._control = control
         self._clock = clock
@@ -273,22 +276,41 @@
     ) -> list[FleetInstance]:
         """Return instances to probe, in different domains if possible.
 
-        Those that failed before come last.
+        Those that failed before come last, and before them those of the failure domains
+        in which an instance failed or is suspected: when a domain is lost, entries that
+        do not know its instances yet would all try them to prove their own path.
         """
+        doubted = self._doubted_domains()
         candidates = [
             instance
             for instance in self._fleet.of_service(service)
             if not self._fleet.is_missing(instance.id)
         ]
         self._rng.shuffle(candidates)
-        candidates.sort(key=lambda instance: instance.id in reach.failed)
+        candidates.sort(
+            key=lambda instance: (
+                instance.failure_domain in doubted,
+                instance.id in reach.failed,
+            )
+        )
         first_by_domain = {
             (instance.failure_domain, instance.domain): instance
             for instance in reversed(candidates)
         }
         spread = sorted(first_by_domain.values(), key=candidates.index)
         rest = [one for one in candidates if one not in spread]
-        return (spread + rest)[:count]
+        ordered = sorted(spread + rest, key=lambda one: one.failure_domain in doubted)
+        return ordered[:count]
+
+    def _doubted_domains(self) -> set[FailureDomainName]:
+        """Return the failure domains of instances of any service that do not answer."""
+        names: set[InstanceId] = set()
+        for reach in self._services.values():
+            names |= reach.failed | reach.lost
+        if self._suspects is not None:
+            names |= self._suspects.avoided(now_s=self._clock.now())
+        known = map(self._fleet.get, names)
+        return {found.failure_domain for found in known if found is not None}
 
     def _set_cut_off(self, service: ApplicationName, reach: ServiceReach) -> None:
         now_s = self._clock.now()
