--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -111,6 +111,7 @@
                 "body": body,
                 "host": host or address,
                 "max_idle_s": max_idle_s,
+                "sent_s": self.clock.now(),
             },
         )
         self.sent.append(exchange)
