Entries that are cut off probe all failure domains alike

Cause: the order of probes by suspected domains also applied to the probes that look for the end of a cut, where all domains fail. test_the_gate_names_evacuation_and_probes_pass failed: an instance of the evacuated domain was not among those drawn within 2 s.

Change: the order applies to the probes that prove the path, not to those during a cut.

Measured: test_evacuations.py, test_reachabilities.py and the connection tests of test_lost_domains.py pass.

--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from functools import partial
 
 import msgspec
@@ -251,7 +251,8 @@
         is_running = self._is_probing(reach) or reach.cut_off_since_s is not None
         if is_running or now_s - reach.probed_s < MIN_ROUND_INTERVAL_S:
             return
-        chosen = self._choose(service, reach, PROBE_COUNT)
+        doubted = self._doubted_domains()
+        chosen = self._choose(service, reach, PROBE_COUNT, doubted=doubted)
         if not chosen:
             return
         reach.probed_s = now_s
@@ -272,15 +273,19 @@
                 self._start_round(other, self._of(other))
 
     def _choose(
-        self, service: ApplicationName, reach: ServiceReach, count: int
+        self,
+        service: ApplicationName,
+        reach: ServiceReach,
+        count: int,
+        *,
+        doubted: Collection[FailureDomainName] = (),
     ) -> list[FleetInstance]:
         """Return instances to probe, in different domains if possible.
 
-        Those that failed before come last, and before them those of the failure domains
-        in which an instance failed or is suspected: when a domain is lost, entries that
-        do not know its instances yet would all try them to prove their own path.
+        Those that failed before come last, and all of the ``doubted`` domains after the
+        others: when a domain is lost, entries that do not know its instances yet would
+        all try them to prove their own path.
         """
-        doubted = self._doubted_domains()
         candidates = [
             instance
             for instance in self._fleet.of_service(service)
