--- a/citronpin/gateway/drafts.py
+++ b/citronpin/gateway/drafts.py
@@ -94,24 +94,6 @@
             )
         ]
 
-    def is_returning(self, group: GroupView) -> bool:
-        """Return whether a group was away as a whole and may come back as it was.
-
-        All its members that answer came back a moment ago, and none of the others
-        answers outside of the group.
-        """
-        if self.view.before_traffic:
-            return False
-        has_returned = False
-        for member in group.members:
-            observed = self.find_instance(member)
-            if observed is None or observed.dead:
-                continue
-            if self.current_membership(group, member) is None or not observed.returning:
-                return False
-            has_returned = True
-        return has_returned
-
     def is_evacuated(self, group: GroupView) -> bool:
         """Return whether a member of a group is in an evacuated failure domain."""
         members = (self.find_instance(member) for member in group.members)
--- a/citronpin/gateway/fabric_controllers.py
+++ b/citronpin/gateway/fabric_controllers.py
@@ -215,7 +215,6 @@
             dead=replaced or self._watch.is_dead(instance, suspected=suspected),
             last_model=model if born_ms == latest.born_ms else None,
             evacuated=self._evacuations.covers(instance),
-            returning=self._watch.is_returning(instance),
         )
 
     def _suspected_groups(
--- a/citronpin/gateway/facts.py
+++ b/citronpin/gateway/facts.py
@@ -16,9 +16,6 @@
 
 # Kinds; the value of the first is the start of the instance's life in Unix ms.
 SUSPECT = "suspect"  # subject: an instance that was found unreachable or stalled
-NOT_SUSPECTED = -1.0  # in place of the start of a life: the instance is back
-# The finder checks the instance again within it, so that others need not try.
-SUSPECT_TTL_S = 1.5
 COLD = "cold"  # subject: an instance; value: start of its life; valid while cold
 WITHDRAWN = "withdrawn"  # subject: GROUP/EPOCH; value: 1, or 0 once it serves again
 
@@ -67,7 +64,7 @@
     ) -> None:
         self.is_shared = is_shared
         self.dropped = 0  # malformed, or beyond MAX_KEPT_FACTS
-        self.entry = entry
+        self._entry = entry
         self._clock = clock
         self._kept: dict[FactKey, KeptFact] = {}
         self._news: dict[FactKey, FactNews] = {}
@@ -94,7 +91,7 @@
             # The order also holds between entries whose wall clocks differ.
             version = max(version, known.fact.version + 1)
         ttl_ms = round(min(ttl_s, MAX_TTL_S) * MS_PER_S)
-        fact = Fact(kind, subject, float(value), version, self.entry, ttl_ms)
+        fact = Fact(kind, subject, float(value), version, self._entry, ttl_ms)
         self._news[key] = FactNews()
         self._keep(key, fact, now_s)
 
@@ -123,10 +120,6 @@
         """Return whether a fact waits to be told."""
         return bool(self._news)
 
-    def has_news_of(self, kind: str) -> bool:
-        """Return whether a fact of a kind waits to be told."""
-        return any(key[0] == kind for key in self._news)
-
     @property
     def count(self) -> int:
         """Return how many facts are kept that have not expired."""
@@ -159,7 +152,7 @@
                 known.fact
                 for known in self._kept.values()
                 if known.expires_s > now_s
-                and (not own_only or known.fact.source == self.entry)
+                and (not own_only or known.fact.source == self._entry)
             )
         )
 
@@ -191,11 +184,11 @@
             return
         if known is not None and _rank(known.fact) > _rank(fact):
             return
-        waiting = self._news.pop(key, None)
+        self._news.pop(key, None)
         if self._forwards:
-            is_early = self.entry in self._forwarders_of(key)
+            is_early = self._entry in self._forwarders_of(key)
             self._news[key] = FactNews(
-                hold_updates=0 if is_early else _hold_updates(waiting),
+                hold_updates=0 if is_early else FORWARDING_HOLD_UPDATES,
                 is_own=False,
                 told_by={source} & self._relays,
             )
@@ -272,17 +265,6 @@
         )
 
 
-def _hold_updates(waiting: FactNews | None) -> int:
-    """Return the updates to wait before a fact that replaces one in waiting.
-
-    Many entries find an instance unreachable at once. If each newer version of the fact
-    began to wait anew, it would be forwarded only once they are silent.
-    """
-    if waiting is None:
-        return FORWARDING_HOLD_UPDATES
-    return min(waiting.hold_updates, FORWARDING_HOLD_UPDATES)
-
-
 def _key(fact: Fact) -> FactKey:
     return fact.kind, fact.subject
 
--- a/citronpin/gateway/fleets.py
+++ b/citronpin/gateway/fleets.py
@@ -21,8 +21,6 @@
 RELIST_GRACE_S = 2.2
 # Registrations lag behind the reports of other entries by up to this time.
 PEER_REPORT_TTL_S = 2.0
-# Without a registration for longer, an instance was away; heartbeats are 1.2 s apart.
-AWAY_S = 1.6
 MAX_LEAVING = 4_096  # lives; kept also while a registration is missing
 
 
@@ -101,8 +99,6 @@
         self._by_address: dict[str, InstanceId] = {}
         self._registered_s: dict[InstanceId, float] = {}
         self._alive_since_s: dict[InstanceId, float] = {}
-        # Clock time of the first registration of an instance after it was away.
-        self._returned_s: dict[InstanceId, float] = {}
         self._missing: dict[InstanceId, float] = {}
         self._leaving: dict[InstanceId, int] = (
             {}
@@ -141,13 +137,6 @@
         """Return when the registration of an instance was last received."""
         return self._registered_s.get(instance, float("-inf"))
 
-    def returned_s(self, instance: InstanceId) -> float:
-        """Return when an instance that was away, or was unknown, registered again.
-
-        Registrations that were not read during an outage of the store do not count.
-        """
-        return self._returned_s.get(instance, float("-inf"))
-
     def is_missing(self, instance: InstanceId) -> bool:
         """Return whether an instance is kept although its registration is missing."""
         return instance in self._missing
@@ -203,9 +192,6 @@
 
         ``written_after_s`` is a clock time at which the registration did not exist yet.
         """
-        known_s = max(self.registered_s(instance.id), self._outage_ended_s)
-        if now_s - known_s > AWAY_S:
-            self._returned_s[instance.id] = now_s
         self._registered_s[instance.id] = now_s
         self._alive_since_s[instance.id] = max(
             written_after_s, self.alive_since_s(instance.id)
@@ -300,7 +286,6 @@
         self._missing.pop(instance, None)
         self._registered_s.pop(instance, None)
         self._alive_since_s.pop(instance, None)
-        self._returned_s.pop(instance, None)
         self._peer_reports.pop(instance, None)
         known = self._instances.pop(instance, None)
         if known is not None:
--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -8,7 +8,7 @@
 from citronpin.basics.clocks import MS_PER_S, Clock, TimerHandle
 from citronpin.basics.ids import ApplicationName, EntryId, InstanceId
 from citronpin.gateway.fabrics import Fabrics
-from citronpin.gateway.facts import NOT_SUSPECTED, SUSPECT, SUSPECT_TTL_S, Facts
+from citronpin.gateway.facts import SUSPECT, Facts
 from citronpin.gateway.fleets import Fleet, Membership, PeerGroupReport, Phase
 from citronpin.gateway.forward_peers import ForwardPeers
 from citronpin.gateway.limits import InstanceLimits
@@ -19,7 +19,6 @@
 from citronpin.gateway.quarantines import CrashKey, CrashQuarantine
 from citronpin.gateway.reachabilities import Reachability, has_fabric
 from citronpin.gateway.relays import MAX_MESH_ENTRIES, RelayRole
-from citronpin.gateway.suspect_checks import LASTING_TTL_S, SuspectChecks
 from citronpin.gateway.suspects import Suspects
 from citronpin.peers.links import Links
 from citronpin.peers.messages import (
@@ -47,8 +46,7 @@
 # The path is proved and the next update sent within it; shorter than half of the time
 # to live, so that a suspicion is told once.
 SUSPECT_NEWS_S = 0.45
-NEWS_INTERVAL_S = 0.02  # between updates with suspicions, which do not wait for others
-PROOF_WAIT_S = 0.02  # by then the path of this entry is proved, if it is sound
+SUSPECT_TTL_S = 1.0
 CATCH_UPS_PER_TICK = 4  # entries that get the current facts again; others wait
 PRESENCE_S = 7_200.0  # for which part of the limits is kept for a silent entry
 
@@ -82,13 +80,9 @@
         forward_peers: ForwardPeers,
         clock: Clock,
         facts: Facts | None = None,
-        checks: SuspectChecks | None = None,
     ) -> None:
-        self._checks = checks
         self._facts = facts or Facts(entry=role.name, clock=clock)
         self._facts.subscribe(SUSPECT, self._apply_suspicion)
-        suspects.on_suspected = self._hurry
-        self._is_hurrying = self._is_stopped = False
         # Entries that were not heard for a while, which get the current facts.
         self._catch_ups: dict[EntryId, None] = {}
         self.role = role
@@ -136,7 +130,6 @@
 
     def stop(self) -> None:
         """Stop sending updates and close the links."""
-        self._is_stopped = True
         if self._timer is not None:
             self._timer.cancel()
         self._links.close()
@@ -176,23 +169,7 @@
                 )
                 self._record_report(head, now_s)
         self._connect(self._recipients(is_mesh, now_s))
-        self._facts.set_relays(
-            self._owners, forwards=self.role.is_relay and not is_mesh
-        )
-        self._publish_suspicions(
-            self._suspects.recently_suspected(since_s=now_s - SUSPECT_NEWS_S)
-        )
-        if self._checks is not None:
-            self._checks.check()
-        update = self._make_update(heads, now_s)
-        self._send_catch_ups(update)
-        if self._is_due(update, is_mesh, now_s):
-            self._send_update(update, now_s)
-
-    def _make_update(self, heads: tuple[HeadStatus, ...], now_s: float) -> StatusUpdate:
-        """Return an update without the parts that are told once."""
-        is_mesh = self._was_mesh
-        return StatusUpdate(
+        update = StatusUpdate(
             loads=self._own_loads() if is_mesh else {},
             suspects=tuple(
                 dict.fromkeys((*self._own_suspects(now_s), *self._told_suspects))
@@ -204,37 +181,15 @@
             cut_off=self._reach.cut_off_services(),
             leaving=self._fleet.leaving(),
         )
-
-    def _hurry(self) -> None:
-        """Tell new suspicions before the next regular update.
-
-        When a domain is lost, each entry would otherwise send requests to its instances
-        until the updates of an entry and of a relay are due, one after the other.
-        """
-        if self._is_hurrying or not self._facts.is_shared:
-            return
-        self._is_hurrying = True
-        since_s = self._clock.now() - self._last_sent_s
-        delay_s = max(NEWS_INTERVAL_S - since_s, PROOF_WAIT_S)
-        self._clock.call_later(delay_s, self._send_news)
-
-    def _send_news(self) -> None:
-        self._is_hurrying = False
-        if self._is_stopped:
-            return
-        now_s = self._clock.now()
+        self._facts.set_relays(
+            self._owners, forwards=self.role.is_relay and not is_mesh
+        )
         self._publish_suspicions(
             self._suspects.recently_suspected(since_s=now_s - SUSPECT_NEWS_S)
         )
-        if self._facts.has_news_of(SUSPECT):
-            update = self._make_update(self._fabrics.heads(), now_s)
-            self._send_update(update, now_s)
-        if self._facts.has_news_of(SUSPECT):
-            self._hurry()  # some are held for other relays
-
-    def _send_update(self, update: StatusUpdate, now_s: float) -> None:
-        """Send an update to all recipients, with what is told once."""
-        is_mesh = self._was_mesh
+        self._send_catch_ups(update)
+        if not self._is_due(update, is_mesh, now_s):
+            return
         self._last_update = update
         self._last_sent_s = now_s
         self._told_suspects.clear()
@@ -281,14 +236,8 @@
     def _apply_suspicion(self, fact: Fact) -> None:
         """Avoid an instance that another entry suspects, in the same life."""
         known = self._fleet.get(InstanceId(fact.subject))
-        if known is not None and fact.value == NOT_SUSPECTED:
-            self._suspects.reachable(known.id, now_s=self._clock.now())
-        elif known is not None and known.born_ms == fact.value:
-            self._suspects.suspected_by_peer(
-                known.id,
-                now_s=self._clock.now(),
-                avoid_s=min(fact.ttl_ms / MS_PER_S, LASTING_TTL_S),
-            )
+        if known is not None and known.born_ms == fact.value:
+            self._suspects.suspected_by_peer(known.id, now_s=self._clock.now())
 
     def _send_catch_ups(self, update: StatusUpdate) -> None:
         """Send the current facts to some of the entries that may have missed them.
@@ -513,8 +462,6 @@
                 self._catch_ups[sender] = None
         self._heard_s[sender] = now_s
         self._facts.apply(message.facts, source=sender)
-        if self.role.is_relay and self._facts.has_news_of(SUSPECT):
-            self._hurry()
         is_mesh = len(self._addresses()) < MAX_MESH_ENTRIES
         for report in message.limits:
             has_changed = self._limits.apply_report(report, source=sender)
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -58,7 +58,6 @@
 from citronpin.gateway.routings import GatewayConfig, RoutingTable
 from citronpin.gateway.slow_readers import BoundedReaders, UnboundedReaders
 from citronpin.gateway.spent_times import CommonDeadlines, VariedDeadlines
-from citronpin.gateway.suspect_checks import SuspectChecks
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.token_memories import (
     ReportedMemory,
@@ -283,7 +282,6 @@
             control=connector.control,
             clock=clock,
             rng=self._rng,
-            suspects=self.suspects,
         )
         self.forward_peers = ForwardPeers(
             failure_domain=cfg.failure_domain, clock=clock, rng=self._rng
@@ -649,14 +647,6 @@
             forward_peers=self.forward_peers,
             clock=self.clock,
             facts=self.facts,
-            checks=SuspectChecks(
-                facts=self.facts,
-                suspects=self.suspects,
-                fleet=self.fleet,
-                control=self.connector.control,
-                reach=self.reach,
-                clock=self.clock,
-            ),
         )
         self.gossip.start()
 
--- a/citronpin/gateway/planners.py
+++ b/citronpin/gateway/planners.py
@@ -50,10 +50,6 @@
     a second model that their hosts already hold. ``spare_share`` keeps a fraction of
     each domain idle instead.
 
-    When a failure domain is lost, its groups are lost as a whole, and their members
-    return one after the other. A group of which only members are heard that were away
-    is left as it is until the others can have returned, so that it is not loaded again.
-
     In an evacuated failure domain, groups are repaired, but none is converted and no
     new one is formed.
 
@@ -123,10 +119,6 @@
         head = self._draft.current_membership(group, group.members[0])
         phase = None if head is None else head.phase
         if self._has_lost_member(group):
-            if self._draft.is_returning(group):
-                self._draft.live_counts[group.spec.name] += 1
-                self._draft.assigned.update(self._draft.remaining_members(group))
-                return False
             return self._handle_loss(group, phase)
         self._draft.live_counts[group.spec.name] += 1
         self._draft.assigned.update(member for member in group.members if member)
--- a/citronpin/gateway/plans.py
+++ b/citronpin/gateway/plans.py
@@ -20,7 +20,6 @@
     dead: bool = False
     last_model: ModelName | None = None  # of its latest group since the process start
     evacuated: bool = False  # no requests are sent to it
-    returning: bool = False  # it was away, and has been back for a moment only
 
     @property
     def is_usable(self) -> bool:
--- a/citronpin/gateway/reachabilities.py
+++ b/citronpin/gateway/reachabilities.py
@@ -3,16 +3,15 @@
 import logging
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import msgspec
 
 from citronpin.basics.clocks import MS_PER_S, Clock
-from citronpin.basics.ids import ApplicationName, FailureDomainName, InstanceId
+from citronpin.basics.ids import ApplicationName, InstanceId
 from citronpin.gateway.fleets import Fleet, FleetInstance
 from citronpin.gateway.ports import InstanceControl, ProbeResult
-from citronpin.gateway.suspects import Suspects
 from citronpin.web.clients import HttpClient
 
 logger = logging.getLogger(__name__)
@@ -78,9 +77,7 @@
         control: InstanceControl,
         clock: Clock,
         rng: random.Random,
-        suspects: Suspects | None = None,
     ) -> None:
-        self._suspects = suspects
         self._fleet = fleet
         self._control = control
         self._clock = clock
@@ -251,8 +248,7 @@
         is_running = self._is_probing(reach) or reach.cut_off_since_s is not None
         if is_running or now_s - reach.probed_s < MIN_ROUND_INTERVAL_S:
             return
-        doubted = self._doubted_domains()
-        chosen = self._choose(service, reach, PROBE_COUNT, doubted=doubted)
+        chosen = self._choose(service, reach, PROBE_COUNT)
         if not chosen:
             return
         reach.probed_s = now_s
@@ -273,18 +269,11 @@
                 self._start_round(other, self._of(other))
 
     def _choose(
-        self,
-        service: ApplicationName,
-        reach: ServiceReach,
-        count: int,
-        *,
-        doubted: Collection[FailureDomainName] = (),
+        self, service: ApplicationName, reach: ServiceReach, count: int
     ) -> list[FleetInstance]:
         """Return instances to probe, in different domains if possible.
 
-        Those that failed before come last, and all of the ``doubted`` domains after the
-        others: when a domain is lost, entries that do not know its instances yet would
-        all try them to prove their own path.
+        Those that failed before come last.
         """
         candidates = [
             instance
@@ -292,30 +281,14 @@
             if not self._fleet.is_missing(instance.id)
         ]
         self._rng.shuffle(candidates)
-        candidates.sort(
-            key=lambda instance: (
-                instance.failure_domain in doubted,
-                instance.id in reach.failed,
-            )
-        )
+        candidates.sort(key=lambda instance: instance.id in reach.failed)
         first_by_domain = {
             (instance.failure_domain, instance.domain): instance
             for instance in reversed(candidates)
         }
         spread = sorted(first_by_domain.values(), key=candidates.index)
         rest = [one for one in candidates if one not in spread]
-        ordered = sorted(spread + rest, key=lambda one: one.failure_domain in doubted)
-        return ordered[:count]
-
-    def _doubted_domains(self) -> set[FailureDomainName]:
-        """Return the failure domains of instances of any service that do not answer."""
-        names: set[InstanceId] = set()
-        for reach in self._services.values():
-            names |= reach.failed | reach.lost
-        if self._suspects is not None:
-            names |= self._suspects.avoided(now_s=self._clock.now())
-        known = map(self._fleet.get, names)
-        return {found.failure_domain for found in known if found is not None}
+        return (spread + rest)[:count]
 
     def _set_cut_off(self, service: ApplicationName, reach: ServiceReach) -> None:
         now_s = self._clock.now()
--- a/citronpin/gateway/suspects.py
+++ b/citronpin/gateway/suspects.py
@@ -1,7 +1,6 @@
 """Tracks which instances get no new requests because of recent failures."""
 
 import logging
-from collections.abc import Callable
 
 import msgspec
 
@@ -13,7 +12,7 @@
 MAX_LOAD_PENALTY = 6.0  # requests
 STALL_AVOID_S = 5.5  # a stalled head refuses requests by then
 UNREACHABLE_AVOID_S = 1.5
-PEER_SUSPICION_AVOID_S = 1.0  # told without a time
+PEER_SUSPICION_AVOID_S = 1.0
 CONTRADICTED_S = 0.2  # an instance that answered this entry so lately has not stalled
 # A head that refuses although it has free slots no longer serves; its registration
 # shows that within a second.
@@ -25,8 +24,7 @@
 
     failing: float = 0.0  # moving average of failures, 0 to 1
     avoid_until_s: float = 0.0
-    stalled_until_s: float = 0.0  # avoided until then since answers stopped
-    suspected_s: float = float("-inf")
+    suspected_s: float = 0.0
     # Clock time of the latest progress of any answer.
     last_progress_s: float = msgspec.field(name="alive_s", default=float("-inf"))
 
@@ -36,8 +34,6 @@
 
     def __init__(self) -> None:
         self._health: dict[InstanceId, InstanceHealth] = {}
-        # Called when this entry itself comes to suspect an instance.
-        self.on_suspected: Callable[[], None] = lambda: None
 
     def _health_of(self, instance: InstanceId) -> InstanceHealth:
         return self._health.setdefault(instance, InstanceHealth())
@@ -46,7 +42,7 @@
         """Record a valid answer, or progress of one."""
         health = self._health_of(instance)
         health.failing *= 1.0 - FAILURE_WEIGHT
-        health.avoid_until_s = health.stalled_until_s = 0.0
+        health.avoid_until_s = 0.0
         health.last_progress_s = now_s
 
     def last_progress_s(self, instance: InstanceId) -> float:
@@ -68,18 +64,11 @@
     def stalled(self, instance: InstanceId, *, now_s: float) -> None:
         """Avoid and suspect an instance whose answers stopped."""
         health = self._health_of(instance)
-        health.avoid_until_s = health.stalled_until_s = now_s + STALL_AVOID_S
+        health.avoid_until_s = now_s + STALL_AVOID_S
         health.suspected_s = now_s
-        self.on_suspected()
 
-    def suspected_by_peer(
-        self,
-        instance: InstanceId,
-        *,
-        now_s: float,
-        avoid_s: float = PEER_SUSPICION_AVOID_S,
-    ) -> None:
-        """Avoid an instance that another entry suspects, for ``avoid_s`` seconds.
+    def suspected_by_peer(self, instance: InstanceId, *, now_s: float) -> None:
+        """Avoid an instance that another entry suspects, for a shorter time.
 
         Its own answers to this entry go before the word of another one, whose path to
         the instance may be lost.
@@ -87,51 +76,22 @@
         health = self._health_of(instance)
         if now_s - health.last_progress_s < CONTRADICTED_S:
             return
-        until_s = now_s + avoid_s
+        until_s = now_s + PEER_SUSPICION_AVOID_S
         health.avoid_until_s = max(health.avoid_until_s, until_s)
 
-    def unreachable(
-        self,
-        instance: InstanceId,
-        *,
-        now_s: float,
-        avoid_s: float = UNREACHABLE_AVOID_S,
-    ) -> None:
+    def unreachable(self, instance: InstanceId, *, now_s: float) -> None:
         """Avoid and suspect an instance that accepted no connection."""
         self.failed(instance)
         health = self._health_of(instance)
-        until_s = now_s + avoid_s
+        until_s = now_s + UNREACHABLE_AVOID_S
         health.avoid_until_s = max(health.avoid_until_s, until_s)
         health.suspected_s = now_s
-        self.on_suspected()
-
-    def suspected_s(self, instance: InstanceId) -> float:
-        """Return when this entry last came to suspect an instance, in seconds."""
-        health = self._health.get(instance)
-        return float("-inf") if health is None else health.suspected_s
-
-    def reachable(self, instance: InstanceId, *, now_s: float) -> bool:
-        """Avoid an instance no longer that accepts connections again.
-
-        Returns ``False`` if it is avoided on, since its answers stalled here.
-        """
-        health = self._health_of(instance)
-        health.avoid_until_s = min(health.avoid_until_s, health.stalled_until_s)
-        return health.avoid_until_s <= now_s
 
     def is_avoided(self, instance: InstanceId, *, now_s: float) -> bool:
         """Return whether an instance gets no new request while others can take it."""
         health = self._health.get(instance)
         return health is not None and health.avoid_until_s > now_s
 
-    def avoided(self, *, now_s: float) -> set[InstanceId]:
-        """Return the instances that get no new request while others can take it."""
-        return {
-            instance
-            for instance, health in self._health.items()
-            if health.avoid_until_s > now_s
-        }
-
     def load_penalty(self, instance: InstanceId) -> float:
         """Return the number of requests to add to the load of an instance."""
         health = self._health.get(instance)
@@ -142,7 +102,7 @@
         return tuple(
             instance
             for instance, health in self._health.items()
-            if health.suspected_s >= since_s
+            if health.suspected_s >= since_s > 0.0
         )
 
     def discard(self, instance: InstanceId) -> None:
--- a/citronpin/gateway/watches.py
+++ b/citronpin/gateway/watches.py
@@ -29,9 +29,6 @@
 PHASE_ORDER = (Phase.JOINING, Phase.READY, Phase.OPEN, Phase.CLOSING, Phase.BROKEN)
 REPORT_LAG_S = 0.2  # by which the loads in a report are older than its arrival
 SILENT_HEARTBEATS = 1.4  # heartbeat periods without a new registration
-# Heartbeat periods from the return of one member until all that are back have been
-# heard: a registration or a poll of each is due, and is read or answered late.
-RETURN_HEARTBEATS = 1.6
 
 
 class WatchState(msgspec.Struct):
@@ -42,7 +39,6 @@
     asked_s: float = float("-inf")
     asking: bool = False
     misses: int = 0
-    returned_s: float = float("-inf")  # first report after the instance was silent
 
 
 class MemberWatch:
@@ -157,11 +153,9 @@
                 self._cold_starts.record(
                     instance, remaining_s=report.cold_s, source="report"
                 )
-            state.reported_s = self._clock.now()
-            if state.misses >= DEAD_MISSES:
-                state.returned_s = state.reported_s
             state.misses = 0
             state.report = report
+            state.reported_s = self._clock.now()
 
         return handle
 
@@ -238,14 +232,6 @@
         now_s = self._clock.now()
         return now_s - self._fleet.registered_s(instance.id) > self._silent_s
 
-    def is_returning(self, instance: FleetInstance) -> bool:
-        """Return whether an instance came back so lately that others may follow."""
-        state = self._states.get(instance.id)
-        seen_s = float("-inf") if state is None else state.returned_s
-        returned_s = max(seen_s, self._fleet.returned_s(instance.id))
-        age_s = self._clock.now() - returned_s
-        return age_s <= RETURN_HEARTBEATS * self._heartbeat_s
-
 
 def _is_later(registered: FleetInstance, report: Report) -> bool:
     """Return whether a registration certainly tells of a later state than a report.
--- a/citronpin/platform/feeds.py
+++ b/citronpin/platform/feeds.py
@@ -23,7 +23,6 @@
 from citronpin.gateway.routings import GatewayConfig
 from citronpin.peers.messages import FeedPosition
 from citronpin.platform.decoders import decode_config, decode_registration
-from citronpin.platform.read_pacers import RETRY_INTERVAL_S
 from citronpin.platform.stores import (
     LONG_POLL_MARGIN_S,
     EraListener,
@@ -47,6 +46,7 @@
 MIN_CONFIG_LONG_POLL_S = 0.2
 CONFIG_READ_PAUSE_S = 0.02
 READ_INTERVAL_FRACTION = 0.45  # of the time until draining instances must be known
+RETRY_INTERVAL_S = 0.25  # between the starts of reads that fail
 # Between the starts of reads of what relays tell of. While many entries start, each
 # message of a relay tells of a newer offset.
 CATCH_UP_INTERVAL_S = 0.3
@@ -55,13 +55,7 @@
 MIN_CONFIRMATIONS = 2  # a single relay may have lost the store without noticing
 FOLLOW_CHECK_INTERVAL_S = 0.3  # update interval of a relay
 MAX_FORWARDED_AGE_S = 3_600.0  # stands for an unknown age too
-MAX_FORWARDED_RECORDS = 64  # in one position, which keeps frames small
-# Waiting to be forwarded; beyond, entries read from the store. A failure domain of a
-# deployment with 162 instances returns with 54, which write several records each.
-MAX_WAITING_RECORDS = 512
-# Another relay may forward the records that one has not: a relay that began to read has
-# none. The others read within 0.3 s, and their updates are due 0.3 s later.
-GAP_WAIT_S = 0.65
+MAX_FORWARDED_RECORDS = 64  # keeps frames small; entries read more from the store
 
 
 class KeyedFeed(EraListener):
@@ -71,9 +65,6 @@
     era of the store it reads the newest records again, since offsets start over.
     """
 
-    # Whether relays forward all records: one may have those that another has not.
-    _is_gap_forwarded = True
-
     def __init__(
         self,
         *,
@@ -96,9 +87,6 @@
         # Reading is paused while relays confirm the offset.
         self._is_paused = False
         self._is_snapshot_due = False
-        self._is_gap_due = False
-        # Added to the wait for records that no relay forwards; differs by entry.
-        self.gap_spread_s = 0.0
         self._read_started_s = float("-inf")
         self._read_wait_s = 0.0
         self._retry_at_s = float("-inf")  # no read before, after one that failed
@@ -171,7 +159,7 @@
             if self._is_reading:
                 return  # the answer of the current read contains these records
             if position.since > self._offset:
-                self._read_after_gap(position.upto)
+                self._read_now()
                 return
             known, self._offset = self._offset, position.upto
             call_each(
@@ -216,39 +204,10 @@
                 due_s = min(due_s, self._timer.due_s)
             self._schedule_read(max(due_s - self._clock.now(), 0.0))
 
-    def _read_after_gap(self, upto: Offset) -> None:
-        """Read up to an offset that a relay names, unless another one forwards it.
-
-        Every entry that follows learns of the gap in the same message. They read at
-        different times.
-        """
-        if self._is_gap_due:
-            return
-        if not self._is_gap_forwarded:
-            self._read_now()
-            return
-        self._is_gap_due = True
-
-        def read() -> None:
-            self._is_gap_due = False
-            if self._is_following and self._offset is not None and self._offset < upto:
-                self._read_now()
-
-        self._clock.call_later(GAP_WAIT_S + self.gap_spread_s, read)
-
-    def resume_if_unconfirmed(self) -> bool:
-        """Resume reading if relays no longer confirm the offset; return whether so."""
-        is_due = self._is_paused and not self._is_fresh()
-        if is_due:
-            self._schedule_read(self._turn_s() - self._clock.now())
-        return is_due
-
-    def _turn_s(self) -> float:
-        """Return the clock time at which this topic may be read."""
-        now_s, pacer = self._clock.now(), self._store.read_pacer
-        if not pacer.is_pacing:
-            return now_s
-        return pacer.turn_s(due_s=now_s, is_follower=self._is_following)
+    def resume_if_unconfirmed(self) -> None:
+        """Resume reading when relays no longer confirm the offset."""
+        if self._is_paused and not self._is_fresh():
+            self._schedule_read(0.0)
 
     def _is_fresh(self) -> bool:
         """Return whether this entry or enough relays recently read up to the offset."""
@@ -341,7 +300,6 @@
         """Return whether a read failed, and schedule the next one if so."""
         if result.is_ok():
             self.last_read_s = self._clock.now()
-            self._store.read_pacer.succeeded()
             self._log_reachability(True, "")
             return False
         error = result.err_value
@@ -352,15 +310,7 @@
             self._on_read_failed()
         now_s = self._clock.now()
         self._retry_at_s = max(self._read_started_s + RETRY_INTERVAL_S, now_s)
-        due_s = self._retry_at_s
-        if not isinstance(error, Trimmed):
-            pacer = self._store.read_pacer
-            interval_s = pacer.interval_s(is_follower=self._is_following)
-            due_s = pacer.turn_s(
-                due_s=max(self._read_started_s + interval_s, now_s),
-                is_follower=self._is_following,
-            )
-        self._schedule_read(due_s - now_s)
+        self._schedule_read(self._retry_at_s - now_s)
         return True
 
     def _log_reachability(self, reachable: bool, detail: str) -> None:
@@ -381,8 +331,8 @@
         self._upto: Offset | None = None
 
     def add(self, record: Record) -> None:
-        """Forward a record with one of the next positions."""
-        if len(self._records) <= MAX_WAITING_RECORDS:
+        """Forward a record with the next position."""
+        if len(self._records) <= MAX_FORWARDED_RECORDS:
             self._records.append(record)
 
     def clear(self) -> None:
@@ -396,24 +346,13 @@
     def complete(
         self, position: FeedPosition | None, *, records: bool
     ) -> FeedPosition | None:
-        """Return a position with the records since the last call, which it drops.
-
-        Of many records, the first are returned with a position that ends before the
-        others, which does not tell that the store has no newer ones.
-        """
+        """Return a position with the records since the last call, which it drops."""
         changes, self._records = self._records, []
         since, self._upto = self._upto, None if position is None else position.upto
         if position is None or not records or since is None:
             return None if not records else position
-        if len(changes) > MAX_WAITING_RECORDS:
-            return position
         if len(changes) > MAX_FORWARDED_RECORDS:
-            self._records = changes[MAX_FORWARDED_RECORDS:]
-            self._upto = self._records[0].offset
-            changes = changes[:MAX_FORWARDED_RECORDS]
-            position = msgspec.structs.replace(
-                position, upto=self._upto, age_ms=int(MAX_FORWARDED_AGE_S * MS_PER_S)
-            )
+            return position
         rows = tuple((change.offset, change.key, change.value) for change in changes)
         return msgspec.structs.replace(position, since=since, records=rows)
 
@@ -425,8 +364,6 @@
     was lost, and an evacuation within ``evacuate_s``.
     """
 
-    _is_gap_forwarded = False  # configurations are read from the store
-
     def __init__(
         self,
         *,
@@ -700,8 +637,8 @@
     def _resume_feeds(self) -> None:
         """Resume the feeds that relays no longer confirm, with one timer for all."""
         self._clock.call_next(FOLLOW_CHECK_INTERVAL_S, self._resume_feeds)
-        # One at a time: where the store is out, the first one finds out.
-        any(feed.resume_if_unconfirmed() for feed in self._feeds.values())
+        for feed in self._feeds.values():
+            feed.resume_if_unconfirmed()
 
     def own_positions(self, *, records: bool) -> tuple[FeedPosition, ...]:
         found = (feed.position(records=records) for feed in self._feeds.values())
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -2,7 +2,6 @@
 
 import logging
 import sys
-import zlib
 from pathlib import Path
 
 from citronpin.basics.clocks import MS_PER_S, Clock, SystemClock
@@ -30,10 +29,6 @@
 
 EXIT_USAGE = 2
 SETTINGS_CHECK_INTERVAL_S = 1.0  # the file may change without a signal
-# Time over which the entries spread reads of records that no relay forwards. Draining
-# instances must be known within 2 s; entries seldom start or stop.
-READ_SPREAD_S = 0.35
-ENTRIES_SPREAD_S = 3.0
 HOLDER_READ_INTERVAL_S = 0.3  # for entries that hold leases or forward records
 
 
@@ -101,8 +96,6 @@
             feeds={feed.topic: feed for feed in self._keyed_feeds}, clock=self._clock
         )
         for feed in self._keyed_feeds:
-            spread_s = ENTRIES_SPREAD_S if feed is self._directory else READ_SPREAD_S
-            feed.gap_spread_s = spread_s * _position_of(node.cfg.name, feed.topic)
             feed.start()
         self.leases.start()
         self._update_interval_and_settings()
@@ -152,11 +145,6 @@
         logger.info("settings read", extra={"same": same})
 
 
-def _position_of(entry: EntryId, topic: str) -> float:
-    """Return a number from 0 to 1 by which entries spread what they do at once."""
-    return zlib.crc32(f"{entry}/{topic}".encode()) / (1 << 32)
-
-
 def _read_text(path: Path) -> str:
     try:
         return path.read_text(encoding="utf-8")
--- a/citronpin/platform/stores.py
+++ b/citronpin/platform/stores.py
@@ -11,7 +11,6 @@
 from result import Err, Ok, Result
 
 from citronpin.basics.errors import CitronpinError, ConnectionFailed
-from citronpin.platform.read_pacers import ReadPacer
 from citronpin.web.clients import BufferedSink, HttpClient
 
 logger = logging.getLogger(__name__)
@@ -177,7 +176,6 @@
         self._address = address
         self._listeners: list[EraListener] = []
         self._has_answered = False
-        self.read_pacer = ReadPacer()
         self.era = 0  # of the latest answer
         self.call_count = 0
 
--- a/citronpin/tests/meshes.py
+++ b/citronpin/tests/meshes.py
@@ -44,9 +44,6 @@
         for other in self.links:
             self.cut_links |= {(address, other), (other, address)}
 
-    def reconnect(self, address) -> None:
-        self.cut_links = {link for link in self.cut_links if address not in link}
-
     def resume(self, address) -> None:
         self.paused_addresses.discard(address)
         for frame in self.held_frames.pop(address, ()):
--- a/citronpin/tests/platforms/clients.py
+++ b/citronpin/tests/platforms/clients.py
@@ -111,7 +111,6 @@
                 "body": body,
                 "host": host or address,
                 "max_idle_s": max_idle_s,
-                "sent_s": self.clock.now(),
             },
         )
         self.sent.append(exchange)
--- a/citronpin/tests/platforms/crashes.py
+++ b/citronpin/tests/platforms/crashes.py
@@ -231,9 +231,7 @@
 class Entry(FrontHarness):
     """A front with gossip, whose instances are those of the world."""
 
-    def __init__(
-        self, *, world, name, replicas, policy, failure_domain, share_facts=False
-    ):
+    def __init__(self, *, world, name, replicas, policy, failure_domain):
         super().__init__(
             clock=world.clock,
             engines=replicas,
@@ -241,7 +239,6 @@
             policy=policy,
             name=name,
             failure_domain=failure_domain,
-            share_facts=share_facts,
         )
         for replica in world.all_replicas():
             self.scripts[replica.name] = replica.handle
@@ -264,8 +261,6 @@
             reach=self.reach,
             forward_peers=self.forward_peers,
             clock=world.clock,
-            facts=self.facts,
-            checks=self.suspect_checks,
         )
         self.gossip.start()
         self.forward_codec.set_key(b"shared")
@@ -313,10 +308,8 @@
         policy=None,
         seed=1,
         failure_domains=("a",),
-        share_facts=False,
     ):
         self.clock = clock
-        self.share_facts = share_facts
         self.failure_domains = failure_domains  # of the entries, in turn
         self.rng = random.Random(seed)
         self.network = Network(clock=clock)
@@ -366,7 +359,6 @@
             failure_domain=self.failure_domains[
                 len(self.entries) % len(self.failure_domains)
             ],
-            share_facts=self.share_facts,
         )
         self.entries.append(entry)
         for one in self.entries:
--- a/citronpin/tests/platforms/crowds.py
+++ b/citronpin/tests/platforms/crowds.py
@@ -133,15 +133,13 @@
 
         def answer():
             found = self.handle(exchange.method, exchange.target, exchange.body)
-            if found is None:
-                return  # the store is silent
             if len(found[1]) > EMPTY_READ_BYTES and (entry, topic) in self.lossy:
                 self.lossy.discard((entry, topic))
             else:
                 exchange.answer(*found)
 
         found = self.handle(exchange.method, exchange.target, exchange.body)
-        if found is None or "wait-ms" not in query or len(found[1]) != EMPTY_READ_BYTES:
+        if "wait-ms" not in query or len(found[1]) != EMPTY_READ_BYTES:
             answer()
             return
         row = (topic, answer)
@@ -159,7 +157,6 @@
     """One gateway node with its connector, on the clock of the crowd."""
 
     def __init__(self, *, number, crowd):
-        self.number = number
         self.name = EntryId(f"front-{number}")
         self.crowd = crowd
         self.clock = EntryClock(shared=crowd.clock)
@@ -180,7 +177,6 @@
             listen=WireListen(front=UNUSED, ready=UNUSED),
             internal_ports=INTERNAL_PORTS,
             platform=WireStore(address=STORE_ADDRESS),
-            contracts=crowd.contracts,
         )
         connector = StoreConnector(
             settings=settings,
@@ -215,15 +211,6 @@
     def gossip(self):
         return self.node.gossip
 
-    @property
-    def address(self):
-        """Return the address for messages of other entries."""
-        return f"tcp://{self.node.cfg.peers}"
-
-    def holds(self, domain):
-        """Return whether this entry holds the lease of a fabric domain."""
-        return self.node.connector.leases.holds(domain)
-
     @property
     def counters(self):
         return self.gossip._links.counters
@@ -279,17 +266,8 @@
 class Crowd:
     """Entries and instances of a deployment that start together and stay calm."""
 
-    def __init__(
-        self,
-        *,
-        clock,
-        entries,
-        settings_path,
-        spread_s=START_SPREAD_S,
-        contracts=(),
-    ):
+    def __init__(self, *, clock, entries, settings_path, spread_s=START_SPREAD_S):
         self.clock = clock
-        self.contracts = contracts
         self.settings_path = settings_path
         settings_path.write_text("{}", encoding="utf-8")
         self.store = WaitingStore(clock=clock)
--- a/citronpin/tests/platforms/requests.py
+++ b/citronpin/tests/platforms/requests.py
@@ -33,7 +33,6 @@
 from citronpin.gateway.reachabilities import Reachability
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.rests import InstanceRests
-from citronpin.gateway.suspect_checks import SuspectChecks
 from citronpin.gateway.suspects import Suspects
 from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.platform.names import HEADERS
@@ -185,15 +184,6 @@
             control=HttpInstanceControl(client=self.client),
             clock=clock,
             rng=random.Random(8),
-            suspects=self.suspects,
-        )
-        self.suspect_checks = SuspectChecks(
-            facts=self.facts,
-            suspects=self.suspects,
-            fleet=self.fleet,
-            control=HttpInstanceControl(client=self.client),
-            reach=self.reach,
-            clock=clock,
         )
         self.failure_domain = FailureDomainName(failure_domain)
         self.forward_peers = ForwardPeers(
--- a/citronpin/tests/test_feeds.py
+++ b/citronpin/tests/test_feeds.py
@@ -19,15 +19,13 @@
     CATCH_UP_INTERVAL_S,
     CONFIRMATION_MAX_AGE_S,
     FOLLOW_CHECK_INTERVAL_S,
-    GAP_WAIT_S,
     MAX_FORWARDED_RECORDS,
-    MAX_WAITING_RECORDS,
+    RETRY_INTERVAL_S,
     ConfigFeed,
     FleetFeed,
     StoreFeeds,
 )
 from citronpin.platform.leases import STORE_LOST_AFTER_S
-from citronpin.platform.read_pacers import RETRY_INTERVAL_S
 from citronpin.platform.stores import LogStore
 from citronpin.tests.platforms.clients import MemoryClient
 from citronpin.tests.platforms.simulations import wire_config
@@ -446,23 +444,12 @@
     assert simulation.names() == ["i-0", "i-2", "i-3"]
 
 
-def test_many_changes_at_once_are_forwarded_in_pieces(paused_clock, simulation):
-    # When a failure domain returned, all entries read its registrations at once.
+def test_many_changes_at_once_are_read_from_the_store(paused_clock, simulation):
     before = len(simulation.follower.calls)
     for number in range(MAX_FORWARDED_RECORDS + 10):
         simulation.put_instance(f"j-{number}")
     paused_clock.advance(RELAY_READ_INTERVAL_S + RELAY_UPDATE_INTERVAL_S + 0.2)
     assert len(simulation.names()) == 4 + MAX_FORWARDED_RECORDS + 10
-    calls = simulation.follower.calls[before:]
-    assert not any("keyed.servers" in call for call in calls)
-
-
-def test_changes_too_many_to_forward_are_read_from_the_store(paused_clock, simulation):
-    before = len(simulation.follower.calls)
-    for number in range(MAX_WAITING_RECORDS + 10):
-        simulation.put_instance(f"j-{number}")
-    paused_clock.advance(RELAY_READ_INTERVAL_S + RELAY_UPDATE_INTERVAL_S + GAP_WAIT_S)
-    assert len(simulation.names()) == 4 + MAX_WAITING_RECORDS + 10
     assert any("keyed.servers" in call for call in simulation.follower.calls[before:])
 
 
