An entry avoids on its own what it confirms of another's suspicion

Since silences that are only too long because of another entry's suspicion are not told any more, they were not kept either: when the suspicion ended after 1 s, requests went to a group that stood still again, each for 0.3 s or more.

--- a/citronpin/gateway/recipients.py
+++ b/citronpin/gateway/recipients.py
@@ -224,6 +224,8 @@
             return
         if self._work is None or self._is_stall_of_instance(silent_s, midway_s):
             self._context.suspects.stalled(self.instance.id, now_s=self._now_s)
+        elif self._now_s - self.last_progress_s() >= silent_s:
+            self._context.suspects.confirmed(self.instance.id, now_s=self._now_s)
 
     def _is_stall_of_instance(self, silent_s: float, midway_s: float | None) -> bool:
         """Return whether a stalled answer says that its whole instance stalled.
--- a/citronpin/gateway/suspects.py
+++ b/citronpin/gateway/suspects.py
@@ -67,6 +67,14 @@
         health.avoid_until_s = now_s + STALL_AVOID_S
         health.suspected_s = now_s
 
+    def confirmed(self, instance: InstanceId, *, now_s: float) -> None:
+        """Avoid an instance on which another entry's suspicion seems to be right.
+
+        Other entries are not told: a silence that is only too long because of their
+        suspicion is no evidence for them.
+        """
+        self._health_of(instance).avoid_until_s = now_s + STALL_AVOID_S
+
     def suspected_by_peer(self, instance: InstanceId, *, now_s: float) -> None:
         """Avoid an instance that another entry suspects, for a shorter time.
 
--- a/citronpin/tests/test_work_wiring.py
+++ b/citronpin/tests/test_work_wiring.py
@@ -217,6 +217,9 @@
     gateway.clock.advance(0.6)
     assert len(gateway.sent_requests()) == 2, "the request is sent to another instance"
     assert not suspected(gateway)
+    # After the other's suspicion ended, requests went to the standing group again.
+    gateway.clock.advance(1.0)
+    assert gateway.suspects.is_avoided(name, now_s=gateway.clock.now())
 
 
 def test_one_stalled_answer_says_nothing_of_an_instance_that_goes_on(paused_clock):
