--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,7 +15,7 @@
     has_trouble,
     temporary_folder,
 )
-from review.ordinary_2 import OrdinaryCallers
+from review.ordinary_2 import OrdinaryCallers, silent_spans
 
 FOLDER = Path(__file__).resolve().parent
 LIMITS = {"cpu-share": 0.537, "cores": 2, "memory-mb": 300, "max-fds": 4100}
@@ -27,19 +27,6 @@
 # Ordinary requests have 1.5 s. Where none of those sent within this time is answered,
 # ordinary callers get no answers.
 SPAN_S = 8.0
-STEP_S = 1.0
-
-
-def silent_spans(callers, start_s, end_s):
-    """Return the begins of spans in which no ordinary request was answered with 200."""
-    found = []
-    since_s = start_s
-    while since_s + SPAN_S <= end_s:
-        outcomes = callers.between(since_s, since_s + SPAN_S)
-        if outcomes and "200" not in outcomes:
-            found.append(round(since_s, 1))
-        since_s += STEP_S
-    return found
 
 
 def main():
@@ -77,7 +64,7 @@
             if "200" not in calm:
                 record.say("no ordinary caller was served before")
                 return EXIT_NOT_RUN
-            spans = silent_spans(callers, CALM_S, end_s)
+            spans = silent_spans(callers, CALM_S, end_s, SPAN_S)
             record.say(
                 f"spans of {SPAN_S:.0f} s without an answer to an ordinary caller "
                 f"begin at {spans}"
--- a/review/ordinary_2.py
+++ b/review/ordinary_2.py
@@ -65,3 +65,15 @@
             for _, outcome, _ in self.outcomes:
                 counts[outcome] = counts.get(outcome, 0) + 1
         return counts
+
+
+def silent_spans(callers, start_s, end_s, span_s):
+    """Return the begins of spans in which no ordinary request was answered with 200."""
+    found = []
+    since_s = start_s
+    while since_s + span_s <= end_s:
+        outcomes = callers.between(since_s, since_s + span_s)
+        if outcomes and "200" not in outcomes:
+            found.append(round(since_s, 1))
+        since_s += 1.0
+    return found
