--- a/review/8/case.py
+++ b/review/8/case.py
@@ -88,7 +88,7 @@
 
 
 def send_deadly(node, number, record):
-    """Send the request under which servers crash; each time as an attempt of its own."""
+    """Send the request under which servers crash, as an attempt of its own."""
     attempt = f"deadly-{number}"
     body = b"the same body"
     head = request_head(
@@ -144,8 +144,8 @@
             time.sleep(INTERVAL_S)
     late = sum(at_s > limit_s for at_s in reached)
     record.say(
-        f"{number} deadly requests were sent, {len(reached)} reached servers, {late} of "
-        f"them later than {STABILITY_WINDOW_S:.0f} s after the third crash"
+        f"{number} deadly requests were sent, {len(reached)} reached servers, {late} "
+        f"of them later than {STABILITY_WINDOW_S:.0f} s after the third crash"
     )
     return EXIT_BROKEN if late > MAX_LATE else EXIT_HELD
 
@@ -160,9 +160,7 @@
         try:
             for name in NAMES:
                 store = platform.store_proxies[name].address
-                nodes.append(
-                    Node(name=name, store=store, folder=folder, limits=LIMITS)
-                )
+                nodes.append(Node(name=name, store=store, folder=folder, limits=LIMITS))
             return run(platform, nodes, record)
         except RuntimeError as exc:
             record.say(f"the case could not run: {exc}")
