--- a/review/deployments.py
+++ b/review/deployments.py
@@ -161,7 +161,9 @@
         end_s = time.monotonic() + START_LIMIT_S
         while not self.is_ready():
             if time.monotonic() > end_s or self.process.poll() is not None:
-                raise RuntimeError(f"{self.name} is not ready")
+                log = self._log_path.read_text(errors="replace").splitlines()
+                last = log[-1][:300] if log else ""
+                raise RuntimeError(f"{self.name} is not ready; its log ends: {last}")
             time.sleep(0.1)
 
     def resident_mb(self):
