Show why a relay takes over, and what relays send

Cause: logs could not tell whether a relay was replaced since it fell silent, lost the store or was cut off, and no metric showed what an entry sends to the others. Change: the lines of the relay role name the relays that fell silent a moment ago, lost the store or are cut off; metrics peer_bytes_sent, peer_messages_dropped and relay. Measured: test_relays.py, test_gossips.py and test_nodes.py pass.

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -20,7 +20,7 @@
 from citronpin.gateway.reachabilities import Reachability, has_fabric
 from citronpin.gateway.relays import MAX_MESH_ENTRIES, RelayRole
 from citronpin.gateway.suspects import Suspects
-from citronpin.peers.links import Links
+from citronpin.peers.links import LinkCounters, Links
 from citronpin.peers.messages import (
     NO_LOAD,
     Fact,
@@ -128,6 +128,11 @@
         """Authenticate all further updates with a key."""
         self._links.set_key(key)
 
+    @property
+    def counters(self) -> LinkCounters:
+        """Return what was sent to and received from other entries since the start."""
+        return self._links.counters
+
     def stop(self) -> None:
         """Stop sending updates and close the links."""
         if self._timer is not None:
--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -66,7 +66,7 @@
 )
 from citronpin.gateway.withdrawals import Withdrawals
 from citronpin.gateway.work_placers import WorkPlacer
-from citronpin.peers.links import Links, NngLinks
+from citronpin.peers.links import LinkCounters, Links, NngLinks
 from citronpin.peers.messages import Fact
 from citronpin.web.clients import HttpClient
 from citronpin.web.http_conns import MAX_CONNECTIONS, ServerLimits
@@ -309,6 +309,7 @@
         self.context = self._make_context()
         self._add_admission_metrics()
         self._add_memory_gauges()
+        self._add_peer_gauges()
         self.front = FrontHandler(context=self.context)
         self.forwarded = ForwardHandler(context=self.context, codec=self.forward_codec)
         self.fabrics = Fabrics(
@@ -424,6 +425,28 @@
             lambda: self.context.memory_refusals,
         )
 
+    def _add_peer_gauges(self) -> None:
+        add = self.metrics.gauges.add
+        add(
+            "peer_bytes_sent",
+            "Bytes of messages to other entries since the start.",
+            lambda: self._link_counters.sent_bytes,
+        )
+        add(
+            "peer_messages_dropped",
+            "Messages that other entries or the link did not take, since the start.",
+            lambda: self._link_counters.dropped,
+        )
+        add(
+            "relay",
+            "Whether this entry reads the store for others, 0 or 1.",
+            lambda: int(self.gossip is not None and self.gossip.role.is_relay),
+        )
+
+    @property
+    def _link_counters(self) -> LinkCounters:
+        return LinkCounters() if self.gossip is None else self.gossip.counters
+
     def _add_admission_metrics(self) -> None:
         if self.cfg.admission is AdmissionKind.OPEN:
             return
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -15,6 +15,7 @@
 FORWARDER_COUNT = 3  # with one lost and one late, updates still come from two
 RELAY_TIMEOUT_S = 1.2  # four update intervals of a relay
 TAKEOVER_STAGGER_S = 0.3  # later entries receive updates of the new relays first
+SILENCE_LOG_S = 3.0  # for which a log line names a relay that fell silent
 
 
 def relay_rank(entry: EntryId) -> int:
@@ -37,6 +38,8 @@
         self._cut_off: set[EntryId] = set()  # relays that reach no group
         self._store_lost: set[EntryId] = set()  # relays that the store does not answer
         self._too_few_since_s: float | None = None
+        # Relays that are silent, by the clock time at which they were given up.
+        self._given_up_s: dict[EntryId, float] = {}
         self.is_relay = True
         self.is_forwarding = False
 
@@ -54,6 +57,7 @@
         ``store_lost`` that the store does not answer it.
         """
         self._last_update_s[sender] = now_s
+        self._given_up_s.pop(sender, None)
         if store_lost:
             self._store_lost.add(sender)
         else:
@@ -87,11 +91,7 @@
         the store answers nobody, no entry becomes a relay for that.
         """
         needs_relays = len(others) >= MAX_MESH_ENTRIES
-        self._last_update_s = {
-            entry: last_update_s
-            for entry, last_update_s in self._last_update_s.items()
-            if now_s - last_update_s <= RELAY_TIMEOUT_S
-        }
+        self._give_up_silent(now_s)
         own_rank = relay_rank(self.name)
         lower_relays = {
             entry for entry in self._last_update_s if relay_rank(entry) < own_rank
@@ -105,13 +105,29 @@
         if is_relay is not self.is_relay:
             logger.info(
                 "relay role started" if is_relay else "relay role ended",
-                extra={"relays_heard": lower_relay_count, "entries": len(others) + 1},
+                extra={
+                    "relays_heard": lower_relay_count,
+                    "silent": sorted(self._given_up_s),
+                    "store_lost": sorted(self._store_lost & lower_relays),
+                    "cut_off": sorted(self._cut_off & lower_relays),
+                    "entries": len(others) + 1,
+                },
             )
         self.is_relay = is_relay
         self.is_forwarding = (
             needs_relays and is_relay and len(reading) < FORWARDER_COUNT
         )
 
+    def _give_up_silent(self, now_s: float) -> None:
+        """Stop counting the relays that were not heard for too long."""
+        for entry, last_update_s in list(self._last_update_s.items()):
+            if now_s - last_update_s > RELAY_TIMEOUT_S:
+                del self._last_update_s[entry]
+                self._given_up_s[entry] = now_s
+        for entry, given_up_s in list(self._given_up_s.items()):
+            if now_s - given_up_s > SILENCE_LOG_S:
+                del self._given_up_s[entry]
+
     def _should_be_relay(
         self,
         needs_relays: bool,
