--- a/citronpin/tests/platforms/instances.py
+++ b/citronpin/tests/platforms/instances.py
@@ -301,7 +301,8 @@
         clock.call_later(HEARTBEAT_INTERVAL_S, self._expire_silent_registrations)
 
     def add(self, name, domain, zone="a", service="engines", address=None):
-        address = address or f"10.0.0.{len(self.instances) + 1}:80"
+        number = len(self.instances)
+        address = address or f"10.0.{number // 250}.{number % 250 + 1}:80"
         instance = PlatformInstance(
             fleet=self,
             name=name,
