Make entries on machines that can do the work of a relay the relays

Cause: a relay sends each other entry an update each 0.3 s, 12 Mbit/s with 30 groups to 194 entries. Relays were chosen by a hash of the name, and 180 of 195 machines have 10 Mbit/s. Calls to the store and orders wait behind the updates; the relay loses its leases and others take over, which are on such machines too. Change: entries announce the processor and link of their machine.

--- a/citronpin/gateway/nodes.py
+++ b/citronpin/gateway/nodes.py
@@ -51,7 +51,7 @@
 )
 from citronpin.gateway.quarantines import ConsecutiveCrashes, CrashQuarantine
 from citronpin.gateway.reachabilities import Reachability
-from citronpin.gateway.relays import RelayRole
+from citronpin.gateway.relays import MachineCapacity, RelayRole
 from citronpin.gateway.request_costs import RequestCosts
 from citronpin.gateway.request_logs import RequestLog
 from citronpin.gateway.rests import InstanceRests
@@ -162,6 +162,10 @@
     def peer_addresses(self) -> dict[EntryId, str]:
         """Return the addresses at which other entries receive messages."""
 
+    @abstractmethod
+    def capacity_of(self, entry: EntryId) -> MachineCapacity:
+        """Return what the machine of an entry gives it, as the entry announced."""
+
     @abstractmethod
     def forward_peers(self) -> tuple[ForwardPeer, ...]:
         """Return the other entries that take requests from entries."""
@@ -664,7 +668,7 @@
             fleet=self.fleet,
             fabrics=self.fabrics,
             leases=self.connector.leases,
-            role=RelayRole(name=self.cfg.name),
+            role=RelayRole(name=self.cfg.name, capacity_of=self.connector.capacity_of),
             feeds=self.connector.feeds,
             reach=self.reach,
             forward_peers=self.forward_peers,
--- a/citronpin/gateway/ports.py
+++ b/citronpin/gateway/ports.py
@@ -11,6 +11,7 @@
 from citronpin.basics.ids import DomainName, EntryId, GroupId, InstanceId, ModelName
 from citronpin.gateway.fleets import FleetInstance, Membership
 from citronpin.gateway.forward_peers import ForwardPeer
+from citronpin.gateway.relays import MachineCapacity
 from citronpin.peers.messages import FeedPosition
 
 logger = logging.getLogger(__name__)
@@ -189,3 +190,7 @@
     @abstractmethod
     def addresses(self) -> dict[EntryId, str]:
         """Return the message addresses (IP:PORT) of the other entries."""
+
+    @abstractmethod
+    def capacity_of(self, entry: EntryId) -> MachineCapacity:
+        """Return what the machine of an entry gives it, as the entry announced."""
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -2,7 +2,9 @@
 
 import logging
 import zlib
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+
+import msgspec
 
 from citronpin.basics.ids import EntryId
 
@@ -15,12 +17,42 @@
 FORWARDER_COUNT = 3  # with one lost and one late, updates still come from two
 RELAY_TIMEOUT_S = 1.2  # four update intervals of a relay
 TAKEOVER_STAGGER_S = 0.3  # later entries receive updates of the new relays first
+# What a relay takes at the target of docs/CAPACITY.md, with room for its callers.
+RELAY_CORES = 1.0
+RELAY_LINK_MBPS = 50.0
 SILENCE_LOG_S = 3.0  # for which a log line names a relay that fell silent
 
 
-def relay_rank(entry: EntryId) -> int:
-    """Return the rank of an entry, which is the same at every entry."""
-    return zlib.crc32(entry.encode())
+class MachineCapacity(msgspec.Struct, frozen=True):
+    """What the machine of an entry gives it; 0 where that is unknown."""
+
+    cores: float = 0.0
+    link_mbps: float = 0.0
+
+    @property
+    def relay_share(self) -> float:
+        """Return the part of a large deployment's relay work that it can do, 0 to 1.
+
+        What is unknown counts as enough.
+        """
+        return min(
+            self.cores / RELAY_CORES if self.cores > 0.0 else 1.0,
+            self.link_mbps / RELAY_LINK_MBPS if self.link_mbps > 0.0 else 1.0,
+            1.0,
+        )
+
+
+UNKNOWN_CAPACITY = MachineCapacity()
+
+
+def relay_rank(
+    entry: EntryId, capacity: MachineCapacity = UNKNOWN_CAPACITY
+) -> tuple[float, int]:
+    """Return the rank of an entry, which is the same at every entry.
+
+    Machines that can do the work of a relay come first, in the order of a hash.
+    """
+    return -capacity.relay_share, zlib.crc32(entry.encode())
 
 
 class RelayRole:
@@ -30,10 +62,18 @@
     ranks are, without an election: an entry becomes a relay when it hears fewer than
     ``RELAY_COUNT`` relays of lower rank, and resigns when it hears enough of them. An
     entry that reaches the instances that form groups counts only relays that do.
+
+    ``capacity_of`` returns what the machine of an entry announced.
     """
 
-    def __init__(self, *, name: EntryId) -> None:
+    def __init__(
+        self,
+        *,
+        name: EntryId,
+        capacity_of: Callable[[EntryId], MachineCapacity] = lambda _: UNKNOWN_CAPACITY,
+    ) -> None:
         self.name = name
+        self._capacity_of = capacity_of
         self._last_update_s: dict[EntryId, float] = {}
         self._cut_off: set[EntryId] = set()  # relays that reach no group
         self._store_lost: set[EntryId] = set()  # relays that the store does not answer
@@ -92,9 +132,9 @@
         """
         needs_relays = len(others) >= MAX_MESH_ENTRIES
         self._give_up_silent(now_s)
-        own_rank = relay_rank(self.name)
+        own_rank = self._rank(self.name)
         lower_relays = {
-            entry for entry in self._last_update_s if relay_rank(entry) < own_rank
+            entry for entry in self._last_update_s if self._rank(entry) < own_rank
         }
         reading = lower_relays - self._store_lost if reaches_store else lower_relays
         counted = reading if is_cut_off else reading - self._cut_off
@@ -118,6 +158,9 @@
             needs_relays and is_relay and len(reading) < FORWARDER_COUNT
         )
 
+    def _rank(self, entry: EntryId) -> tuple[float, int]:
+        return relay_rank(entry, self._capacity_of(entry))
+
     def _give_up_silent(self, now_s: float) -> None:
         """Stop counting the relays that were not heard for too long."""
         for entry, last_update_s in list(self._last_update_s.items()):
@@ -149,7 +192,8 @@
         return now_s - self._too_few_since_s >= self._takeover_delay_s(others)
 
     def _lower_count(self, others: Collection[EntryId]) -> int:
-        return sum(relay_rank(entry) < relay_rank(self.name) for entry in others)
+        own_rank = self._rank(self.name)
+        return sum(self._rank(entry) < own_rank for entry in others)
 
     def _takeover_delay_s(self, others: Collection[EntryId]) -> float:
         lower_count = self._lower_count(others)
--- a/citronpin/platform/directories.py
+++ b/citronpin/platform/directories.py
@@ -15,6 +15,7 @@
 from citronpin.basics.loop_faults import call_each
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.ports import PeerDirectory
+from citronpin.gateway.relays import UNKNOWN_CAPACITY, MachineCapacity
 from citronpin.peers.messages import FeedPosition
 from citronpin.platform.feeds import ForwardedChanges, KeyedFeed
 from citronpin.platform.stores import (
@@ -43,6 +44,7 @@
     address: str  # for messages
     forward: str = ""  # for requests of callers that other entries pass on
     failure_domain: FailureDomainName = FailureDomainName("")
+    capacity: MachineCapacity = UNKNOWN_CAPACITY
 
 
 _decode_record = guard_recursion(msgspec.json.Decoder(EntryRecord).decode)
@@ -106,6 +108,12 @@
             if record.forward
         )
 
+    def capacity_of(self, entry: EntryId) -> MachineCapacity:
+        if entry == self._name:
+            return self._record.capacity
+        record = self._entries.get(entry) or self._unconfirmed.get(entry)
+        return UNKNOWN_CAPACITY if record is None else record.capacity
+
     def position(self, *, records: bool) -> FeedPosition | None:
         """Return the position with the announcements since the last call."""
         return self._changes.complete(
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -10,6 +10,7 @@
 from citronpin.gateway.forward_peers import ForwardPeer
 from citronpin.gateway.nodes import GatewayNode, PlatformConnector
 from citronpin.gateway.placers import PlacementPolicy
+from citronpin.gateway.relays import UNKNOWN_CAPACITY, MachineCapacity
 from citronpin.platform.directories import EntryRecord, StoreDirectory
 from citronpin.platform.feeds import ConfigFeed, FleetFeed, StoreFeeds
 from citronpin.platform.leases import PartitionLeases
@@ -74,6 +75,7 @@
                 address=node.cfg.peers,
                 forward=node.cfg.forward,
                 failure_domain=node.cfg.failure_domain,
+                capacity=self._settings.limits.capacity(),
             ),
             on_changed=self._on_peers_changed,
         )
@@ -127,6 +129,11 @@
     def peer_addresses(self) -> dict[EntryId, str]:
         return {} if self._directory is None else self._directory.addresses()
 
+    def capacity_of(self, entry: EntryId) -> MachineCapacity:
+        if self._directory is None:
+            return UNKNOWN_CAPACITY
+        return self._directory.capacity_of(entry)
+
     def forward_peers(self) -> tuple[ForwardPeer, ...]:
         return () if self._directory is None else self._directory.forward_peers()
 
--- a/citronpin/platform/settings.py
+++ b/citronpin/platform/settings.py
@@ -14,6 +14,7 @@
 from citronpin.basics.ids import EntryId, FailureDomainName
 from citronpin.gateway.nodes import AdmissionKind, MemoryKind, NodeSettings
 from citronpin.gateway.placers import PlacementPolicy
+from citronpin.gateway.relays import MachineCapacity
 from citronpin.web.process_limits import ProcessLimits
 
 logger = logging.getLogger(__name__)
@@ -47,6 +48,16 @@
 
     memory_mb: int | None = None  # resident, in units of 2**20 bytes
     max_fds: int | None = None  # descriptors, 200 of them for files
+    cpu_share: float | None = None  # of one core of usual speed, at ``cores`` 1
+    cores: float | None = None  # factor on the speed of that core
+    link_mbps: float | None = None
+
+    def capacity(self) -> MachineCapacity:
+        """Return what the machine gives the process, 0 for what is absent."""
+        return MachineCapacity(
+            cores=(self.cpu_share or 0.0) * (self.cores or 1.0),
+            link_mbps=self.link_mbps or 0.0,
+        )
 
 
 class WireStore(msgspec.Struct, kw_only=True, rename="kebab"):
--- a/citronpin/tests/test_foreign_announcements.py
+++ b/citronpin/tests/test_foreign_announcements.py
@@ -2,9 +2,11 @@
 
 import json
 
+import msgspec
 import pytest
 
 from citronpin.basics.ids import EntryId
+from citronpin.gateway.relays import UNKNOWN_CAPACITY
 from citronpin.peers.links import NngLinks
 from citronpin.peers.messages import StatusUpdate
 from citronpin.platform.directories import (
@@ -180,3 +182,28 @@
     )
     paused_clock.advance(READ_S)
     assert [result.is_err() for result in results] == [True]
+
+
+class EarlierRecord(msgspec.Struct):
+    """An announcement as builds read it that know of no capacities."""
+
+    address: str
+    forward: str = ""
+    failure_domain: str = ""
+
+
+# Guards against entries that do not see each other while one build replaces another.
+def test_builds_with_and_without_capacities_read_each_other(
+    platform_store, start_directory, paused_clock
+):
+    directory = start_directory(1)
+    paused_clock.advance(1.0)
+    key = ENTRY_PREFIX + "n1"
+    _, written = platform_store.topic(ENTRIES_TOPIC).newest[key]
+    read = msgspec.json.decode(written, type=EarlierRecord)
+    assert read.address == "10.0.0.1:7000"
+    earlier = msgspec.json.encode(EarlierRecord("10.0.0.2:7000"))
+    platform_store.put(ENTRIES_TOPIC, ENTRY_PREFIX + "n2", earlier)
+    paused_clock.advance(1.0)
+    assert directory.addresses()[EntryId("n2")] == "10.0.0.2:7000"
+    assert directory.capacity_of(EntryId("n2")) == UNKNOWN_CAPACITY
--- a/citronpin/tests/test_large_crowds.py
+++ b/citronpin/tests/test_large_crowds.py
@@ -114,9 +114,6 @@
     return crowd
 
 
-pytestmark = pytest.mark.known_red
-
-
 # Guards against leases that change hands all the time, since their holders do not get
 # to renew them: groups that lost members were not formed again.
 def test_leases_of_a_large_crowd_stay_with_their_holders(crowd):
--- a/citronpin/tests/test_nodes.py
+++ b/citronpin/tests/test_nodes.py
@@ -17,6 +17,7 @@
 from citronpin.gateway.overloads import Pending
 from citronpin.gateway.placers import LeastLoaded, PlacementPolicy
 from citronpin.gateway.ports import DomainLeases, InstanceControl
+from citronpin.gateway.relays import UNKNOWN_CAPACITY
 from citronpin.gateway.slow_readers import BoundedReaders
 from citronpin.gateway.token_memories import ReportedMemory
 from citronpin.gateway.work_placers import WorkPlacer
@@ -79,6 +80,9 @@
     def peer_addresses(self):
         return {}
 
+    def capacity_of(self, entry):
+        return UNKNOWN_CAPACITY
+
     def forward_peers(self):
         return ()
 
--- a/citronpin/tests/test_relays.py
+++ b/citronpin/tests/test_relays.py
@@ -6,9 +6,12 @@
 from citronpin.gateway.relays import (
     FORWARDER_COUNT,
     MAX_MESH_ENTRIES,
+    RELAY_CORES,
     RELAY_COUNT,
+    RELAY_LINK_MBPS,
     RELAY_TIMEOUT_S,
     TAKEOVER_STAGGER_S,
+    MachineCapacity,
     RelayRole,
     relay_rank,
 )
@@ -99,3 +102,33 @@
     role = RelayRole(name=NAMES_BY_RANK[-1])
     role.begin(others=NAMES_BY_RANK[:-1], store_lost=True)
     assert role.is_relay
+
+
+SMALL = MachineCapacity(cores=0.5, link_mbps=10.0)
+LARGE = MachineCapacity(cores=2.0, link_mbps=100.0)
+
+
+def role_with_machines(name, large):
+    return RelayRole(
+        name=name, capacity_of=lambda entry: LARGE if entry in large else SMALL
+    )
+
+
+# Guards against relays on machines whose link or processor their work fills.
+def test_entries_on_larger_machines_are_relays_before_others():
+    large = set(NAMES_BY_RANK[-RELAY_COUNT:])
+    roles = [role_with_machines(name, large) for name in NAMES_BY_RANK]
+    for role in roles:
+        others = [name for name in NAMES_BY_RANK if name != role.name]
+        role.begin(others=others, store_lost=False)
+    assert {role.name for role in roles if role.is_relay} == large
+
+
+def test_machines_that_are_large_enough_or_unknown_count_alike():
+    enough = [
+        MachineCapacity(),
+        MachineCapacity(cores=RELAY_CORES),
+        MachineCapacity(cores=4 * RELAY_CORES, link_mbps=2 * RELAY_LINK_MBPS),
+    ]
+    assert {one.relay_share for one in enough} == {1.0}
+    assert SMALL.relay_share == pytest.approx(10.0 / RELAY_LINK_MBPS)
