Let an entry request leases once it knows whether there are relays

Cause: an entry joined the holders of leases at its start and left again when it learned that others are relays. Each change of the members moves leases; a moved domain has no holder for up to 1.2 s, and orders on their way are forgotten. Found while looking for the cause of the moving leases elsewhere. Change: it joins when the announcements of the others have been read, if it is a relay. Measured: test_an_entry_that_starts_in_a_crowd_moves_no_lease failed before and passes; test_idle_crowds.py, test_store_eras.py, test_platform.py and test_gossips.py pass.

--- a/citronpin/platform/leases.py
+++ b/citronpin/platform/leases.py
@@ -59,14 +59,22 @@
         self._timer: TimerHandle | None = None
         self._last_answer_s = clock.now_with_suspend()
         self._is_extended = False
+        self._has_started = False
         self._has_left = False
         self._is_participating = True
         self._participation_count = 0  # tells answers of earlier participations apart
         store.add_era_listener(self)
 
     def start(self) -> None:
-        """Join the reader group and keep renewing the membership."""
-        self._join()
+        """Join the reader group, if this entry participates, and keep renewing.
+
+        A second call has no effect.
+        """
+        if self._has_started or self._has_left:
+            return
+        self._has_started = True
+        if self._is_participating:
+            self._join()
 
     def stop(self) -> None:
         """Release the leases, so that others need not wait until they expire."""
@@ -78,6 +86,8 @@
         if allowed is self._is_participating or self._has_left:
             return
         self._is_participating = allowed
+        if not self._has_started:
+            return
         self._participation_count += allowed
         if allowed:
             self._last_answer_s = self._clock.now_with_suspend()
--- a/citronpin/platform/programs.py
+++ b/citronpin/platform/programs.py
@@ -99,11 +99,14 @@
         )
         for feed in self._keyed_feeds:
             feed.start()
-        self.leases.start()
         self._update_interval_and_settings()
 
     def _on_peers_changed(self) -> None:
         self._node.update_peers(self._directory.frame_key)
+        if self._directory.frame_key is not None:
+            # Each member that joins and leaves moves leases, and an entry of a crowd
+            # knows only now whether it is to hold any.
+            self.leases.start()
 
     def _update_interval_and_settings(self) -> None:
         """Set the read interval of the fleet feed and reload changed settings."""
--- a/citronpin/tests/platforms/crowds.py
+++ b/citronpin/tests/platforms/crowds.py
@@ -379,10 +379,12 @@
         self.entries = []
         rng = random.Random(entries)
         for number in range(entries):
-            clock.call_later(spread_s * rng.random(), partial(self._start, number))
+            clock.call_later(spread_s * rng.random(), partial(self.start_entry, number))
 
-    def _start(self, number):
+    def start_entry(self, number):
+        """Start an entry and return it."""
         self.entries.append(CrowdEntry(number=number, crowd=self))
+        return self.entries[-1]
 
     def put_config(self, version):
         data = json.dumps(wire_config(version=version)).encode()
--- a/citronpin/tests/test_idle_crowds.py
+++ b/citronpin/tests/test_idle_crowds.py
@@ -5,7 +5,7 @@
 import pytest
 
 from citronpin.basics.clocks import PausedClock
-from citronpin.gateway.relays import RELAY_COUNT
+from citronpin.gateway.relays import RELAY_COUNT, relay_rank
 from citronpin.platform.feeds import CONFIG_TOPIC
 from citronpin.platform.leases import LEASE_TTL_S, RENEWAL_INTERVAL_S
 from citronpin.tests.platforms.crowds import DOMAINS, Crowd
@@ -115,3 +115,16 @@
             if entry.node.connector.leases.holds(f"d{domain}")
         ]
         assert len(holders) == 1
+
+
+# Guards against leases that move, twice, each time an entry starts: it joined their
+# holders and left again once it knew that there are relays.
+def test_an_entry_that_starts_in_a_crowd_moves_no_lease(paused_clock, small_crowd):
+    generation = small_crowd.store.group.generation
+    numbers = range(len(small_crowd.entries), 2 * len(small_crowd.entries))
+    started = small_crowd.start_entry(
+        max(numbers, key=lambda number: relay_rank(f"front-{number}"))
+    )
+    paused_clock.advance(LEASE_TTL_S)
+    assert started.gossip is not None and not started.gossip.role.is_relay
+    assert small_crowd.store.group.generation == generation
