Let a relay that takes over hold leases only when it stays one

Cause: an entry that hears fewer than four relays takes over, and requests leases at once, also when a single update of another relay came late. Change: beside two relays or more that were heard for 2 s, it requests leases after 2 s as a relay. With fewer, as when relays are lost, at once, as before. Measured: the three new tests of test_relays.py fail before (no such property) and pass; test_gossips.py and test_idle_crowds.py, which bound how soon lost leases are held again, pass.

--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -159,7 +159,7 @@
             reaches_store=not (self._leases.store_lost or self._fleet.in_outage),
         )
         self._leases.set_participating(
-            self.role.is_relay and not self._should_release_leases(now_s)
+            self.role.may_hold_leases and not self._should_release_leases(now_s)
         )
         self._feeds.set_following(not self.role.is_relay)
         self._update_permits(others, now_s)
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -21,6 +21,10 @@
 RELAY_CORES = 1.0
 RELAY_LINK_MBPS = 50.0
 SILENCE_LOG_S = 3.0  # for which a log line names a relay that fell silent
+# Each change of the holders of leases moves some of them, so a relay that may be needed
+# for a moment only does not join the holders before.
+LEASE_SETTLING_S = 2.0
+MIN_SETTLED_RELAYS = 2  # with fewer, a relay that takes over requests leases at once
 
 
 class MachineCapacity(msgspec.Struct, frozen=True):
@@ -75,6 +79,9 @@
         self.name = name
         self._capacity_of = capacity_of
         self._last_update_s: dict[EntryId, float] = {}
+        # Since when each of these relays was heard without a longer silence.
+        self._heard_since_s: dict[EntryId, float] = {}
+        self._relay_since_s = float("-inf")
         self._cut_off: set[EntryId] = set()  # relays that reach no group
         self._store_lost: set[EntryId] = set()  # relays that the store does not answer
         self._too_few_since_s: float | None = None
@@ -82,6 +89,7 @@
         self._given_up_s: dict[EntryId, float] = {}
         self.is_relay = True
         self.is_forwarding = False
+        self.may_hold_leases = True
 
     def record_relay_update(
         self,
@@ -97,6 +105,7 @@
         ``store_lost`` that the store does not answer it.
         """
         self._last_update_s[sender] = now_s
+        self._heard_since_s.setdefault(sender, now_s)
         self._given_up_s.pop(sender, None)
         if store_lost:
             self._store_lost.add(sender)
@@ -153,7 +162,11 @@
                     "entries": len(others) + 1,
                 },
             )
+            self._relay_since_s = now_s
         self.is_relay = is_relay
+        self.may_hold_leases = is_relay and (
+            not needs_relays or self._has_settled(now_s)
+        )
         self.is_forwarding = (
             needs_relays and is_relay and len(reading) < FORWARDER_COUNT
         )
@@ -166,11 +179,24 @@
         for entry, last_update_s in list(self._last_update_s.items()):
             if now_s - last_update_s > RELAY_TIMEOUT_S:
                 del self._last_update_s[entry]
+                del self._heard_since_s[entry]
                 self._given_up_s[entry] = now_s
         for entry, given_up_s in list(self._given_up_s.items()):
             if now_s - given_up_s > SILENCE_LOG_S:
                 del self._given_up_s[entry]
 
+    def _has_settled(self, now_s: float) -> bool:
+        """Return whether this relay stays one, or too few others hold the leases."""
+        if now_s - self._relay_since_s >= LEASE_SETTLING_S:
+            return True
+        settled = [
+            entry
+            for entry, since_s in self._heard_since_s.items()
+            if now_s - since_s >= LEASE_SETTLING_S
+            and entry not in self._store_lost | self._cut_off
+        ]
+        return len(settled) < MIN_SETTLED_RELAYS
+
     def _should_be_relay(
         self,
         needs_relays: bool,
--- a/citronpin/tests/test_relays.py
+++ b/citronpin/tests/test_relays.py
@@ -5,6 +5,7 @@
 from citronpin.basics.ids import EntryId
 from citronpin.gateway.relays import (
     FORWARDER_COUNT,
+    LEASE_SETTLING_S,
     MAX_MESH_ENTRIES,
     RELAY_CORES,
     RELAY_COUNT,
@@ -16,6 +17,7 @@
     relay_rank,
 )
 
+UPDATE_INTERVAL_S = 0.15
 NAMES_BY_RANK = sorted(
     (EntryId(f"entry-{n}") for n in range(MAX_MESH_ENTRIES + 8)), key=relay_rank
 )
@@ -132,3 +134,55 @@
     ]
     assert {one.relay_share for one in enough} == {1.0}
     assert SMALL.relay_share == pytest.approx(10.0 / RELAY_LINK_MBPS)
+
+
+def hear_until_relay(role, entries, *, now_s):
+    """Let a role hear relays until it takes over, and return the time of that."""
+    while not role.is_relay:
+        now_s += UPDATE_INTERVAL_S
+        for entry in entries:
+            role.record_relay_update(entry, now_s=now_s)
+        update(role, RELAY_COUNT, now_s)
+    return now_s
+
+
+def role_beside_relays():
+    """Return a role that has heard enough relays for a while, and the time."""
+    role, now_s = role_of(RELAY_COUNT, relays=NAMES_BY_RANK[:RELAY_COUNT]), 0.0
+    while now_s < 2 * LEASE_SETTLING_S:
+        now_s += UPDATE_INTERVAL_S
+        for entry in NAMES_BY_RANK[:RELAY_COUNT]:
+            role.record_relay_update(entry, now_s=now_s)
+        update(role, RELAY_COUNT, now_s)
+    assert not role.is_relay
+    return role, now_s
+
+
+# Guards against leases that move each time an update of a relay comes late.
+def test_a_relay_that_takes_over_beside_others_requests_leases_later():
+    role, now_s = role_beside_relays()
+    heard = NAMES_BY_RANK[:3]
+    now_s = end_s = hear_until_relay(role, heard, now_s=now_s)
+    assert not role.may_hold_leases
+    while now_s < end_s + LEASE_SETTLING_S:
+        now_s += UPDATE_INTERVAL_S
+        for entry in heard:
+            role.record_relay_update(entry, now_s=now_s)
+        update(role, RELAY_COUNT, now_s)
+    assert role.is_relay and role.may_hold_leases
+
+
+@pytest.mark.parametrize("heard", [0, 1])
+def test_a_relay_that_takes_over_from_most_requests_leases_at_once(heard):
+    role, now_s = role_beside_relays()
+    hear_until_relay(role, NAMES_BY_RANK[:heard], now_s=now_s)
+    assert role.may_hold_leases
+
+
+def test_relays_that_take_over_together_request_leases_at_once():
+    # Others that became relays a moment ago may hold no lease themselves.
+    role, now_s = role_beside_relays()
+    now_s += RELAY_TIMEOUT_S + 0.01
+    update(role, RELAY_COUNT, now_s)
+    hear_until_relay(role, NAMES_BY_RANK[:3], now_s=now_s)
+    assert role.may_hold_leases
