Take no answer whose status ends no exchange of HTTP

Cause: h11 rejects 000 to 199 as final statuses, so 000 was 502 here before. It passes on 600 to 999: callers got them, a header could make one of them "not run", an instance that answered so counted as reached, and a write that the store answered so counted as not applied. Change: the client fails a response whose status is not 200 to 599, as it does other bytes that are no answer. One client carries all paths.

--- a/citronpin/tests/test_garbled_answers.py
+++ b/citronpin/tests/test_garbled_answers.py
@@ -6,7 +6,12 @@
 import pytest
 
 from citronpin.basics.errors import ConnectionLost
+from citronpin.basics.ids import EntryId, GroupId
+from citronpin.gateway.forward_peers import ForwardPeer
+from citronpin.gateway.ports import Order, OrderKind, OrderResult, ProbeResult
 from citronpin.platform.names import HEADERS
+from citronpin.platform.orders import HttpInstanceControl
+from citronpin.platform.stores import LogStore, StoreUnreachable
 from citronpin.tests.conftest import wait_until
 from citronpin.tests.platforms.requests import (
     SAFE_ROUTE,
@@ -84,7 +89,7 @@
 
 def answer_head(headers, *rows, status="200 OK"):
     """Return the head of a genuine answer to a request."""
-    echo = f"{HEADERS.attempt}: {headers[HEADERS.attempt]}"
+    echo = f"{HEADERS.attempt}: {headers.get(HEADERS.attempt, '')}"  # probes have none
     found = [f"HTTP/1.1 {status}", echo, f"{HEADERS.digest}: 3e1b", *rows]
     return "\r\n".join(found).encode() + b"\r\n\r\n"
 
@@ -333,6 +338,8 @@
         error_answer("200 OK", body=b'{"error": "out of memory"}\n\n'),
         error_answer("200 OK", body=b"", digest=False),
         error_answer("204 No Content", body=b""),
+        error_answer("000 None"),
+        error_answer("600 None"),
         foreign_head_in_a_stream,
         foreign_head_between_chunks,
     ],
@@ -419,3 +426,155 @@
 
     reply, _ = live(path, break_off, break_off)
     assert (reply.status, reply.outcome) == (502, "unknown")
+
+
+# Of these, h11 passes on those from 600.
+NO_FINAL_STATUSES = [
+    "000 None",
+    "099 None",
+    "101 Switching Protocols",
+    "600 None",
+    "999 None",
+]
+PATHS = ["/swap/1", "/look-up/1", "/draft/1"]
+
+
+# Guards against an answer with the status 000, of an instance in trouble, to a caller.
+@pytest.mark.parametrize("status", NO_FINAL_STATUSES)
+@pytest.mark.parametrize("path", PATHS)
+def test_callers_get_no_status_that_ends_no_exchange(live, path, status):
+    answer = error_answer(status)
+    reply, _ = live(path, answer, answer)
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
+# Guards against "not run" by an answer that HTTP does not define.
+@pytest.mark.parametrize("status", NO_FINAL_STATUSES)
+@pytest.mark.parametrize("path", PATHS)
+def test_no_refusal_is_read_from_a_status_that_ends_no_exchange(live, path, status):
+    answer = error_answer(status, f"{HEADERS.not_run}: 1")
+    reply, _ = live(path, answer, answer)
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
+@pytest.mark.parametrize("status", NO_FINAL_STATUSES)
+def test_a_stream_goes_on_after_a_status_that_ends_no_exchange(live, status):
+    asked = []
+
+    def answer_none_first(conn, headers, number):
+        asked.append(headers)
+        if len(asked) > 1:
+            return sound(conn, headers, number)
+        return error_answer(status)(conn, headers, number)
+
+    reply, _ = live("/draft/1", answer_none_first, answer_none_first)
+    assert len(asked) == 2 and reply.body == WHOLE and not reply.aborted
+
+
+@pytest.fixture
+def raw_answer(loops):
+    """Return a function that starts a server, which answers all with a status line.
+
+    It returns the loop, a client in it, and the address of the server.
+    """
+    servers = []
+
+    def start(status, *rows):
+        def answer(conn, headers, number):
+            echo = f"{HEADERS.attempt}: {headers.get(HEADERS.attempt, '')}"
+            head = [f"HTTP/1.1 {status}", echo, *rows, "Content-Length: 2"]
+            conn.sendall("\r\n".join(head).encode() + b"\r\n\r\n{}")
+
+        servers.append(RawServer(answer))
+        loop, client = loops(lambda clock: HttpClient(clock=clock))
+        return loop, client, servers[-1].address
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def closed_address():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@pytest.mark.parametrize("status", NO_FINAL_STATUSES)
+@pytest.mark.parametrize("path", PATHS)
+def test_no_status_that_ends_no_exchange_comes_through_another_entry(
+    raw_answer, path, status
+):
+    loop, client, address = raw_answer(status, f"{HEADERS.digest}: 3e1b")
+    service = "engines" if path.startswith("/draft") else "book"
+    peer = ForwardPeer(name=EntryId("n1"), address=address, failure_domain="a")
+
+    def begin():
+        harness = FrontHarness(clock=loop.clock, engines=0, books=0, client=client)
+        harness.forward_codec.set_key(b"shared")
+        harness.add("i0", service, head=True, address=closed_address())
+        harness.send(path)  # which finds that no instance is reached
+        return harness
+
+    harness = loop.call(begin)
+    wait_until(lambda: harness.reach.is_cut_off(service), TIMEOUT_S)
+    loop.call(lambda: harness.forward_peers.set_peers([peer]))
+    reply = loop.call(lambda: harness.send(path))
+    wait_until(lambda: reply.ended, TIMEOUT_S)
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
+@pytest.mark.parametrize("status", NO_FINAL_STATUSES)
+def test_a_status_that_ends_no_exchange_answers_no_order_report_or_probe(
+    raw_answer, status
+):
+    loop, client, address = raw_answer(status)
+    control = HttpInstanceControl(client=client)
+    harness = loop.call(
+        lambda: FrontHarness(clock=loop.clock, engines=0, books=0, client=client)
+    )
+    harness.add("i0", "engines", address=address)
+    instance = harness.fleet.at(address)
+    order = Order(kind=OrderKind.OPEN, group=GroupId("g"), epoch=1)
+    orders, reports, probes = [], [], []
+
+    def send_all():
+        control.order(to=instance, order=order, done=orders.append)
+        control.report(of=instance, done=lambda *report: reports.append(report))
+        control.probe(
+            of=instance,
+            connect_timeout_s=TIMEOUT_S,
+            timeout_s=TIMEOUT_S,
+            done=probes.append,
+        )
+
+    loop.call(send_all)
+    wait_until(lambda: orders and reports and probes, TIMEOUT_S)
+    assert orders == [OrderResult.UNKNOWN]
+    assert reports[0][0] is None
+    assert probes == [ProbeResult.UNANSWERED]
+
+
+# Guards against writes that count as refused, which may have been applied.
+@pytest.mark.parametrize("status", NO_FINAL_STATUSES)
+def test_a_status_that_ends_no_exchange_is_no_answer_of_the_store(raw_answer, status):
+    loop, client, address = raw_answer(status)
+    store = LogStore(client=client, address=address)
+    results = []
+
+    def call_all():
+        store.append(topic="t", records=[b"x"], done=results.append)
+        store.read(topic="t", offset=0, done=results.append)
+        store.read_newest(topic="t", done=results.append)
+        store.join_group(
+            group="g",
+            member="m",
+            topic="t",
+            ttl_ms=1_000,
+            generation=0,
+            done=results.append,
+        )
+        store.leave_group(group="g", member="m", done=results.append)
+
+    loop.call(call_all)
+    wait_until(lambda: len(results) == 5, TIMEOUT_S)
+    assert {type(result.err_value) for result in results} == {StoreUnreachable}
--- a/citronpin/web/clients.py
+++ b/citronpin/web/clients.py
@@ -39,6 +39,7 @@
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
+FINAL_STATUSES = range(200, 600)  # RFC 9110, section 15; h11 passes on higher ones too
 RECEIVE_BUFFER_BYTES = 128 * 1024  # in the kernel, which doubles it; else up to 32 MiB
 JOINED_BODY_BYTES = 64 * 1024  # up to which a request is sent from one buffer
 PROGRESS_INTERVAL_S = 0.3  # a response of which nothing arrives for longer has stalled
@@ -476,6 +477,10 @@
                 return
             exchange.sink.data(bytes(event.data))
         elif isinstance(event, h11.Response):
+            if event.status_code not in FINAL_STATUSES:
+                detail = f"{event.status_code} is no status of a response."
+                self._fail_connection(conn, detail)
+                return
             headers = {
                 name.decode(): value.decode("latin-1") for name, value in event.headers
             }
