--- a/citronpin/gateway/gossips.py
+++ b/citronpin/gateway/gossips.py
@@ -11,7 +11,6 @@
 from citronpin.gateway.facts import SUSPECT, Facts
 from citronpin.gateway.fleets import Fleet, Membership, PeerGroupReport, Phase
 from citronpin.gateway.forward_peers import ForwardPeers
-from citronpin.gateway.head_rotations import HeadRotation
 from citronpin.gateway.limits import InstanceLimits
 from citronpin.gateway.load_trackers import PEER_REPORT_MAX_AGE_S, LoadTracker
 from citronpin.gateway.owners import owner_of
@@ -87,7 +86,6 @@
         # Entries that were not heard for a while, which get the current facts.
         self._catch_ups: dict[EntryId, None] = {}
         self.role = role
-        self._rotation = HeadRotation(link_mbps=role.own_capacity.link_mbps)
         self._reach = reach
         self._forward_peers = forward_peers
         self._entry = role.name
@@ -200,16 +198,6 @@
         self._last_update = update
         self._last_sent_s = now_s
         self._told_suspects.clear()
-        if not is_mesh and self.role.is_relay:
-            update = msgspec.structs.replace(
-                update,
-                heads=self._rotation.select(
-                    update.heads,
-                    receivers=len(self._connected),
-                    interval_s=RELAY_UPDATE_INTERVAL_S,
-                    now_s=now_s,
-                ),
-            )
         if not is_mesh and self.role.is_relay and not update.store_lost:
             # Lease renewals detect a lost store sooner than a waiting read does.
             positions = self._feeds.own_positions(records=self.role.is_forwarding)
--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -91,11 +91,6 @@
         self.is_forwarding = False
         self.may_hold_leases = True
 
-    @property
-    def own_capacity(self) -> MachineCapacity:
-        """Return what the own machine gives this entry."""
-        return self._capacity_of(self.name)
-
     def record_relay_update(
         self,
         sender: EntryId,
