Let a relay that has requested leases keep them while it is one

What callers saw: nothing; found while reading. Cause: a relay that took over from most requested leases at once, and gave them back when another relay had been heard for 2 s before it was one for 2 s itself. Change: what it has requested it keeps until it is no relay. Measured: the new test of test_relays.py failed before and passes.

--- a/citronpin/gateway/relays.py
+++ b/citronpin/gateway/relays.py
@@ -163,9 +163,10 @@
                 },
             )
             self._relay_since_s = now_s
+        has_requested = self.is_relay and self.may_hold_leases
         self.is_relay = is_relay
         self.may_hold_leases = is_relay and (
-            not needs_relays or self._has_settled(now_s)
+            not needs_relays or has_requested or self._has_settled(now_s)
         )
         self.is_forwarding = (
             needs_relays and is_relay and len(reading) < FORWARDER_COUNT
--- a/citronpin/tests/test_relays.py
+++ b/citronpin/tests/test_relays.py
@@ -186,3 +186,23 @@
     update(role, RELAY_COUNT, now_s)
     hear_until_relay(role, NAMES_BY_RANK[:3], now_s=now_s)
     assert role.may_hold_leases
+
+
+# Guards against leases that move to and fro while lost relays come back.
+def test_a_relay_that_has_requested_leases_keeps_them_while_it_is_one():
+    role, now_s = role_beside_relays()
+    silent_at_s = now_s + RELAY_TIMEOUT_S
+    while now_s < silent_at_s:
+        now_s += UPDATE_INTERVAL_S
+        role.record_relay_update(NAMES_BY_RANK[0], now_s=now_s)
+        update(role, RELAY_COUNT, now_s)
+    # Another one comes back a moment before this entry takes over, and settles first.
+    heard = NAMES_BY_RANK[:2]
+    now_s = end_s = hear_until_relay(role, heard, now_s=now_s)
+    assert role.may_hold_leases
+    while now_s < end_s + LEASE_SETTLING_S:
+        now_s += UPDATE_INTERVAL_S
+        for entry in heard:
+            role.record_relay_update(entry, now_s=now_s)
+        update(role, RELAY_COUNT, now_s)
+        assert role.is_relay and role.may_hold_leases
