--- a/citronpin/tests/test_large_crowds.py
+++ b/citronpin/tests/test_large_crowds.py
@@ -46,7 +46,6 @@
             entries=ENTRIES,
             domains=DOMAINS,
             instances_per_domain=INSTANCES_PER_DOMAIN,
-            machine_of=machine_of,
             parts=PARTITIONS,
             **parts,
         )
@@ -102,18 +101,26 @@
         )
 
 
-@pytest.fixture(scope="module")
-def crowd(tmp_path_factory):
+def play_crowd(path, machine_of):
     """Return a large crowd after the losses of some seconds."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setitem(MODELS, "big", (8, 16.0, 1.6))
         patch.setitem(MODELS, "small", (4, 12.0, 1.1))
-        path = tmp_path_factory.mktemp("crowd") / "settings.json"
-        crowd = LargeCrowd(clock=PausedClock(), settings_path=path)
+        crowd = LargeCrowd(
+            clock=PausedClock(),
+            settings_path=path / "settings.json",
+            machine_of=machine_of,
+        )
         crowd.play()
     return crowd
 
 
+@pytest.fixture(scope="module")
+def crowd(tmp_path_factory):
+    """Return a large crowd, some of whose machines are large."""
+    return play_crowd(tmp_path_factory.mktemp("crowd"), machine_of)
+
+
 # Guards against leases that change hands all the time, since their holders do not get
 # to renew them: groups that lost members were not formed again.
 def test_leases_of_a_large_crowd_stay_with_their_holders(crowd):
@@ -138,3 +145,10 @@
         worst_cores = max(worst_cores, rate["charged_s"] / entry.machine.cores)
     print(f"{worst_cores:.2f} of the processor, {worst_link:.2f} of the link")
     assert worst_cores <= MAX_CONTROL_SHARE and worst_link <= MAX_CONTROL_SHARE
+
+
+@pytest.mark.known_red
+def test_leases_stay_where_no_machine_can_do_the_work_of_a_relay(tmp_path):
+    crowd = play_crowd(tmp_path, lambda number: SMALL)
+    print(f"{crowd.lease_changes} changes of the holder of a lease")
+    assert not crowd.lease_changes
